--- /dev/null
+++ b/src/bookkeeping/fleet.rs
@@ -0,0 +1,165 @@
+//! Machines as their owner sees them.
+
+use super::names::{ImageIx, JobIx, RigIx, ShardIx, ZoneIx};
+use super::units::{Ms, Res};
+use crate::protocol::workers::{TaskState, Why};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+
+/// An attempt of a task.
+pub type Attempt = (JobIx, u32, u64);
+
+/// A machine type with its amounts.
+#[derive(Clone, Debug)]
+pub struct Rig {
+    /// As the cloud describes it.
+    pub flavor: crate::protocol::cloud::Flavor,
+    /// What a machine has.
+    pub room: Res,
+}
+
+/// A task in the newest report.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Job, if its name is known.
+    pub job: Option<JobIx>,
+    /// `job-1/3`, for orders.
+    pub name: Rc<str>,
+    /// Task.
+    pub task: u32,
+    /// Attempt.
+    pub attempt: u64,
+    /// State.
+    pub state: TaskState,
+    /// Why it exited.
+    pub why: Option<Why>,
+}
+
+/// The newest of a machine's reports, by (session, number).
+pub type Stamp = (u64, u64);
+
+/// A machine.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Name.
+    pub name: Rc<str>,
+    /// Worker's address.
+    pub addr: String,
+    /// Type.
+    pub rig: RigIx,
+    /// Zone.
+    pub zone: ZoneIx,
+    /// Spot.
+    pub spot: bool,
+    /// Shard, for good.
+    pub shard: ShardIx,
+    /// First time it was known here.
+    pub known: Ms,
+    /// Newest sign of life, by report or by a peer's news.
+    pub heard: Option<Ms>,
+    /// Newest report taken here.
+    pub stamp: Stamp,
+    /// Token in that report.
+    pub token: u64,
+    /// When the cloud takes it away.
+    pub leaves: Option<Ms>,
+    /// Tasks in the newest report.
+    pub tasks: Vec<Seen>,
+    /// Report that an order to start an attempt answered last.
+    pub start_sent: HashMap<Attempt, Stamp>,
+    /// Attempts that were seen here in a report.
+    pub shown: HashSet<Attempt>,
+    /// Attempts to be stopped, with the time to save.
+    pub stopping: HashMap<Attempt, f64>,
+    /// Waiting tasks: job, task, since.
+    pub queue: VecDeque<(JobIx, u32, Ms)>,
+    /// Length of the queue as the owner told, for machines of others.
+    pub queued_elsewhere: u8,
+    /// It is to be returned and takes nothing.
+    pub closed: bool,
+    /// Kept free for a gang until then.
+    pub held: Option<(JobIx, Ms)>,
+    /// The cloud has deleted it.
+    pub gone: bool,
+    /// Jobs whose tasks failed here since the last success.
+    pub failed_jobs: HashSet<JobIx>,
+    /// Suspected to be faulty.
+    pub sick: bool,
+    /// Images last used, newest last.
+    pub images: Vec<(ImageIx, f64)>,
+    /// Since when nothing is placed on it.
+    pub idle_since: Option<Ms>,
+}
+
+impl Machine {
+    /// A machine just heard of.
+    pub fn new(
+        name: Rc<str>,
+        rig: RigIx,
+        zone: ZoneIx,
+        spot: bool,
+        shard: ShardIx,
+        now: Ms,
+    ) -> Machine {
+        Machine {
+            name,
+            addr: String::new(),
+            rig,
+            zone,
+            spot,
+            shard,
+            known: now,
+            heard: None,
+            stamp: (0, 0),
+            token: 0,
+            leaves: None,
+            tasks: Vec::new(),
+            start_sent: HashMap::new(),
+            shown: HashSet::new(),
+            stopping: HashMap::new(),
+            queue: VecDeque::new(),
+            queued_elsewhere: 0,
+            closed: false,
+            held: None,
+            gone: false,
+            failed_jobs: HashSet::new(),
+            sick: false,
+            images: Vec::new(),
+            idle_since: None,
+        }
+    }
+
+    /// The task in the newest report.
+    pub fn seen(&self, (job, task, attempt): Attempt) -> Option<&Seen> {
+        self.tasks
+            .iter()
+            .find(|s| s.job == Some(job) && s.task == task && s.attempt == attempt)
+    }
+
+    /// True if it may take a new task now.
+    pub fn takes(&self, now: Ms, silent_ms: u64) -> bool {
+        !self.gone
+            && !self.closed
+            && !self.sick
+            && self.leaves.is_none()
+            && self.heard.is_some_and(|h| now.since(h) <= silent_ms)
+    }
+
+    /// True if it is the machine's image or on its way there.
+    pub fn has_image(&self, image: ImageIx) -> bool {
+        self.images.iter().any(|(i, _)| *i == image)
+    }
+
+    /// Notes that an image was used; the least used ones go when the room ends.
+    pub fn use_image(&mut self, image: ImageIx, gb: f64, cache_gb: f64) {
+        if let Some(at) = self.images.iter().position(|(i, _)| *i == image) {
+            let entry = self.images.remove(at);
+            self.images.push(entry);
+            return;
+        }
+        self.images.push((image, gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/job.rs
@@ -0,0 +1,242 @@
+//! Job records: what is stored of a job, and its form in memory.
+
+use super::names::{ImageIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
+use super::units::Res;
+use crate::protocol::users::{JobSpec, Rank, Shape};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+/// Where a job stands.
+#[derive(Serialize, Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
+pub enum JobState {
+    /// Not over.
+    #[serde(rename = "o")]
+    Open,
+    /// All tasks are done.
+    #[serde(rename = "d")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// Sorted, disjoint, half-open ranges of task numbers.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Eq, Debug, Default)]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl Ranges {
+    /// All numbers below `n`.
+    pub fn all(n: u32) -> Ranges {
+        Ranges(vec![(0, n)])
+    }
+    /// Adds a number.
+    pub fn add(&mut self, x: u32) {
+        let at = self.0.partition_point(|r| r.1 < x);
+        match self.0.get_mut(at) {
+            Some(r) if r.0 <= x && x < r.1 => return,
+            Some(r) if r.1 == x => r.1 = x + 1,
+            Some(r) if r.0 == x + 1 => {
+                r.0 = x;
+                return;
+            }
+            _ => self.0.insert(at, (x, x + 1)),
+        }
+        if at + 1 < self.0.len() && self.0[at + 1].0 == self.0[at].1 {
+            self.0[at].1 = self.0[at + 1].1;
+            self.0.remove(at + 1);
+        }
+    }
+    /// True if it holds `x`.
+    pub fn has(&self, x: u32) -> bool {
+        let at = self.0.partition_point(|r| r.1 <= x);
+        self.0.get(at).is_some_and(|r| r.0 <= x)
+    }
+    /// How many numbers it holds.
+    pub fn count(&self) -> u32 {
+        self.0.iter().map(|r| r.1 - r.0).sum()
+    }
+    /// Numbers below `n` that it lacks, from the lowest.
+    pub fn missing(&self, n: u32) -> impl Iterator<Item = u32> + '_ {
+        let starts = std::iter::once(0).chain(self.0.iter().map(|r| r.1));
+        let ends = self.0.iter().map(|r| r.0).chain(std::iter::once(n));
+        starts.zip(ends).flat_map(|(a, b)| a..b)
+    }
+    /// How many ranges it takes.
+    pub fn pieces(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// A placement as stored: task, attempt, machine, its shard, the paying shard.
+pub type StoredPlacement = (u32, u64, String, u32, u32);
+
+/// A job's record in the state service.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug)]
+pub struct JobRecord {
+    /// Description; left out once the job is over and nothing of it is left.
+    #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+    /// State.
+    #[serde(rename = "s")]
+    pub state: JobState,
+    /// Time of day of the submission, ms.
+    #[serde(rename = "t")]
+    pub submitted: u64,
+    /// Done tasks.
+    #[serde(rename = "d", default)]
+    pub done: Ranges,
+    /// Placements.
+    #[serde(rename = "p", default)]
+    pub placements: Vec<StoredPlacement>,
+    /// Next attempt.
+    #[serde(rename = "n")]
+    pub next_attempt: u64,
+}
+
+/// A task's place. It goes only on proof that the attempt is not there and can't begin later.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Placement {
+    /// Task.
+    pub task: u32,
+    /// Attempt.
+    pub attempt: u64,
+    /// Machine.
+    pub machine: MachineIx,
+    /// The machine's shard.
+    pub shard: ShardIx,
+    /// The shard whose share of the team's limit it uses.
+    pub payer: ShardIx,
+}
+
+/// A job's description, names interned.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// As submitted.
+    pub wire: JobSpec,
+    /// Team.
+    pub team: TeamIx,
+    /// What a task takes.
+    pub need: Res,
+    /// Allowed types.
+    pub rigs: Option<Vec<RigIx>>,
+    /// Only allowed zone.
+    pub zone: Option<ZoneIx>,
+    /// Image.
+    pub image: ImageIx,
+}
+
+impl Spec {
+    /// Tasks.
+    pub fn tasks(&self) -> u32 {
+        self.wire.tasks
+    }
+    /// Priority.
+    pub fn rank(&self) -> Rank {
+        self.wire.priority
+    }
+    /// True for a gang of more than one task: it skips the queues.
+    pub fn is_wide_gang(&self) -> bool {
+        self.wire.shape == Shape::Gang && self.wire.tasks > 1
+    }
+    /// Most tasks that may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.wire.spread {
+            self.wire.tasks.div_ceil(2)
+        } else {
+            u32::MAX
+        }
+    }
+}
+
+/// A job in memory.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Id.
+    pub id: Rc<str>,
+    /// Version of the record this was read from.
+    pub version: u64,
+    /// State.
+    pub state: JobState,
+    /// Time of day of the submission, ms.
+    pub submitted: u64,
+    /// Description, while needed.
+    pub spec: Option<Rc<Spec>>,
+    /// Done tasks.
+    pub done: Ranges,
+    /// Placements.
+    pub placements: Vec<Placement>,
+    /// Next attempt.
+    pub next_attempt: u64,
+}
+
+impl Job {
+    /// True while tasks may start.
+    pub fn open(&self) -> bool {
+        self.state == JobState::Open
+    }
+    /// True once nothing more will happen to it.
+    pub fn settled(&self) -> bool {
+        !self.open() && self.placements.is_empty()
+    }
+    /// The placement of a task.
+    pub fn placement(&self, task: u32) -> Option<&Placement> {
+        self.placements.iter().find(|p| p.task == task)
+    }
+    /// True if the task waits for a machine.
+    pub fn waits(&self, task: u32) -> bool {
+        self.open() && !self.done.has(task) && self.placement(task).is_none()
+    }
+    /// Tasks that wait for a machine, from the lowest.
+    pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
+        let n = self
+            .spec
+            .as_ref()
+            .filter(|_| self.open())
+            .map_or(0, |s| s.tasks());
+        self.done
+            .missing(n)
+            .filter(|t| self.placement(*t).is_none())
+    }
+    /// How many tasks wait.
+    pub fn waiting_count(&self) -> u32 {
+        match &self.spec {
+            Some(s) if self.open() => {
+                let placed = self
+                    .placements
+                    .iter()
+                    .filter(|p| !self.done.has(p.task))
+                    .count() as u32;
+                s.tasks()
+                    .saturating_sub(self.done.count())
+                    .saturating_sub(placed)
+            }
+            _ => 0,
+        }
+    }
+    /// Notes that a task is done; a gang's tasks complete together.
+    pub fn finish(&mut self, task: u32) {
+        let Some(spec) = self.spec.clone() else {
+            return;
+        };
+        match spec.wire.shape {
+            Shape::Gang => self.done = Ranges::all(spec.tasks()),
+            // A replica that ends by itself is replaced.
+            Shape::Service => return,
+            Shape::Array => self.done.add(task),
+        }
+        if self.open() && self.done.count() == spec.tasks() {
+            self.state = JobState::Done;
+        }
+    }
+    /// Drops one placement, which is proven gone.
+    pub fn remove(&mut self, task: u32, attempt: u64) -> bool {
+        let before = self.placements.len();
+        self.placements
+            .retain(|p| (p.task, p.attempt) != (task, attempt));
+        before != self.placements.len()
+    }
+    /// Rough size of the record as JSON.
+    pub fn size(&self) -> usize {
+        700 + self.done.pieces() * 14 + self.placements.len() * 44
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,7 @@
+//! Records, names and the cached view. Pure, no I/O.
+
+pub mod fleet;
+pub mod job;
+pub mod names;
+pub mod units;
+pub mod view;
--- /dev/null
+++ b/src/bookkeeping/units.rs
@@ -0,0 +1,86 @@
+//! Amounts and times.
+
+/// Milliseconds of this process' steady clock.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
+pub struct Ms(pub u64);
+
+impl Ms {
+    /// Milliseconds passed since `earlier`, 0 if it lies ahead.
+    pub fn since(self, earlier: Ms) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+    /// This time, `ms` later.
+    pub fn plus(self, ms: u64) -> Ms {
+        Ms(self.0.saturating_add(ms))
+    }
+}
+
+/// Seconds of a settings file or message as whole milliseconds.
+pub fn ms_of(seconds: f64) -> u64 {
+    (seconds.max(0.0) * 1000.0).min(1e15) as u64
+}
+
+/// What a task takes or a machine has, in thousandths.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Res {
+    /// Processors.
+    pub cpu: i64,
+    /// Graphics processors.
+    pub gpu: i64,
+    /// Memory.
+    pub mem: i64,
+}
+
+fn milli(x: f64) -> i64 {
+    (x * 1000.0).ceil().clamp(0.0, 1e15) as i64
+}
+
+impl Res {
+    /// From decimal amounts.
+    pub fn new(cpus: f64, gpus: f64, mem_gb: f64) -> Res {
+        Res {
+            cpu: milli(cpus),
+            gpu: milli(gpus),
+            mem: milli(mem_gb),
+        }
+    }
+    /// True if `self` fits into `room`.
+    pub fn fits(self, room: Res) -> bool {
+        self.cpu <= room.cpu && self.gpu <= room.gpu && self.mem <= room.mem
+    }
+    /// Sum.
+    pub fn plus(self, o: Res) -> Res {
+        Res {
+            cpu: self.cpu + o.cpu,
+            gpu: self.gpu + o.gpu,
+            mem: self.mem + o.mem,
+        }
+    }
+    /// Difference; parts may become negative.
+    pub fn minus(self, o: Res) -> Res {
+        Res {
+            cpu: self.cpu - o.cpu,
+            gpu: self.gpu - o.gpu,
+            mem: self.mem - o.mem,
+        }
+    }
+    /// `n` times as much.
+    pub fn times(self, n: u32) -> Res {
+        Res {
+            cpu: self.cpu.saturating_mul(n.into()),
+            gpu: self.gpu.saturating_mul(n.into()),
+            mem: self.mem.saturating_mul(n.into()),
+        }
+    }
+    /// The largest part of `whole` that `self` takes, 0 to 1 and beyond.
+    pub fn share_of(self, whole: Res) -> f64 {
+        let part = |a: i64, b: i64| match (a, b) {
+            (a, _) if a <= 0 => 0.0,
+            (_, 0) => 1.0,
+            (a, b) => a as f64 / b as f64,
+        };
+        part(self.cpu, whole.cpu)
+            .max(part(self.gpu, whole.gpu))
+            .max(part(self.mem, whole.mem))
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/view.rs
@@ -0,0 +1,582 @@
+//! The cached view: everything a controller knows. Pure, no I/O.
+
+use super::fleet::{Machine, Rig};
+use super::job::{Job, JobRecord, JobState, Placement, Spec};
+use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
+use super::units::{Ms, Res};
+use crate::protocol::cloud::Flavors;
+use crate::protocol::state::{Entry, Event};
+use crate::protocol::users::{JobSpec, Shape};
+use rmpv::Value;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+/// All keys of the service start with this.
+pub const ROOT: &str = "ph/";
+
+/// A controller's incarnation, held by a lease.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
+pub struct NodeRecord {
+    /// Number drawn at the start of the process.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+/// Who owns a shard.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
+pub struct ShardRecord {
+    /// Node.
+    #[serde(rename = "o")]
+    pub owner: String,
+    /// Its incarnation.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Token; every change of owner raises it.
+    #[serde(rename = "t")]
+    pub token: u64,
+}
+
+/// Shares of a team's limit: shard, processors and graphics processors in thousandths.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
+pub struct TeamRecord {
+    /// Shares.
+    #[serde(rename = "s", default)]
+    pub shares: Vec<(u32, i64, i64)>,
+}
+
+impl TeamRecord {
+    /// A shard's share.
+    pub fn share(&self, shard: ShardIx) -> (i64, i64) {
+        self.shares
+            .iter()
+            .find(|s| s.0 == shard.0)
+            .map_or((0, 0), |s| (s.1, s.2))
+    }
+    /// Sets a shard's share.
+    pub fn set(&mut self, shard: ShardIx, share: (i64, i64)) {
+        self.shares.retain(|s| s.0 != shard.0);
+        if share != (0, 0) {
+            self.shares.push((shard.0, share.0, share.1));
+        }
+    }
+    /// Sum of all shares.
+    pub fn total(&self) -> (i64, i64) {
+        self.shares
+            .iter()
+            .fold((0, 0), |a, s| (a.0 + s.1, a.1 + s.2))
+    }
+}
+
+/// A rental that was asked for and may not show in the list yet.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
+pub struct BookingRecord {
+    /// Type.
+    #[serde(rename = "r")]
+    pub rig: String,
+    /// Zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// Spot.
+    #[serde(rename = "s")]
+    pub spot: bool,
+    /// How many.
+    #[serde(rename = "n")]
+    pub count: u32,
+    /// Machines, once known.
+    #[serde(rename = "h", default)]
+    pub hosts: Vec<String>,
+}
+
+/// A record with its version.
+#[derive(Clone, Debug, Default)]
+pub struct Versioned<T> {
+    /// Version; 0: absent.
+    pub version: u64,
+    /// Record.
+    pub rec: T,
+}
+
+/// A team's settings, in thousandths; 0: none.
+#[derive(Clone, Debug)]
+pub struct TeamLimits {
+    /// Guaranteed processors and graphics processors.
+    pub guaranteed: (i64, i64),
+    /// Limits of both.
+    pub most: (i64, i64),
+}
+
+impl TeamLimits {
+    /// True if nothing limits the team.
+    pub fn unlimited(&self) -> bool {
+        self.most == (0, 0)
+    }
+    /// True if this much stays within the limit.
+    pub fn allows(&self, used: (i64, i64)) -> bool {
+        (self.most.0 == 0 || used.0 <= self.most.0) && (self.most.1 == 0 || used.1 <= self.most.1)
+    }
+}
+
+/// Everything a controller knows.
+#[derive(Default)]
+pub struct View {
+    /// Revision up to which all changes are in here.
+    pub revision: u64,
+    /// True once the records were read.
+    pub loaded: bool,
+    /// Job names.
+    pub job_names: Interner<JobIx>,
+    /// Jobs by index.
+    pub jobs: Vec<Job>,
+    /// Jobs that are not settled.
+    pub active: BTreeMap<u32, ()>,
+    /// Machine names.
+    pub machine_names: Interner<MachineIx>,
+    /// Machines by index; `None` if only the name is known.
+    pub machines: Vec<Option<Machine>>,
+    /// Types.
+    pub rig_names: Interner<RigIx>,
+    /// Types by index, as far as the cloud has described them.
+    pub rigs: HashMap<RigIx, Rig>,
+    /// Zones.
+    pub zone_names: Interner<ZoneIx>,
+    /// Images.
+    pub image_names: Interner<ImageIx>,
+    /// Teams.
+    pub team_names: Interner<TeamIx>,
+    /// Their limits.
+    pub team_limits: Vec<TeamLimits>,
+    /// Their shares.
+    pub teams: Vec<Versioned<TeamRecord>>,
+    /// Live nodes.
+    pub nodes: BTreeMap<String, Versioned<NodeRecord>>,
+    /// Shards; the last one is the renting duty.
+    pub shards: Vec<Versioned<ShardRecord>>,
+    /// Open bookings.
+    pub bookings: BTreeMap<String, Versioned<BookingRecord>>,
+    /// Jobs whose last transaction has an unknown outcome.
+    pub suspects: HashSet<JobIx>,
+    /// Per job: machines on which it failed, and the earliest next try.
+    pub failures: HashMap<JobIx, (HashSet<MachineIx>, Ms)>,
+    /// Shards per zone.
+    pub shards_per_zone: usize,
+    /// This process' machine types were read from the state service.
+    pub flavors_version: u64,
+    /// Bad records already complained about.
+    bad: HashSet<String>,
+}
+
+fn stable_hash(text: &str) -> u64 {
+    // FNV-1a: the mapping of machines to shards must be the same in every process and version.
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+impl View {
+    /// An empty view for a deployment.
+    pub fn new(zones: &[String], teams: &[crate::settings::Team], shards_per_zone: usize) -> View {
+        let mut v = View {
+            shards_per_zone,
+            ..View::default()
+        };
+        let mut zones = zones.to_vec();
+        zones.sort();
+        for z in &zones {
+            v.zone_names.intern(z);
+        }
+        let milli = |x: f64| (x * 1000.0).round().max(0.0) as i64;
+        for t in teams {
+            v.team_names.intern(&t.name);
+            v.team_limits.push(TeamLimits {
+                guaranteed: (milli(t.cpus), milli(t.gpus)),
+                most: (milli(t.cpus_max), milli(t.gpus_max)),
+            });
+            v.teams.push(Versioned::default());
+        }
+        v.shards = vec![Versioned::default(); zones.len() * shards_per_zone + 1];
+        v
+    }
+
+    /// The renting duty's shard.
+    pub fn renting(&self) -> ShardIx {
+        ShardIx(self.shards.len() as u32 - 1)
+    }
+    /// A shard's zone; `None` for renting.
+    pub fn shard_zone(&self, s: ShardIx) -> Option<ZoneIx> {
+        (s != self.renting()).then(|| ZoneIx((s.at() / self.shards_per_zone) as u32))
+    }
+    /// The shard of a machine, the same everywhere and for good.
+    pub fn shard_of(&self, zone: ZoneIx, machine: &str) -> ShardIx {
+        let k = stable_hash(machine) % self.shards_per_zone as u64;
+        ShardIx((zone.at() * self.shards_per_zone) as u32 + k as u32)
+    }
+    /// The shard that plans a gang.
+    pub fn gang_shard(&self, id: &str) -> ShardIx {
+        ShardIx((stable_hash(id) % (self.shards.len() as u64 - 1)) as u32)
+    }
+    /// Key of a shard.
+    pub fn shard_key(&self, s: ShardIx) -> String {
+        format!("{ROOT}shard/{}", s.0)
+    }
+    /// Key of a team.
+    pub fn team_key(&self, t: TeamIx) -> String {
+        format!("{ROOT}team/{}", self.team_names.name(t))
+    }
+    /// Key of a job.
+    pub fn job_key(id: &str) -> String {
+        format!("{ROOT}job/{id}")
+    }
+    /// The owner of a shard if its incarnation is alive.
+    pub fn live_owner(&self, s: ShardIx) -> Option<&str> {
+        let r = &self.shards[s.at()].rec;
+        let n = self.nodes.get(&r.owner)?;
+        (n.rec.incarnation == r.incarnation).then_some(r.owner.as_str())
+    }
+
+    /// Machine by index.
+    pub fn machine(&self, ix: MachineIx) -> Option<&Machine> {
+        self.machines.get(ix.at())?.as_ref()
+    }
+    /// Machine by index, to change it.
+    pub fn machine_mut(&mut self, ix: MachineIx) -> Option<&mut Machine> {
+        self.machines.get_mut(ix.at())?.as_mut()
+    }
+    /// All machines with their index.
+    pub fn all_machines(&self) -> impl Iterator<Item = (MachineIx, &Machine)> {
+        self.machines
+            .iter()
+            .enumerate()
+            .filter_map(|(i, m)| Some((MachineIx(i as u32), m.as_ref()?)))
+    }
+    /// Index of a machine's name.
+    pub fn intern_machine(&mut self, name: &str) -> MachineIx {
+        let ix = self.machine_names.intern(name);
+        if self.machines.len() <= ix.at() {
+            self.machines.resize(ix.at() + 1, None);
+        }
+        ix
+    }
+    /// Adds a machine if it is new; `None` for a zone nobody knows.
+    pub fn learn_machine(
+        &mut self,
+        name: &str,
+        rig: &str,
+        zone: &str,
+        spot: bool,
+        now: Ms,
+    ) -> Option<MachineIx> {
+        let zone = self.zone_names.find(zone)?;
+        let ix = self.intern_machine(name);
+        if self.machines[ix.at()].is_none() {
+            let rig = self.rig_names.intern(rig);
+            let shard = self.shard_of(zone, name);
+            let name = self.machine_names.name(ix).clone();
+            self.machines[ix.at()] = Some(Machine::new(name, rig, zone, spot, shard, now));
+        }
+        Some(ix)
+    }
+
+    /// Job by id.
+    pub fn job(&self, id: &str) -> Option<(JobIx, &Job)> {
+        let ix = self.job_names.find(id)?;
+        Some((ix, self.jobs.get(ix.at())?))
+    }
+    /// Jobs that are not settled.
+    pub fn active_jobs(&self) -> impl Iterator<Item = (JobIx, &Job)> {
+        self.active
+            .keys()
+            .map(|k| (JobIx(*k), &self.jobs[*k as usize]))
+    }
+
+    /// Interns a description; `None` if its team or zone is unknown.
+    pub fn intern_spec(&mut self, wire: &JobSpec) -> Option<Spec> {
+        let zone = match &wire.zone {
+            Some(z) => Some(self.zone_names.find(z)?),
+            None => None,
+        };
+        Some(Spec {
+            team: self.team_names.find(&wire.team)?,
+            need: Res::new(wire.vcpus, wire.gpus, wire.mem_gb),
+            rigs: wire
+                .types
+                .as_ref()
+                .map(|t| t.iter().map(|t| self.rig_names.intern(t)).collect()),
+            zone,
+            image: self.image_names.intern(&wire.image),
+            wire: wire.clone(),
+        })
+    }
+
+    /// True if the job can ever run, as far as the machine types say.
+    pub fn can_run(&self, spec: &Spec) -> bool {
+        let fits = self.rigs.iter().any(|(ix, rig)| {
+            spec.rigs.as_ref().is_none_or(|r| r.contains(ix))
+                && spec.need.fits(rig.room)
+                && rig.flavor.zones.iter().any(|z| {
+                    let z = self.zone_names.find(z);
+                    z.is_some() && (spec.zone.is_none() || spec.zone == z)
+                })
+        });
+        let tasks = match spec.wire.shape {
+            Shape::Array => 1,
+            Shape::Gang | Shape::Service => spec.tasks(),
+        };
+        let all = spec.need.times(tasks);
+        fits && self.team_limits[spec.team.at()].allows((all.cpu, all.gpu))
+    }
+
+    /// What the placements paid by a shard use of a team's limit.
+    pub fn paid(&self, team: TeamIx, payer: ShardIx) -> (i64, i64) {
+        let mut used = (0, 0);
+        for (_, j) in self.active_jobs() {
+            let Some(s) = j.spec.as_ref().filter(|s| s.team == team) else {
+                continue;
+            };
+            let n = j.placements.iter().filter(|p| p.payer == payer).count() as i64;
+            used.0 += n * s.need.cpu;
+            used.1 += n * s.need.gpu;
+        }
+        used
+    }
+
+    /// Placements by machine.
+    pub fn placed(&self) -> HashMap<MachineIx, Vec<(JobIx, Placement)>> {
+        let mut out: HashMap<MachineIx, Vec<(JobIx, Placement)>> = HashMap::new();
+        for (ix, j) in self.active_jobs() {
+            for p in &j.placements {
+                out.entry(p.machine).or_default().push((ix, *p));
+            }
+        }
+        out
+    }
+
+    /// Takes over a list of machine types.
+    pub fn set_flavors(&mut self, flavors: &Flavors) {
+        for f in &flavors.types {
+            let ix = self.rig_names.intern(&f.name);
+            let rig = Rig {
+                room: Res::new(f.vcpus, f.gpus, f.mem_gb),
+                flavor: f.clone(),
+            };
+            self.rigs.insert(ix, rig);
+        }
+    }
+
+    /// A job's record, to be stored.
+    pub fn record(&self, job: &Job) -> JobRecord {
+        JobRecord {
+            spec: job
+                .spec
+                .as_ref()
+                .filter(|_| !job.settled())
+                .map(|s| s.wire.clone()),
+            state: job.state,
+            submitted: job.submitted,
+            done: job.done.clone(),
+            placements: job
+                .placements
+                .iter()
+                .map(|p| {
+                    let machine = self.machine_names.name(p.machine).to_string();
+                    (p.task, p.attempt, machine, p.shard.0, p.payer.0)
+                })
+                .collect(),
+            next_attempt: job.next_attempt,
+        }
+    }
+
+    fn complain(&mut self, key: &str, what: &str) {
+        if self.bad.len() < 1000 && self.bad.insert(key.to_string()) {
+            log::error!("record {key} is unreadable and ignored: {what}");
+        }
+    }
+
+    /// Puts a job of this version into the view. Older versions change nothing.
+    pub fn put_job(&mut self, id: &str, version: u64, rec: &JobRecord) {
+        let ix = self.job_names.intern(id);
+        if self.jobs.get(ix.at()).is_some_and(|j| j.version >= version) {
+            return;
+        }
+        let old = self.jobs.get(ix.at()).and_then(|j| j.spec.clone());
+        let spec = match (&rec.spec, old) {
+            (None, _) => None,
+            (Some(_), Some(old)) => Some(old),
+            (Some(wire), None) => match self.intern_spec(wire) {
+                Some(s) => Some(Rc::new(s)),
+                None => {
+                    self.complain(id, "unknown team or zone");
+                    None
+                }
+            },
+        };
+        let placements = rec
+            .placements
+            .iter()
+            .map(|(task, attempt, machine, shard, payer)| Placement {
+                task: *task,
+                attempt: *attempt,
+                machine: self.intern_machine(machine),
+                shard: ShardIx(*shard),
+                payer: ShardIx(*payer),
+            })
+            .collect::<Vec<_>>();
+        if let Some(s) = &spec {
+            for p in &placements {
+                let cache = self.machine(p.machine).map(|m| m.rig);
+                let cache = cache
+                    .and_then(|r| self.rigs.get(&r))
+                    .map_or(f64::MAX, |r| r.flavor.cache_gb);
+                if let Some(m) = self.machine_mut(p.machine) {
+                    m.use_image(s.image, s.wire.image_gb, cache);
+                }
+            }
+        }
+        let job = Job {
+            id: self.job_names.name(ix).clone(),
+            version,
+            state: rec.state,
+            submitted: rec.submitted,
+            spec,
+            done: rec.done.clone(),
+            placements,
+            next_attempt: rec.next_attempt,
+        };
+        self.store_job(ix, job);
+    }
+
+    fn store_job(&mut self, ix: JobIx, job: Job) {
+        if job.settled() {
+            self.active.remove(&ix.0);
+            self.failures.remove(&ix);
+        } else {
+            self.active.insert(ix.0, ());
+        }
+        self.suspects.remove(&ix);
+        if ix.at() == self.jobs.len() {
+            self.jobs.push(job);
+        } else if let Some(slot) = self.jobs.get_mut(ix.at()) {
+            *slot = job;
+        }
+    }
+
+    /// Takes one put key.
+    pub fn put(&mut self, key: &str, version: u64, v: &Value) {
+        let Some((kind, name)) = key.strip_prefix(ROOT).and_then(|k| k.split_once('/')) else {
+            return;
+        };
+        fn read<T: serde::de::DeserializeOwned>(v: &Value) -> Result<T, String> {
+            // By way of bytes: the direct way can't read unit variants.
+            let bytes = rmp_serde::to_vec(v).map_err(|e| e.to_string())?;
+            rmp_serde::from_slice(&bytes).map_err(|e| e.to_string())
+        }
+        fn newer<T>(slot: &mut Versioned<T>, version: u64, rec: T) {
+            if slot.version < version {
+                *slot = Versioned { version, rec };
+            }
+        }
+        let result = match kind {
+            "job" => read::<JobRecord>(v).map(|r| self.put_job(name, version, &r)),
+            "node" => read::<NodeRecord>(v).map(|rec| {
+                newer(
+                    self.nodes.entry(name.to_string()).or_default(),
+                    version,
+                    rec,
+                );
+            }),
+            "shard" => read::<ShardRecord>(v).map(|rec| {
+                if let Some(slot) = name
+                    .parse()
+                    .ok()
+                    .and_then(|i: usize| self.shards.get_mut(i))
+                {
+                    newer(slot, version, rec);
+                }
+            }),
+            "team" => read::<TeamRecord>(v).map(|rec| {
+                if let Some(t) = self.team_names.find(name) {
+                    newer(&mut self.teams[t.at()], version, rec);
+                }
+            }),
+            "book" => read::<BookingRecord>(v).map(|rec| {
+                newer(
+                    self.bookings.entry(name.to_string()).or_default(),
+                    version,
+                    rec,
+                );
+            }),
+            "flavors" => read::<Flavors>(v).map(|f| {
+                self.flavors_version = version;
+                self.set_flavors(&f);
+            }),
+            _ => Ok(()),
+        };
+        if let Err(e) = result {
+            self.complain(key, &e);
+        }
+    }
+
+    /// Takes one deleted key.
+    pub fn delete(&mut self, key: &str, version: u64) {
+        let Some((kind, name)) = key.strip_prefix(ROOT).and_then(|k| k.split_once('/')) else {
+            return;
+        };
+        match kind {
+            "node" if self.nodes.get(name).is_some_and(|n| n.version < version) => {
+                self.nodes.remove(name);
+            }
+            "book" if self.bookings.get(name).is_some_and(|b| b.version < version) => {
+                self.bookings.remove(name);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the changes of a watch that was asked from `from`.
+    pub fn take_changes(&mut self, from: u64, revision: u64, events: &[Event]) {
+        // Watches and reads overlap; what is known already must not come back,
+        // least of all a node or booking that has been deleted since.
+        let known = self.revision;
+        for e in events.iter().filter(|e| e.version > known) {
+            match (&e.set, &e.remove, &e.v) {
+                (Some(key), _, Some(v)) => self.put(key, e.version, v),
+                (_, Some(key), _) => self.delete(key, e.version),
+                _ => {}
+            }
+        }
+        // A watch that started later than what is known would leave a gap.
+        if from <= self.revision {
+            self.revision = self.revision.max(revision);
+        }
+    }
+
+    /// Takes a full read of all keys at one or more revisions, the lowest of which counts.
+    pub fn take_all(&mut self, entries: &[Entry], revision: u64) {
+        let names: HashSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
+        self.nodes
+            .retain(|n, _| names.contains(format!("{ROOT}node/{n}").as_str()));
+        self.bookings
+            .retain(|n, _| names.contains(format!("{ROOT}book/{n}").as_str()));
+        for e in entries {
+            self.put(&e.key, e.version, &e.v);
+        }
+        self.revision = self.revision.max(revision);
+        self.loaded = true;
+    }
+
+    /// Status word, done and placed tasks for users.
+    pub fn status(job: &Job) -> (&'static str, u32, u32) {
+        let running = job
+            .placements
+            .iter()
+            .filter(|p| !job.done.has(p.task))
+            .count() as u32;
+        let done = job.done.count();
+        match job.state {
+            JobState::Done => ("done", done, 0),
+            JobState::Cancelled => ("aborted", done, 0),
+            JobState::Open if running > 0 => ("running", done, running),
+            JobState::Open => ("pending", done, 0),
+        }
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,203 @@
+//! The command line.
+
+use crate::coordination::node::Node;
+use crate::coordination::{intake, members, planner, renting, siblings, store};
+use crate::protocol::users::{parse_job, JobSpec, JobStatus};
+use crate::settings::{Operator, Platform, SettingsError};
+use crate::transport::{frames, http};
+use async_executor::LocalExecutor;
+use clap::{Args, Parser, Subcommand};
+use http_types::Method;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+/// Schedules jobs on rented machines. Without a command it serves as one controller.
+#[derive(Parser)]
+#[command(name = "pointhook", version, args_conflicts_with_subcommands = true)]
+struct Cli {
+    #[command(flatten)]
+    serve: Files,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Args)]
+struct Files {
+    /// Settings file of the platform (TOML)
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The operators' own settings (TOML)
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Checks settings files without starting
+    Check(Files),
+    /// Submits, shows and withdraws jobs
+    Job {
+        #[command(subcommand)]
+        action: JobAction,
+    },
+}
+
+#[derive(Subcommand)]
+enum JobAction {
+    /// Submits a job described in a TOML file
+    Submit {
+        /// Address of a controller
+        #[arg(long)]
+        server: SocketAddr,
+        /// Description, with the field names of the protocol
+        file: PathBuf,
+    },
+    /// Shows where a job stands
+    Show {
+        /// Address of a controller
+        #[arg(long)]
+        server: SocketAddr,
+        /// Job id
+        id: String,
+    },
+    /// Cancels a job
+    Withdraw {
+        /// Address of a controller
+        #[arg(long)]
+        server: SocketAddr,
+        /// Job id
+        id: String,
+    },
+}
+
+#[derive(Debug, thiserror::Error)]
+enum CliError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("--config FILE is required")]
+    NoConfig,
+    #[error("{addr}: {source}")]
+    Listen {
+        addr: SocketAddr,
+        source: std::io::Error,
+    },
+    #[error("{0}")]
+    Job(String),
+}
+
+/// Runs the program.
+pub fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let result = match cli.command {
+        None => load(&cli.serve).and_then(|(p, o)| serve(p, o)),
+        Some(Command::Check(files)) => load(&files).map(|_| println!("settings are good")),
+        Some(Command::Job { action }) => job(action),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("pointhook: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn load(files: &Files) -> Result<(Platform, Operator), CliError> {
+    let platform = Platform::load(files.config.as_deref().ok_or(CliError::NoConfig)?)?;
+    let operator = match &files.operator {
+        Some(f) => Operator::load(f)?,
+        None => Operator::default(),
+    };
+    Ok((platform, operator))
+}
+
+fn serve(platform: Platform, operator: Operator) -> Result<(), CliError> {
+    let env = env_logger::Env::new().filter("LOG_LEVEL");
+    env_logger::Builder::from_env(env)
+        .filter_module("async_io", log::LevelFilter::Off)
+        .filter_module("polling", log::LevelFilter::Off)
+        .filter_module("async_h1", log::LevelFilter::Off)
+        .format_target(false)
+        .init();
+    let ex = Rc::new(LocalExecutor::new());
+    let door = |addr| http::listen(addr).map_err(|source| CliError::Listen { addr, source });
+    async_io::block_on(async {
+        let users = door(platform.bind)?;
+        let peers = door(platform.cluster_listen)?;
+        // Some sockets stay for the state service, the cloud and the peers.
+        let sockets = platform.settings.machine_limits.max_connections;
+        let sockets = sockets.saturating_sub(100).max(16);
+        log::info!(
+            "node {} in {} serves {}",
+            platform.node,
+            platform.domain,
+            platform.bind
+        );
+        let node = Rc::new(Node::new(platform, operator, ex.clone()));
+        node.duty("watch", store::watch);
+        node.duty("fresh reads", store::fresh_reads);
+        node.duty("members", members::run);
+        node.duty("poke", members::poke);
+        node.duty("planner", planner::run);
+        node.duty("news", siblings::news);
+        node.duty("renting", renting::run);
+        let n = node.clone();
+        let answering = frames::serve(ex.clone(), peers, move |ask| siblings::handle(&n, ask));
+        ex.spawn(answering).detach();
+        let n = node.clone();
+        let serving = http::serve(ex.clone(), users, sockets, move |req| {
+            intake::handle(n.clone(), req)
+        });
+        ex.run(serving).await;
+        Ok(())
+    })
+}
+
+fn job(action: JobAction) -> Result<(), CliError> {
+    let (server, method, path, body) = match action {
+        JobAction::Submit { server, file } => {
+            let text = std::fs::read_to_string(&file)
+                .map_err(|e| CliError::Job(format!("{}: {e}", file.display())))?;
+            let spec: JobSpec = toml::from_str(&text)
+                .map_err(|e| CliError::Job(format!("{}: {}", file.display(), e.message())))?;
+            let body = rmp_serde::to_vec_named(&spec).map_err(|e| CliError::Job(e.to_string()))?;
+            if parse_job(&body).is_none() {
+                return Err(CliError::Job(format!(
+                    "{}: a field is out of its range",
+                    file.display()
+                )));
+            }
+            (server, Method::Post, "/v1/jobs".to_string(), body)
+        }
+        JobAction::Show { server, id } => {
+            (server, Method::Get, format!("/v1/jobs/{id}"), Vec::new())
+        }
+        JobAction::Withdraw { server, id } => (
+            server,
+            Method::Post,
+            format!("/v1/jobs/{id}/withdraw"),
+            Vec::new(),
+        ),
+    };
+    let client = http::Client::new(server);
+    let answer = async_io::block_on(client.call(method, &path, body, 5000))
+        .map_err(|e| CliError::Job(e.to_string()))?;
+    match answer.status {
+        200 | 201 => {
+            let s: JobStatus =
+                rmp_serde::from_slice(&answer.body).map_err(|e| CliError::Job(e.to_string()))?;
+            println!("{}: {}", s.id, s.status);
+            if let (Some(done), Some(running)) = (s.done, s.running) {
+                println!("tasks done: {done}, running: {running}");
+            }
+            Ok(())
+        }
+        400 => Err(CliError::Job("the job is malformed".into())),
+        404 => Err(CliError::Job("no such job".into())),
+        422 => Err(CliError::Job("the job can never run here".into())),
+        429 | 503 => Err(CliError::Job("can't be taken now, try again later".into())),
+        s => Err(CliError::Job(format!("answered with status {s}"))),
+    }
+}
--- /dev/null
+++ b/src/coordination/intake.rs
@@ -0,0 +1,215 @@
+//! The users' door.
+
+use super::node::{wall_ms, Node};
+use super::planner;
+use super::store::{set, Outcome};
+use crate::bookkeeping::job::{Job, JobRecord, JobState, Ranges};
+use crate::bookkeeping::view::View;
+use crate::protocol::state::{Condition, Transaction};
+use crate::protocol::users::{parse_job, valid_id, JobStatus};
+use crate::transport::http::{jittered, Answer, Incoming};
+use http_types::Method;
+use std::rc::Rc;
+
+/// Time for a submission or cancellation before it is given up.
+const WRITE_BUDGET_MS: u64 = 3500;
+/// Time for the read behind a poll.
+const READ_MS: u64 = 1500;
+/// When to come back after a request that was given up.
+const COME_BACK_S: u32 = 1;
+
+/// Answers users, workers and health checks.
+pub async fn handle(node: Rc<Node>, req: Incoming) -> Answer {
+    let parts: Vec<&str> = req.path.trim_start_matches('/').split('/').collect();
+    match (parts.as_slice(), req.method) {
+        (["up"], Method::Get) => Answer::bare(if node.healthy() { 200 } else { 503 }),
+        (["v1", "report"], Method::Post) => super::reports::handle(&node, req.body).await,
+        (["v1", "jobs"], Method::Post) => submit(&node, req.body).await,
+        (["v1", "jobs", id], Method::Get) => poll(&node, id).await,
+        (["v1", "jobs", id, "withdraw"], Method::Post) => withdraw(&node, id).await,
+        (
+            ["up"] | ["v1", "report" | "jobs"] | ["v1", "jobs", _] | ["v1", "jobs", _, "withdraw"],
+            _,
+        ) => Answer::bare(405),
+        _ => Answer::bare(404),
+    }
+}
+
+fn status(code: u16, job: &Job) -> Answer {
+    let (word, done, running) = View::status(job);
+    Answer::of(
+        code,
+        &JobStatus {
+            id: job.id.to_string(),
+            status: word.into(),
+            done: Some(done),
+            running: Some(running),
+        },
+    )
+}
+
+/// A final state is served from memory; anything else could be older than what another
+/// node has told, so it needs the newest changes first.
+fn settled_answer(node: &Node, id: &str) -> Option<Answer> {
+    let view = node.view.borrow();
+    let (_, job) = view.job(id)?;
+    (!job.open()).then(|| status(200, job))
+}
+
+async fn submit(node: &Rc<Node>, body: Option<Vec<u8>>) -> Answer {
+    let Some(wire) = body.as_deref().and_then(parse_job) else {
+        return Answer::bare(400);
+    };
+    if !node.view.borrow().loaded {
+        return Answer::later(COME_BACK_S);
+    }
+    if let Some(a) = settled_answer(node, &wire.id) {
+        return a;
+    }
+    let known = node.view.borrow().job(&wire.id).is_some();
+    let acceptable = {
+        let mut view = node.view.borrow_mut();
+        let types_known = !view.rigs.is_empty();
+        let spec = view.intern_spec(&wire);
+        match (types_known, spec) {
+            (false, _) => None,
+            (true, s) => Some(s.is_some_and(|s| view.can_run(&s))),
+        }
+    };
+    // A job that is known gets its state whatever the types say now.
+    match acceptable {
+        _ if known => {}
+        None => return Answer::later(COME_BACK_S),
+        Some(false) => {
+            if !node.refreshed(READ_MS).await {
+                return Answer::later(COME_BACK_S);
+            }
+            if node.view.borrow().job(&wire.id).is_none() {
+                return Answer::bare(422);
+            }
+        }
+        Some(true) => {}
+    }
+    let id = wire.id.clone();
+    let record = JobRecord {
+        spec: Some(wire),
+        state: JobState::Open,
+        submitted: wall_ms(),
+        done: Ranges::default(),
+        placements: Vec::new(),
+        next_attempt: 1,
+    };
+    let key = View::job_key(&id);
+    let began = node.now();
+    while node.now().since(began) < WRITE_BUDGET_MS {
+        if node.view.borrow().job(&id).is_some() {
+            break;
+        }
+        let txn = Transaction {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version: 0,
+            }],
+            writes: set(key.clone(), &record, None).into_iter().collect(),
+        };
+        match node.commit(&txn).await {
+            Outcome::Done(revision) => {
+                node.view.borrow_mut().put_job(&id, revision, &record);
+                let ix = node.view.borrow().job_names.find(&id);
+                if let Some(ix) = ix {
+                    planner::bind_job(node, ix);
+                }
+                log::debug!("job {id} accepted at {revision}");
+                return Answer::of(
+                    201,
+                    &JobStatus {
+                        id,
+                        status: "pending".into(),
+                        done: None,
+                        running: None,
+                    },
+                );
+            }
+            // Conflict: known already. Unknown: may be. Both are read below.
+            Outcome::Conflict(_) | Outcome::Unknown => {
+                node.refreshed(READ_MS).await;
+            }
+            Outcome::Refused(429) => {
+                async_io::Timer::after(jittered(60)).await;
+            }
+            Outcome::Refused(_) => break,
+        }
+    }
+    if node.view.borrow().job(&id).is_some() && node.refreshed(READ_MS).await {
+        if let Some((_, job)) = node.view.borrow().job(&id) {
+            return status(200, job);
+        }
+    }
+    Answer::later(COME_BACK_S)
+}
+
+async fn poll(node: &Rc<Node>, id: &str) -> Answer {
+    if !valid_id(id) {
+        return Answer::bare(404);
+    }
+    if let Some(a) = settled_answer(node, id) {
+        return a;
+    }
+    if !node.refreshed(READ_MS).await {
+        return Answer::later(COME_BACK_S);
+    }
+    match node.view.borrow().job(id) {
+        Some((_, job)) => status(200, job),
+        None => Answer::bare(404),
+    }
+}
+
+async fn withdraw(node: &Rc<Node>, id: &str) -> Answer {
+    if !valid_id(id) {
+        return Answer::bare(404);
+    }
+    let began = node.now();
+    let mut fresh = false;
+    while node.now().since(began) < WRITE_BUDGET_MS {
+        if let Some(a) = settled_answer(node, id) {
+            return a;
+        }
+        let drafted = {
+            let view = node.view.borrow();
+            view.job(id).map(|(ix, job)| {
+                let mut job = job.clone();
+                job.state = JobState::Cancelled;
+                let mut draft = super::plan::Draft::default();
+                draft.jobs.insert(ix, job);
+                draft
+            })
+        };
+        let Some(draft) = drafted else {
+            if fresh {
+                return Answer::bare(404);
+            }
+            if !node.refreshed(READ_MS).await {
+                break;
+            }
+            fresh = true;
+            continue;
+        };
+        match node.commit_draft(&draft).await {
+            Outcome::Done(_) => {
+                log::info!("job {id} cancelled by its user");
+                node.plan.ring();
+            }
+            Outcome::Conflict(_) | Outcome::Unknown => {
+                node.refreshed(READ_MS).await;
+            }
+            Outcome::Refused(429) => {
+                async_io::Timer::after(jittered(60)).await;
+            }
+            Outcome::Refused(_) => break,
+        }
+    }
+    match settled_answer(node, id) {
+        Some(a) => a,
+        None => Answer::later(COME_BACK_S),
+    }
+}
--- /dev/null
+++ b/src/coordination/members.rs
@@ -0,0 +1,334 @@
+//! Membership: the node's leased key, and who owns which shard.
+
+use super::node::Node;
+use super::plan::Rules;
+use super::store::{set, Outcome};
+use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
+use crate::bookkeeping::units::Ms;
+use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
+use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
+use crate::protocol::workers::{Commands, Report};
+use crate::transport::http::Client;
+use http_types::Method;
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+const TICK_MS: u64 = 300;
+const RENEW_MS: u64 = 1000;
+/// A node must have been there this long before it is handed shards of a living one.
+const SETTLED_MS: u64 = 2500;
+
+/// The node that should own a shard: live ones in its zone first, the work spread evenly.
+pub fn wanted_owner<'a>(
+    view: &View,
+    zones: &BTreeMap<String, ZoneIx>,
+    live: &[&'a str],
+    shard: ShardIx,
+) -> Option<&'a str> {
+    let near: Vec<&str> = match view.shard_zone(shard) {
+        Some(z) => live
+            .iter()
+            .copied()
+            .filter(|n| zones.get(*n) == Some(&z))
+            .collect(),
+        None => Vec::new(),
+    };
+    let choice = if near.is_empty() { live.to_vec() } else { near };
+    let turn = shard.at() % view.shards_per_zone.max(1);
+    choice.get(turn % choice.len().max(1)).copied()
+}
+
+/// A change of owner to be tried.
+#[derive(Debug, PartialEq)]
+pub struct Move {
+    /// Shard.
+    pub shard: ShardIx,
+    /// New owner.
+    pub to: String,
+}
+
+/// What this node should change: take shards without a living owner, hand over its own
+/// to a settled node that should have them.
+pub fn moves(
+    view: &View,
+    rules: &Rules,
+    zones: &BTreeMap<String, ZoneIx>,
+    seen: &HashMap<(String, u64), Ms>,
+    now: Ms,
+) -> Vec<Move> {
+    let live: Vec<&str> = view.nodes.keys().map(String::as_str).collect();
+    let settled: Vec<&str> = view
+        .nodes
+        .iter()
+        .filter(|(n, r)| {
+            **n == rules.node
+                || seen
+                    .get(&((*n).clone(), r.rec.incarnation))
+                    .is_some_and(|s| now.since(*s) >= SETTLED_MS)
+        })
+        .map(|(n, _)| n.as_str())
+        .collect();
+    let mut out = Vec::new();
+    for shard in (0..view.shards.len()).map(ShardIx::new) {
+        let target = match view.live_owner(shard) {
+            None => wanted_owner(view, zones, &live, shard).filter(|n| *n == rules.node),
+            Some(owner) if owner == rules.node && rules.owns(view, shard) => {
+                wanted_owner(view, zones, &settled, shard).filter(|n| *n != rules.node)
+            }
+            Some(_) => None,
+        };
+        out.extend(target.map(|to| Move {
+            shard,
+            to: to.to_string(),
+        }));
+    }
+    out
+}
+
+/// The transaction of a move: valid only while nothing about either owner has changed.
+pub fn move_transaction(view: &View, m: &Move) -> Option<(Transaction, ShardRecord)> {
+    let old = &view.shards[m.shard.at()];
+    let target = view.nodes.get(&m.to)?;
+    let rec = ShardRecord {
+        owner: m.to.clone(),
+        incarnation: target.rec.incarnation,
+        token: old.rec.token + 1,
+    };
+    let node_key = |n: &str| format!("{ROOT}node/{n}");
+    let mut conditions = vec![
+        Condition {
+            key: view.shard_key(m.shard),
+            version: old.version,
+        },
+        Condition {
+            key: node_key(&m.to),
+            version: target.version,
+        },
+    ];
+    if !old.rec.owner.is_empty() && old.rec.owner != m.to {
+        conditions.push(Condition {
+            key: node_key(&old.rec.owner),
+            version: view.nodes.get(&old.rec.owner).map_or(0, |n| n.version),
+        });
+    }
+    let writes = vec![set(view.shard_key(m.shard), &rec, None)?];
+    Some((Transaction { conditions, writes }, rec))
+}
+
+/// Duty: keeps the node's key and its shards.
+pub async fn run(node: Rc<Node>) {
+    let s = &node.platform.settings;
+    let mut zones = BTreeMap::new();
+    {
+        let view = node.view.borrow();
+        let here = (node.platform.node.as_str(), node.platform.domain.as_str());
+        let others = node
+            .platform
+            .siblings
+            .iter()
+            .map(|p| (p.node.as_str(), p.domain.as_str()));
+        for (n, z) in others.chain(std::iter::once(here)) {
+            if let Some(z) = view.zone_names.find(z) {
+                zones.insert(n.to_string(), z);
+            }
+        }
+    }
+    let ttl_ms = ((s.workers.lease_s * 400.0) as u64).clamp(3000, 5000);
+    let mut lease: Option<u64> = None;
+    let mut renewed = Ms(0);
+    let mut seen: HashMap<(String, u64), Ms> = HashMap::new();
+    loop {
+        let now = node.now();
+        if node.view.borrow().loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
+            lease = keep_lease(&node, lease, ttl_ms).await;
+            renewed = now;
+        }
+        let wanted = {
+            let view = node.view.borrow();
+            seen.retain(|(n, i), _| view.nodes.get(n).is_some_and(|r| r.rec.incarnation == *i));
+            for (n, r) in &view.nodes {
+                seen.entry((n.clone(), r.rec.incarnation)).or_insert(now);
+            }
+            // Without an own key there is nothing to take shards with.
+            let me = view.nodes.get(&node.rules.node);
+            if me.is_some_and(|r| r.rec.incarnation == node.rules.incarnation) {
+                moves(&view, &node.rules, &zones, &seen, now)
+            } else {
+                Vec::new()
+            }
+        };
+        for m in wanted {
+            let txn = move_transaction(&node.view.borrow(), &m);
+            let Some((txn, rec)) = txn else { continue };
+            match node.commit(&txn).await {
+                Outcome::Done(r) => {
+                    log::info!(
+                        "shard {} goes to {} with token {}",
+                        m.shard.0,
+                        m.to,
+                        rec.token
+                    );
+                    let mut view = node.view.borrow_mut();
+                    let slot = &mut view.shards[m.shard.at()];
+                    if slot.version < r {
+                        slot.version = r;
+                        slot.rec = rec;
+                    }
+                    node.plan.ring();
+                }
+                Outcome::Conflict(_) => {
+                    node.refreshed(1500).await;
+                    break;
+                }
+                _ => break,
+            }
+        }
+        note_owned(&node);
+        crate::transport::pause(TICK_MS).await;
+    }
+}
+
+/// Notes since when shards are owned.
+fn note_owned(node: &Rc<Node>) {
+    let now = node.now();
+    let view = node.view.borrow();
+    let mut since = node.owned_since.borrow_mut();
+    for s in (0..view.shards.len()).map(ShardIx::new) {
+        if !node.rules.owns(&view, s) {
+            since.remove(&s);
+        } else if since.insert(s, now).is_some_and(|old| {
+            since.insert(s, old);
+            true
+        }) {
+            continue;
+        } else {
+            log::info!(
+                "owns shard {} with token {}",
+                s.0,
+                view.shards[s.at()].rec.token
+            );
+        }
+    }
+}
+
+async fn keep_lease(node: &Rc<Node>, lease: Option<u64>, ttl_ms: u64) -> Option<u64> {
+    let lease = match lease {
+        Some(l) => {
+            let path = format!("/grants/{l}/touch");
+            match node.store_call(Method::Post, &path, Vec::new()).await {
+                Ok(f) if f.status == 404 => {
+                    log::warn!("the lease of this node ended, taking a new one");
+                    None
+                }
+                // Served or not, it is still ours until the service says otherwise.
+                _ => Some(l),
+            }
+        }
+        None => None,
+    };
+    let me = node.rules.node.as_str();
+    let present = node
+        .view
+        .borrow()
+        .nodes
+        .get(me)
+        .is_some_and(|r| r.rec.incarnation == node.rules.incarnation);
+    if lease.is_some() && present {
+        return lease;
+    }
+    let lease = match lease {
+        Some(l) => l,
+        None => {
+            let body = rmp_serde::to_vec_named(&LeaseRequest { ttl_ms }).ok()?;
+            let f = node.store_call(Method::Post, "/grants", body).await.ok()?;
+            rmp_serde::from_slice::<Lease>(&f.body).ok()?.lease
+        }
+    };
+    let rec = NodeRecord {
+        incarnation: node.rules.incarnation,
+    };
+    let key = format!("{ROOT}node/{me}");
+    let version = node.view.borrow().nodes.get(me).map_or(0, |n| n.version);
+    let txn = Transaction {
+        // A late write of an earlier incarnation must not replace this one's.
+        conditions: vec![Condition {
+            key: key.clone(),
+            version,
+        }],
+        writes: vec![set(key, &rec, Some(lease))?],
+    };
+    match node.commit(&txn).await {
+        Outcome::Done(_) => {
+            node.refreshed(1500).await;
+            Some(lease)
+        }
+        Outcome::Refused(400) => None,
+        Outcome::Conflict(_) => {
+            node.refreshed(1500).await;
+            Some(lease)
+        }
+        _ => Some(lease),
+    }
+}
+
+/// Duty: shows a new owner's token to machines that still talk to an older owner.
+///
+/// Without it they would stay with a node that lost its shards unnoticed, for example
+/// because the state service refuses that node alone.
+pub async fn poke(node: Rc<Node>) {
+    let last: Cell<Ms> = Cell::new(Ms(0));
+    loop {
+        crate::transport::pause(700).await;
+        let now = node.now();
+        if now.since(last.get()) < 2000 {
+            continue;
+        }
+        last.set(now);
+        let quiet = node.rules.silent_ms;
+        let targets: Vec<(String, u64)> = {
+            let view = node.view.borrow();
+            let since = node.owned_since.borrow();
+            view.all_machines()
+                .filter(|(_, m)| {
+                    let own = since.get(&m.shard).copied();
+                    let token = view.shards[m.shard.at()].rec.token;
+                    !m.gone
+                        && !m.addr.is_empty()
+                        && node.rules.owns(&view, m.shard)
+                        && own.is_some_and(|o| now.since(o) > quiet / 2 && now.since(o) < 60_000)
+                        && m.token < token
+                })
+                .map(|(_, m)| (m.addr.clone(), view.shards[m.shard.at()].rec.token))
+                .take(16)
+                .collect()
+        };
+        for (addr, token) in targets {
+            node.ex.spawn(raise_token(addr, token)).detach();
+        }
+    }
+}
+
+/// Raises the token a worker has seen. What it answers is no evidence: an answer to an
+/// earlier report may still be on its way.
+async fn raise_token(addr: String, token: u64) {
+    let Ok(addr) = addr.parse() else { return };
+    let client = Client::new(addr);
+    let Ok(f) = client.call(Method::Get, "/status", Vec::new(), 1500).await else {
+        return;
+    };
+    let Ok(r) = rmp_serde::from_slice::<Report>(&f.body) else {
+        return;
+    };
+    if r.token >= token {
+        return;
+    }
+    let commands = Commands {
+        token,
+        session: r.session,
+        orders: Vec::new(),
+    };
+    if let Ok(body) = rmp_serde::to_vec_named(&commands) {
+        let _ = client.call(Method::Post, "/commands", body, 1500).await;
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,11 @@
+//! Membership, queues and pull, gangs, renting, cancellation.
+
+pub mod intake;
+pub mod members;
+pub mod node;
+pub mod plan;
+pub mod planner;
+pub mod renting;
+pub mod reports;
+pub mod siblings;
+pub mod store;
--- /dev/null
+++ b/src/coordination/node.rs
@@ -0,0 +1,200 @@
+//! One controller: what its duties share.
+
+use super::plan::Rules;
+use crate::bookkeeping::names::ShardIx;
+use crate::bookkeeping::units::{ms_of, Ms};
+use crate::bookkeeping::view::View;
+use crate::settings::{Operator, Platform};
+use crate::transport::frames::PeerClient;
+use crate::transport::http::Client;
+use crate::transport::within;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Another controller.
+pub struct Peer {
+    /// Name.
+    pub name: String,
+    /// Connection.
+    pub client: PeerClient,
+    /// Last time it sent news.
+    pub heard: Cell<Option<Ms>>,
+    /// It reaches the state service, by its last news.
+    pub store_ok: Cell<bool>,
+}
+
+/// A signal that several routines wait for.
+pub struct Signal {
+    tx: Sender<()>,
+    rx: Receiver<()>,
+    waiters: RefCell<Vec<Sender<bool>>>,
+}
+
+impl Default for Signal {
+    fn default() -> Self {
+        let (tx, rx) = async_channel::bounded(1);
+        Signal {
+            tx,
+            rx,
+            waiters: RefCell::new(Vec::new()),
+        }
+    }
+}
+
+impl Signal {
+    /// Wakes the duty behind it.
+    pub fn ring(&self) {
+        let _ = self.tx.try_send(());
+    }
+    /// Waits for a ring, `ms` at most.
+    pub async fn rung(&self, ms: u64) {
+        let _ = within(ms, self.rx.recv()).await;
+    }
+    /// Rings and waits for the outcome of a turn that began afterwards; `None` after `ms`.
+    pub async fn turn(&self, ms: u64) -> Option<bool> {
+        let (tx, rx) = async_channel::bounded(1);
+        self.waiters.borrow_mut().push(tx);
+        self.ring();
+        within(ms, rx.recv()).await?.ok()
+    }
+    /// Those who wait, taken at the start of a turn.
+    pub fn take_waiters(&self) -> Vec<Sender<bool>> {
+        std::mem::take(&mut self.waiters.borrow_mut())
+    }
+}
+
+/// A controller.
+pub struct Node {
+    /// The platform's settings.
+    pub platform: Platform,
+    /// The operators' settings.
+    pub operator: Operator,
+    /// What decisions go by.
+    pub rules: Rules,
+    /// Everything known.
+    pub view: RefCell<View>,
+    /// State service.
+    pub store: Client,
+    /// State service, long polls.
+    pub watcher: Client,
+    /// Cloud.
+    pub cloud: Client,
+    /// The others.
+    pub peers: Vec<Peer>,
+    /// Wakes the planner.
+    pub plan: Signal,
+    /// Asks for a read of the newest changes.
+    pub fresh: Signal,
+    /// Last time the state service served a request.
+    pub store_served: Cell<Option<Ms>>,
+    /// Since when a shard is owned.
+    pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
+    /// Runs the routines.
+    pub ex: Rc<LocalExecutor<'static>>,
+    started: Instant,
+}
+
+/// Time of day, ms.
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+impl Node {
+    /// A controller that knows nothing yet.
+    pub fn new(platform: Platform, operator: Operator, ex: Rc<LocalExecutor<'static>>) -> Node {
+        let s = &platform.settings;
+        let rules = Rules {
+            node: platform.node.clone(),
+            // Grows from start to start of the same node, and stays a whole number below 2^53.
+            incarnation: wall_ms() * 2048 + fastrand::u64(0..2048),
+            silent_ms: ms_of(s.workers.report_s * 2.5) + 500,
+            queue_cap: operator.queue_cap,
+            steal_ms: ms_of(operator.steal_after_s),
+            gang_hold_ms: ms_of(operator.gang_hold_s),
+            txn_ops: s.state.txn_ops,
+            value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
+        };
+        let peers = platform
+            .siblings
+            .iter()
+            .map(|p| Peer {
+                name: p.node.clone(),
+                client: PeerClient::new(p.addr),
+                heard: Cell::new(None),
+                store_ok: Cell::new(false),
+            })
+            .collect();
+        Node {
+            view: RefCell::new(View::new(&s.zones, &s.teams, operator.shards_per_zone)),
+            store: Client::new(platform.outside.state),
+            watcher: Client::new(platform.outside.state),
+            cloud: Client::new(platform.outside.cloud),
+            peers,
+            plan: Signal::default(),
+            fresh: Signal::default(),
+            store_served: Cell::new(None),
+            owned_since: RefCell::new(HashMap::new()),
+            ex,
+            started: Instant::now(),
+            rules,
+            platform,
+            operator,
+        }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Ms {
+        Ms(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// Runs a duty for good; one that fails is started again, with a log line.
+    pub fn duty<F, Fut>(self: &Rc<Self>, name: &'static str, duty: F)
+    where
+        F: Fn(Rc<Node>) -> Fut + 'static,
+        Fut: Future<Output = ()> + 'static,
+    {
+        let node = self.clone();
+        self.ex
+            .spawn(async move {
+                loop {
+                    let run = std::panic::AssertUnwindSafe(duty(node.clone()));
+                    match futures_lite::FutureExt::catch_unwind(run).await {
+                        Ok(()) => log::error!("duty {name} ended, starting it again"),
+                        Err(_) => log::error!("duty {name} failed, starting it again"),
+                    }
+                    crate::transport::pause(500).await;
+                }
+            })
+            .detach();
+    }
+
+    /// True if the state service answered lately.
+    pub fn store_ok(&self) -> bool {
+        self.store_served
+            .get()
+            .is_some_and(|t| self.now().since(t) < 3000)
+    }
+
+    /// True if requests can be taken: the records are known, and the state service is
+    /// within reach or out of everyone's.
+    pub fn healthy(&self) -> bool {
+        let others = || {
+            self.peers.iter().any(|p| {
+                p.store_ok.get() && p.heard.get().is_some_and(|h| self.now().since(h) < 4000)
+            })
+        };
+        self.view.borrow().loaded && (self.store_ok() || !others())
+    }
+
+    /// A peer by name.
+    pub fn peer(&self, name: &str) -> Option<&Peer> {
+        self.peers.iter().find(|p| p.name == name)
+    }
+}
--- /dev/null
+++ b/src/coordination/plan.rs
@@ -0,0 +1,763 @@
+//! Decisions on placements, as pure functions of the view.
+//!
+//! A pass first settles what reports prove, then claims waiting tasks for
+//! machines with free room. Its result is one transaction, conditional on
+//! every job record it changes and on every shard record it rests on.
+
+use crate::bookkeeping::fleet::{Attempt, Machine};
+use crate::bookkeeping::job::{Job, Placement, Spec};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, TeamIx, ZoneIx};
+use crate::bookkeeping::units::{Ms, Res};
+use crate::bookkeeping::view::{TeamRecord, View};
+use crate::protocol::users::{Rank, Shape};
+use crate::protocol::workers::{Order, TaskState, Why};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+
+/// What a controller decides by.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// This node.
+    pub node: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Silence after which a machine gets nothing new, ms.
+    pub silent_ms: u64,
+    /// Queue cap.
+    pub queue_cap: usize,
+    /// Wait after which a queued task is free for all, ms.
+    pub steal_ms: u64,
+    /// Wait after which machines are kept free for a gang, ms.
+    pub gang_hold_ms: u64,
+    /// Changes in a transaction.
+    pub txn_ops: usize,
+    /// Size of a record.
+    pub value_bytes: usize,
+}
+
+/// Most bytes of records in a transaction.
+const TXN_BYTES: usize = 48 * 1024;
+/// Machines looked at when there are more: a sample in place of a full search.
+pub const SAMPLE: usize = 64;
+
+impl Rules {
+    /// True if this incarnation owns the shard, as far as is known.
+    pub fn owns(&self, view: &View, shard: ShardIx) -> bool {
+        let r = &view.shards[shard.at()].rec;
+        r.owner == self.node && r.incarnation == self.incarnation
+    }
+}
+
+/// Changes to be committed together.
+#[derive(Default, Debug)]
+pub struct Draft {
+    /// Jobs as they shall be.
+    pub jobs: BTreeMap<JobIx, Job>,
+    /// Shards whose ownership the changes rest on.
+    pub shards: BTreeSet<ShardIx>,
+    /// Teams' shares as they shall be.
+    pub teams: BTreeMap<TeamIx, TeamRecord>,
+    /// New placements, for the log.
+    pub claims: usize,
+    bytes: usize,
+}
+
+impl Draft {
+    /// True if nothing changes.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty() && self.teams.is_empty()
+    }
+    /// True if `more` changed keys still go into the transaction.
+    fn has_room(&self, rules: &Rules, more: usize) -> bool {
+        self.jobs.len() + self.teams.len() + more <= rules.txn_ops && self.bytes < TXN_BYTES
+    }
+    /// The job as drafted so far.
+    pub fn job<'a>(&'a self, view: &'a View, ix: JobIx) -> &'a Job {
+        self.jobs.get(&ix).unwrap_or(&view.jobs[ix.at()])
+    }
+    /// The job, to change it; `None` if the transaction is full.
+    fn edit(&mut self, view: &View, rules: &Rules, ix: JobIx) -> Option<&mut Job> {
+        if !self.jobs.contains_key(&ix) {
+            if !self.has_room(rules, 1) {
+                return None;
+            }
+            let job = view.jobs[ix.at()].clone();
+            self.bytes += job.size();
+            self.jobs.insert(ix, job);
+        }
+        self.jobs.get_mut(&ix)
+    }
+}
+
+/// True if a gang has lost some of its tasks and the rest has to go.
+pub fn broken_gang(job: &Job) -> bool {
+    let Some(s) = &job.spec else { return false };
+    s.is_wide_gang()
+        && job.open()
+        && !job.placements.is_empty()
+        && (job.placements.len() as u32) < s.tasks()
+}
+
+/// True if the placement must not run any more.
+pub fn unwanted(job: &Job, m: &Machine, a: Attempt) -> bool {
+    !job.open() || job.done.has(a.1) || m.stopping.contains_key(&a) || broken_gang(job)
+}
+
+/// True if the newest report proves that the attempt is not there and can't begin later.
+///
+/// Starts go out in report answers alone, so none can run late: a report that is
+/// newer than the one which the last start answered shows its effect or its loss.
+/// A report under the owner's own token also shuts out every older owner's answers.
+pub fn proven_absent(m: &Machine, token: u64, a: Attempt) -> bool {
+    m.heard.is_some()
+        && m.token == token
+        && token > 0
+        && m.seen(a).is_none()
+        && m.start_sent.get(&a).is_none_or(|sent| *sent < m.stamp)
+}
+
+/// Takes what reports and deletions prove into the draft.
+pub fn settle(view: &View, rules: &Rules, draft: &mut Draft) {
+    for (ix, job) in view.active_jobs() {
+        if view.suspects.contains(&ix) {
+            // A write with an unknown outcome may still be applied: writing the
+            // record once more, whatever it says, shuts the late one out.
+            let _ = draft.edit(view, rules, ix);
+        }
+        for p in &job.placements {
+            let Some(m) = view.machine(p.machine) else {
+                continue;
+            };
+            let a = (ix, p.task, p.attempt);
+            if m.gone {
+                // Deletion is proof for everyone, whoever owns the shard.
+                if let Some(j) = draft.edit(view, rules, ix) {
+                    j.remove(p.task, p.attempt);
+                }
+                continue;
+            }
+            if !rules.owns(view, m.shard) {
+                continue;
+            }
+            let token = view.shards[m.shard.at()].rec.token;
+            let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
+            let lost = exit.is_none()
+                && proven_absent(m, token, a)
+                && (unwanted(job, m, a) || m.shown.contains(&a));
+            if exit.is_none() && !lost {
+                continue;
+            }
+            let Some(j) = draft.edit(view, rules, ix) else {
+                continue;
+            };
+            if exit.is_some_and(|s| s.why == Some(Why::Done)) && j.open() {
+                j.finish(p.task);
+            }
+            j.remove(p.task, p.attempt);
+            draft.shards.insert(m.shard);
+        }
+    }
+}
+
+/// Free room of machines, after placements and whatever else was reported.
+pub fn free_room(view: &View, draft: &Draft) -> HashMap<MachineIx, Res> {
+    let mut free: HashMap<MachineIx, Res> = view
+        .all_machines()
+        .filter_map(|(ix, m)| Some((ix, view.rigs.get(&m.rig)?.room)))
+        .collect();
+    let mut take = |m: MachineIx, need: Res| {
+        if let Some(f) = free.get_mut(&m) {
+            *f = f.minus(need);
+        }
+    };
+    let active: BTreeSet<JobIx> = view.active_jobs().map(|(ix, _)| ix).collect();
+    for ix in &active {
+        let job = draft.job(view, *ix);
+        let Some(s) = &job.spec else { continue };
+        for p in &job.placements {
+            take(p.machine, s.need);
+        }
+    }
+    for (ix, m) in view.all_machines() {
+        for t in m.tasks.iter().filter(|t| t.state != TaskState::Exited) {
+            let Some(j) = t.job.filter(|j| active.contains(j)) else {
+                continue;
+            };
+            let job = draft.job(view, j);
+            let placed = job
+                .placements
+                .iter()
+                .any(|p| (p.task, p.attempt, p.machine) == (t.task, t.attempt, ix));
+            if let (false, Some(s)) = (placed, &job.spec) {
+                take(ix, s.need);
+            }
+        }
+    }
+    free
+}
+
+/// True if the job may have a task on this machine, room aside, given its other placements.
+pub fn allowed(
+    view: &View,
+    job: &Job,
+    ix: JobIx,
+    spec: &Spec,
+    mix: MachineIx,
+    m: &Machine,
+) -> bool {
+    let kind = spec.rigs.as_ref().is_none_or(|r| r.contains(&m.rig))
+        && spec.zone.is_none_or(|z| z == m.zone)
+        && (spec.wire.spot || !m.spot);
+    let failed_here = view
+        .failures
+        .get(&ix)
+        .is_some_and(|(on, _)| on.contains(&mix));
+    kind && !failed_here && zone_allowed(view, job, spec, m.zone)
+}
+
+/// Zone rules against all placements of the record, old attempts counted until proven gone.
+fn zone_allowed(view: &View, job: &Job, spec: &Spec, zone: ZoneIx) -> bool {
+    let zones = || {
+        job.placements
+            .iter()
+            .filter_map(|p| view.shard_zone(p.shard))
+    };
+    (!spec.wire.one_zone || zones().all(|z| z == zone))
+        && (zones().filter(|z| *z == zone).count() as u32) < spec.zone_cap()
+}
+
+fn backed_off(view: &View, ix: JobIx, now: Ms) -> bool {
+    view.suspects.contains(&ix)
+        || view
+            .failures
+            .get(&ix)
+            .is_some_and(|(_, until)| now < *until)
+}
+
+/// Makes room in the payer's share of the team's limit, raising the share if the limit allows.
+fn pay(
+    view: &View,
+    rules: &Rules,
+    draft: &mut Draft,
+    team: TeamIx,
+    payer: ShardIx,
+    need: Res,
+    n: u32,
+) -> bool {
+    let limits = &view.team_limits[team.at()];
+    if limits.unlimited() {
+        return true;
+    }
+    // A claim of unknown outcome may still take what looks free.
+    let doubtful = view.suspects.iter().any(|j| {
+        view.jobs[j.at()]
+            .spec
+            .as_ref()
+            .is_some_and(|s| s.team == team)
+    });
+    if doubtful {
+        return false;
+    }
+    let mut used = view.paid(team, payer);
+    for (ix, j) in &draft.jobs {
+        let Some(s) = j.spec.as_ref().filter(|s| s.team == team) else {
+            continue;
+        };
+        let count = |j: &Job| j.placements.iter().filter(|p| p.payer == payer).count() as i64;
+        // Only what the draft adds counts: what it frees is free once committed.
+        let added = (count(j) - count(&view.jobs[ix.at()])).max(0);
+        used.0 += added * s.need.cpu;
+        used.1 += added * s.need.gpu;
+    }
+    let all = need.times(n);
+    let wanted = (used.0 + all.cpu, used.1 + all.gpu);
+    let record = draft.teams.get(&team).unwrap_or(&view.teams[team.at()].rec);
+    let share = record.share(payer);
+    if wanted.0 <= share.0 && wanted.1 <= share.1 {
+        return true;
+    }
+    let mut raised = record.clone();
+    raised.set(payer, (share.0.max(wanted.0), share.1.max(wanted.1)));
+    let fresh = usize::from(!draft.teams.contains_key(&team));
+    if !limits.allows(raised.total()) || !draft.has_room(rules, fresh + 1) {
+        return false;
+    }
+    draft.teams.insert(team, raised);
+    true
+}
+
+/// Lowers shares of owned shards that are not used while work of the team waits.
+pub fn lower_shares(view: &View, rules: &Rules, draft: &mut Draft) {
+    for (t, limits) in view.team_limits.iter().enumerate() {
+        let team = TeamIx::new(t);
+        if limits.unlimited() || draft.teams.contains_key(&team) || !draft.has_room(rules, 1) {
+            continue;
+        }
+        let of_team = |j: &Job| j.spec.as_ref().is_some_and(|s| s.team == team);
+        let waits = view
+            .active_jobs()
+            .any(|(_, j)| of_team(j) && j.waiting_count() > 0);
+        let doubtful = view.suspects.iter().any(|j| of_team(&view.jobs[j.at()]));
+        // A draft that changes one of its jobs has its say first.
+        if !waits || doubtful || draft.jobs.values().any(of_team) {
+            continue;
+        }
+        let mut rec = view.teams[t].rec.clone();
+        for s in (0..view.shards.len()).map(ShardIx::new) {
+            let (share, used) = (rec.share(s), view.paid(team, s));
+            if rules.owns(view, s) && share != used {
+                rec.set(s, used);
+                draft.shards.insert(s);
+            }
+        }
+        if rec != view.teams[t].rec {
+            draft.teams.insert(team, rec);
+        }
+    }
+}
+
+/// A waiting job, in the order of service.
+struct Waiting {
+    ix: JobIx,
+    rank: Rank,
+    spec: Rc<Spec>,
+}
+
+fn waiting_jobs(view: &View, draft: &Draft, now: Ms) -> Vec<Waiting> {
+    let mut out: Vec<(Rank, u64, Waiting)> = view
+        .active_jobs()
+        .filter(|(ix, _)| !backed_off(view, *ix, now))
+        .filter_map(|(ix, _)| {
+            let j = draft.job(view, ix);
+            let spec = j.spec.clone()?;
+            (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
+                let rank = spec.rank();
+                (rank, j.submitted, Waiting { ix, rank, spec })
+            })
+        })
+        .collect();
+    out.sort_by_key(|(r, at, w)| (*r, *at, w.ix));
+    out.into_iter().map(|(_, _, w)| w).collect()
+}
+
+/// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
+pub fn claim(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) -> Vec<MachineIx> {
+    let mut free = free_room(view, draft);
+    claim_gangs(view, rules, draft, &mut free, now);
+    let jobs = waiting_jobs(view, draft, now);
+    if jobs.is_empty() {
+        return Vec::new();
+    }
+    let mut bound: HashSet<(JobIx, u32)> = HashSet::new();
+    for (_, m) in view.all_machines() {
+        let fresh = m.queue.iter().filter(|q| now.since(q.2) < rules.steal_ms);
+        bound.extend(fresh.map(|q| (q.0, q.1)));
+    }
+    let mut idle = Vec::new();
+    let mut machines: Vec<(MachineIx, &Machine)> = view
+        .all_machines()
+        .filter(|(_, m)| rules.owns(view, m.shard) && m.takes(now, rules.silent_ms))
+        .collect();
+    // Spot machines first: they are cheaper, and what may run there should not fill the others.
+    machines.sort_by_key(|(ix, m)| (!m.spot, *ix));
+    for (mix, m) in machines {
+        let held = m.held.is_some_and(|(_, until)| now < until);
+        while let Some(room) = free.get(&mix).copied() {
+            if room.gpu <= 0 && room.cpu <= 0 {
+                break;
+            }
+            let fits = |d: &Draft, ix: JobIx, s: &Spec| {
+                let job = d.job(view, ix);
+                (!held || s.rank() == Rank::Production)
+                    && s.need.fits(room)
+                    && job.size() + 44 < rules.value_bytes
+                    && allowed(view, job, ix, s, mix, m)
+            };
+            let queued = m.queue.iter().find_map(|(ix, task, _)| {
+                let j = draft.job(view, *ix);
+                let s = j.spec.clone()?;
+                (j.waits(*task) && !backed_off(view, *ix, now) && fits(draft, *ix, &s))
+                    .then_some((*ix, *task, s))
+            });
+            let unbound = jobs
+                .iter()
+                .take_while(|w| queued.as_ref().is_none_or(|q| w.rank < q.2.rank()))
+                .filter(|w| fits(draft, w.ix, &w.spec))
+                .find_map(|w| {
+                    let mut tasks = draft.job(view, w.ix).waiting();
+                    tasks
+                        .find(|t| !bound.contains(&(w.ix, *t)))
+                        .map(|t| (w.ix, t, w.spec.clone()))
+                });
+            let Some((ix, task, spec)) = unbound.or(queued) else {
+                idle.push(mix);
+                break;
+            };
+            if !place(view, rules, draft, ix, &spec, &[(task, mix, m)], m.shard) {
+                break;
+            }
+            free.insert(mix, room.minus(spec.need));
+        }
+    }
+    idle
+}
+
+/// Drafts placements of one attempt; false if the transaction is full or the limit is reached.
+fn place(
+    view: &View,
+    rules: &Rules,
+    draft: &mut Draft,
+    ix: JobIx,
+    spec: &Spec,
+    on: &[(u32, MachineIx, &Machine)],
+    payer: ShardIx,
+) -> bool {
+    if !pay(
+        view,
+        rules,
+        draft,
+        spec.team,
+        payer,
+        spec.need,
+        on.len() as u32,
+    ) {
+        return false;
+    }
+    let Some(job) = draft.edit(view, rules, ix) else {
+        return false;
+    };
+    let attempt = job.next_attempt;
+    job.next_attempt += 1;
+    for (task, machine, m) in on {
+        job.placements.push(Placement {
+            task: *task,
+            attempt,
+            machine: *machine,
+            shard: m.shard,
+            payer,
+        });
+    }
+    draft.shards.insert(payer);
+    draft.claims += on.len();
+    true
+}
+
+/// Wide gangs that wait, oldest of the highest priority first.
+pub fn waiting_gangs(view: &View, now: Ms) -> Vec<JobIx> {
+    let mut out: Vec<(Rank, u64, JobIx)> = view
+        .active_jobs()
+        .filter(|(ix, j)| j.open() && j.placements.is_empty() && !backed_off(view, *ix, now))
+        .filter_map(|(ix, j)| {
+            let s = j.spec.as_ref().filter(|s| s.is_wide_gang())?;
+            Some((s.rank(), j.submitted, ix))
+        })
+        .collect();
+    out.sort();
+    out.into_iter().map(|(_, _, ix)| ix).collect()
+}
+
+/// Machines of one zone (or all) for a gang: as many as it has tasks, or `None`.
+fn gather<'a>(
+    view: &'a View,
+    ix: JobIx,
+    job: &Job,
+    spec: &Spec,
+    free: &HashMap<MachineIx, Res>,
+    usable: impl Fn(&Machine) -> bool,
+) -> Option<Vec<(MachineIx, &'a Machine)>> {
+    let mut zones: BTreeMap<ZoneIx, Vec<(MachineIx, &Machine)>> = BTreeMap::new();
+    for (mix, m) in view.all_machines() {
+        if !usable(m) || !allowed(view, job, ix, spec, mix, m) {
+            continue;
+        }
+        let zone = if spec.wire.one_zone {
+            m.zone
+        } else {
+            ZoneIx(0)
+        };
+        let mut room = free.get(&mix).copied().unwrap_or_default();
+        let slots = zones.entry(zone).or_default();
+        while spec.need.fits(room) {
+            slots.push((mix, m));
+            room = room.minus(spec.need);
+            if spec.need == Res::default() {
+                break;
+            }
+        }
+    }
+    let n = spec.tasks() as usize;
+    let mut best: Option<(usize, Vec<(MachineIx, &Machine)>)> = None;
+    for mut slots in zones.into_values() {
+        slots.sort_by_key(|(mix, m)| (!m.has_image(spec.image), !m.spot, *mix));
+        if spec.wire.spread {
+            let cap = spec.zone_cap();
+            let mut per: HashMap<ZoneIx, u32> = HashMap::new();
+            slots.retain(|(_, m)| {
+                let c = per.entry(m.zone).or_default();
+                *c += 1;
+                *c <= cap
+            });
+        }
+        if slots.len() < n {
+            continue;
+        }
+        slots.truncate(n);
+        let cold = slots
+            .iter()
+            .filter(|(_, m)| !m.has_image(spec.image))
+            .count();
+        if best.as_ref().is_none_or(|(c, _)| cold < *c) {
+            best = Some((cold, slots));
+        }
+    }
+    best.map(|(_, s)| s)
+}
+
+/// Places gangs whose shard this node owns, all tasks in one claim.
+fn claim_gangs(
+    view: &View,
+    rules: &Rules,
+    draft: &mut Draft,
+    free: &mut HashMap<MachineIx, Res>,
+    now: Ms,
+) {
+    for ix in waiting_gangs(view, now) {
+        let job = view.jobs[ix.at()].clone();
+        let Some(spec) = job.spec.clone() else {
+            continue;
+        };
+        let payer = view.gang_shard(&job.id);
+        let size = job.size() + 44 * spec.tasks() as usize;
+        if !rules.owns(view, payer) || size > rules.value_bytes {
+            continue;
+        }
+        let usable = |m: &Machine| {
+            let others = m.held.is_some_and(|(j, until)| j != ix && now < until);
+            m.takes(now, rules.silent_ms) && !others
+        };
+        let Some(slots) = gather(view, ix, &job, &spec, free, usable) else {
+            continue;
+        };
+        let on: Vec<_> = (0..spec.tasks())
+            .zip(&slots)
+            .map(|(t, (mix, m))| (t, *mix, *m))
+            .collect();
+        if place(view, rules, draft, ix, &spec, &on, payer) {
+            for (mix, _) in slots {
+                if let Some(f) = free.get_mut(&mix) {
+                    *f = f.minus(spec.need);
+                }
+            }
+        }
+    }
+}
+
+/// Machines to be kept free for gangs that wait too long.
+///
+/// All nodes see the same order of gangs, and a machine is kept for the first
+/// that wants it: two gangs never hold halves of what either needs.
+pub fn gang_holds(
+    view: &View,
+    rules: &Rules,
+    now: Ms,
+    wall_ms: u64,
+) -> Vec<(JobIx, Vec<MachineIx>)> {
+    let mut taken: HashSet<MachineIx> = HashSet::new();
+    let mut out = Vec::new();
+    let full: HashMap<MachineIx, Res> = view
+        .all_machines()
+        .filter_map(|(ix, m)| Some((ix, view.rigs.get(&m.rig)?.room)))
+        .collect();
+    let free = free_room(view, &Draft::default());
+    for ix in waiting_gangs(view, now) {
+        let job = &view.jobs[ix.at()];
+        let Some(spec) = &job.spec else { continue };
+        if wall_ms.saturating_sub(job.submitted) < rules.gang_hold_ms {
+            continue;
+        }
+        // Machines that are nearly free come first: without their present load.
+        let mut best: Option<Vec<MachineIx>> = None;
+        let mut best_load = i64::MAX;
+        for z in 0..view.zone_names.len() {
+            let z = ZoneIx::new(z);
+            let mut c: Vec<(i64, MachineIx)> = view
+                .all_machines()
+                .filter(|(mix, m)| {
+                    (!spec.wire.one_zone || m.zone == z)
+                        && !taken.contains(mix)
+                        && m.takes(now, rules.silent_ms)
+                        && allowed(view, job, ix, spec, *mix, m)
+                        && full.get(mix).is_some_and(|r| spec.need.fits(*r))
+                })
+                .map(|(mix, _)| {
+                    let load = full[&mix].minus(free.get(&mix).copied().unwrap_or_default());
+                    (load.gpu + load.cpu, mix)
+                })
+                .collect();
+            c.sort();
+            c.truncate(spec.tasks() as usize);
+            if c.len() < spec.tasks() as usize {
+                continue;
+            }
+            let load: i64 = c.iter().map(|x| x.0).sum();
+            if load < best_load {
+                best_load = load;
+                best = Some(c.into_iter().map(|x| x.1).collect());
+            }
+        }
+        if let Some(b) = best {
+            taken.extend(&b);
+            if rules.owns(view, view.gang_shard(&job.id)) {
+                out.push((ix, b));
+            }
+        }
+    }
+    out
+}
+
+/// Binds a job's waiting tasks: the first fitting machine in the stale view, else the
+/// shortest queue under the cap. Tasks that find all queues full stay unbound.
+pub fn bind(view: &View, rules: &Rules, ix: JobIx, now: Ms) -> Vec<(u32, MachineIx)> {
+    let job = &view.jobs[ix.at()];
+    let Some(spec) = job.spec.clone().filter(|s| !s.is_wide_gang()) else {
+        return Vec::new();
+    };
+    let mut free = free_room(view, &Draft::default());
+    for (mix, m) in view.all_machines() {
+        for (j, t, _) in &m.queue {
+            let q = &view.jobs[j.at()];
+            if let (true, Some(s), Some(f)) = (q.waits(*t), &q.spec, free.get_mut(&mix)) {
+                *f = f.minus(s.need);
+            }
+        }
+    }
+    let mut machines: Vec<(MachineIx, &Machine)> = view
+        .all_machines()
+        .filter(|(mix, m)| {
+            m.takes(now, rules.silent_ms)
+                && m.held.is_none()
+                && allowed(view, job, ix, &spec, *mix, m)
+        })
+        .collect();
+    while machines.len() > SAMPLE {
+        machines.swap_remove(fastrand::usize(..machines.len()));
+    }
+    machines.sort_by_key(|(mix, m)| (!m.has_image(spec.image), !m.spot, *mix));
+    let mut queued: HashMap<MachineIx, usize> = machines
+        .iter()
+        .map(|(mix, m)| (*mix, m.queue.len().max(m.queued_elsewhere.into())))
+        .collect();
+    let mut per_zone: HashMap<ZoneIx, u32> = HashMap::new();
+    for p in &job.placements {
+        if let Some(z) = view.shard_zone(p.shard) {
+            *per_zone.entry(z).or_default() += 1;
+        }
+    }
+    let mut out = Vec::new();
+    for task in job.waiting() {
+        let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
+        let fitting = machines
+            .iter()
+            .find(|(mix, m)| zone_ok(m) && free.get(mix).is_some_and(|r| spec.need.fits(*r)));
+        let chosen = fitting.or_else(|| {
+            machines
+                .iter()
+                .filter(|(mix, m)| zone_ok(m) && queued[mix] < rules.queue_cap)
+                .min_by_key(|(mix, _)| queued[mix])
+        });
+        let Some((mix, m)) = chosen else { break };
+        if let Some(f) = free.get_mut(mix) {
+            *f = f.minus(spec.need);
+        }
+        *queued.entry(*mix).or_default() += 1;
+        *per_zone.entry(m.zone).or_default() += 1;
+        out.push((task, *mix));
+    }
+    out
+}
+
+/// Orders for a machine in answer to its newest report. Notes the starts it sends.
+pub fn orders(view: &mut View, rules: &Rules, mix: MachineIx) -> Vec<Order> {
+    let Some(m) = view.machine(mix) else {
+        return Vec::new();
+    };
+    if !rules.owns(view, m.shard) {
+        return Vec::new();
+    }
+    let mut out = Vec::new();
+    for s in &m.tasks {
+        let (piece, attempt) = (s.name.to_string(), s.attempt);
+        let known = s.job.map(|j| (j, &view.jobs[j.at()]));
+        let placed = known.is_some_and(|(_, j)| {
+            j.placements
+                .iter()
+                .any(|p| (p.task, p.attempt, p.machine) == (s.task, attempt, mix))
+        });
+        match (s.state, placed) {
+            // An exit is forgotten only after the record has it: the worker keeps it until then.
+            (TaskState::Exited, false) => out.push(Order::Forget { piece, attempt }),
+            (TaskState::Exited, true) => {}
+            (_, false) => out.push(Order::Stop {
+                piece,
+                attempt,
+                grace_s: 0.0,
+            }),
+            (state, true) => {
+                let Some((ix, job)) = known else { continue };
+                let a = (ix, s.task, attempt);
+                if !unwanted(job, m, a) {
+                    continue;
+                }
+                let grace_s = if job.open() {
+                    m.stopping.get(&a).copied().unwrap_or(0.0)
+                } else {
+                    0.0
+                };
+                if state != TaskState::Saving || grace_s == 0.0 {
+                    out.push(Order::Stop {
+                        piece,
+                        attempt,
+                        grace_s,
+                    });
+                }
+            }
+        }
+    }
+    let mut starts: Vec<Attempt> = Vec::new();
+    for (ix, job) in view.active_jobs() {
+        for p in job.placements.iter().filter(|p| p.machine == mix) {
+            let a = (ix, p.task, p.attempt);
+            if m.seen(a).is_none() && !unwanted(job, m, a) && !m.shown.contains(&a) {
+                starts.push(a);
+            }
+        }
+    }
+    let stamp = m.stamp;
+    for a in starts {
+        out.push(Order::Start {
+            piece: format!("{}/{}", view.jobs[a.0.at()].id, a.1),
+            attempt: a.2,
+        });
+        if let Some(m) = view.machine_mut(mix) {
+            m.start_sent.insert(a, stamp);
+        }
+    }
+    out
+}
+
+/// True if a service replica or other work should leave because the machine goes.
+pub fn on_notice(view: &View, mix: MachineIx) -> Vec<(Attempt, f64)> {
+    let Some(m) = view.machine(mix).filter(|m| m.leaves.is_some()) else {
+        return Vec::new();
+    };
+    m.tasks
+        .iter()
+        .filter_map(|t| {
+            let ix = t.job?;
+            let s = view.jobs[ix.at()].spec.as_ref()?;
+            let saves = s.wire.checkpoint_s > 0.0 && t.state == TaskState::Running;
+            let moves = s.wire.shape == Shape::Service || t.state == TaskState::Fetching;
+            (saves || moves).then_some(((ix, t.task, t.attempt), s.wire.save_s + 1.0))
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/coordination/planner.rs
@@ -0,0 +1,237 @@
+//! The planning duty: passes, their commits, and the pull between controllers.
+
+use super::node::Node;
+use super::plan::{self, Draft};
+use super::store::Outcome;
+use crate::bookkeeping::names::{Index, JobIx, MachineIx};
+use crate::bookkeeping::units::Ms;
+use crate::protocol::peers::{Ask, Reply, TaskRef};
+use crate::transport::http::jittered;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Passes in a row before others get a turn.
+const PASSES: usize = 12;
+const PEER_MS: u64 = 800;
+
+/// Duty: plans whenever something changed, and now and then.
+pub async fn run(node: Rc<Node>) {
+    let mut lowered = Ms(0);
+    let mut last_poll: HashMap<MachineIx, (u64, u64)> = HashMap::new();
+    loop {
+        node.plan.rung(700).await;
+        if !node.view.borrow().loaded {
+            continue;
+        }
+        let waiters = node.plan.take_waiters();
+        let mut idle = Vec::new();
+        for _ in 0..PASSES {
+            let now = node.now();
+            let draft = {
+                let view = node.view.borrow();
+                let mut d = Draft::default();
+                plan::settle(&view, &node.rules, &mut d);
+                idle = plan::claim(&view, &node.rules, &mut d, now);
+                if now.since(lowered) > 2000 {
+                    plan::lower_shares(&view, &node.rules, &mut d);
+                    lowered = now;
+                }
+                d
+            };
+            if draft.is_empty() {
+                break;
+            }
+            match node.commit_draft(&draft).await {
+                Outcome::Done(r) => log::debug!(
+                    "committed at {r}: {} jobs, {} claims",
+                    draft.jobs.len(),
+                    draft.claims
+                ),
+                Outcome::Conflict(keys) => {
+                    log::debug!("conflict on {keys:?}");
+                    node.refreshed(1500).await;
+                }
+                Outcome::Refused(status) => {
+                    log::debug!("state service refused with {status}");
+                    async_io::Timer::after(jittered(150)).await;
+                    break;
+                }
+                Outcome::Unknown => {
+                    log::warn!(
+                        "no answer to a transaction on {} jobs, reading before going on",
+                        draft.jobs.len()
+                    );
+                    node.refreshed(1500).await;
+                    break;
+                }
+            }
+        }
+        for w in waiters {
+            let _ = w.try_send(true);
+        }
+        pull(&node, &idle, &mut last_poll);
+    }
+}
+
+/// Idle machines poll a few random others, once for each of their reports.
+fn pull(node: &Rc<Node>, idle: &[MachineIx], last: &mut HashMap<MachineIx, (u64, u64)>) {
+    for mix in idle {
+        let (stamp, chosen) = {
+            let view = node.view.borrow();
+            let Some(m) = view.machine(*mix) else {
+                continue;
+            };
+            if last.get(mix) == Some(&m.stamp) {
+                continue;
+            }
+            let mut others: Vec<(MachineIx, usize)> = view
+                .all_machines()
+                .filter(|(ix, o)| {
+                    ix != mix && !o.gone && (!o.queue.is_empty() || o.queued_elsewhere > 0)
+                })
+                .map(|(ix, o)| (ix, o.shard.at()))
+                .collect();
+            fastrand::shuffle(&mut others);
+            others.truncate(node.operator.polls);
+            (m.stamp, others)
+        };
+        last.insert(*mix, stamp);
+        let mut remote: HashMap<String, Vec<String>> = HashMap::new();
+        let mut found = false;
+        for (other, shard) in chosen {
+            let owner = node.view.borrow().shards[shard].rec.owner.clone();
+            if owner == node.rules.node {
+                found = found || hand_over(node, other, *mix, true).is_some();
+            } else {
+                let name = node.view.borrow().machine_names.name(other).to_string();
+                remote.entry(owner).or_default().push(name);
+            }
+            if found {
+                break;
+            }
+        }
+        if found {
+            node.plan.ring();
+            continue;
+        }
+        for (owner, machines) in remote {
+            let (node, mix) = (node.clone(), *mix);
+            node.ex
+                .clone()
+                .spawn(poll_peer(node, owner, machines, mix))
+                .detach();
+        }
+    }
+}
+
+async fn poll_peer(node: Rc<Node>, owner: String, machines: Vec<String>, mix: MachineIx) {
+    let idle = node.view.borrow().machine_names.name(mix).to_string();
+    let Some(peer) = node.peer(&owner) else {
+        return;
+    };
+    if let Ok(Reply::Task(Some(t))) = peer
+        .client
+        .ask(&Ask::Poll { idle, machines }, PEER_MS)
+        .await
+    {
+        if enqueue(&node, mix, &t, true) {
+            node.plan.ring();
+        }
+    }
+}
+
+/// Takes the first head of `other`'s queue that fits the idle machine. The giver
+/// drops it from its queue; should it be lost on the way, it is unbound again, since
+/// the job's record alone says what has been started.
+pub fn hand_over(node: &Node, other: MachineIx, idle: MachineIx, local: bool) -> Option<TaskRef> {
+    let now = node.now();
+    let found = {
+        let view = node.view.borrow();
+        let m = view.machine(idle)?;
+        let room = plan::free_room(&view, &Draft::default())
+            .get(&idle)
+            .copied()?;
+        let queue = &view.machine(other)?.queue;
+        queue.iter().position(|(ix, task, _)| {
+            let j = &view.jobs[ix.at()];
+            j.waits(*task)
+                && j.spec
+                    .as_ref()
+                    .is_some_and(|s| s.need.fits(room) && plan::allowed(&view, j, *ix, s, idle, m))
+        })?
+    };
+    let mut view = node.view.borrow_mut();
+    let (ix, task, _) = view.machine_mut(other)?.queue.remove(found)?;
+    if local {
+        view.machine_mut(idle)?.queue.push_front((ix, task, now));
+    }
+    let job = view.jobs[ix.at()].id.to_string();
+    Some(TaskRef { job, task })
+}
+
+/// Puts a task into an owned machine's queue; false if it does not wait or the queue is full.
+pub fn enqueue(node: &Node, mix: MachineIx, t: &TaskRef, front: bool) -> bool {
+    let now = node.now();
+    let mut view = node.view.borrow_mut();
+    let Some((ix, job)) = view.job(&t.job) else {
+        return false;
+    };
+    if !job.waits(t.task) {
+        return false;
+    }
+    // A free machine may take a few tasks at once; the cap is for those that wait.
+    let cap = node.operator.queue_cap.max(8);
+    let Some(m) = view.machine_mut(mix) else {
+        return false;
+    };
+    if m.queue.len() >= cap || m.queue.iter().any(|q| (q.0, q.1) == (ix, t.task)) {
+        return false;
+    }
+    if front {
+        m.queue.push_front((ix, t.task, now));
+    } else {
+        m.queue.push_back((ix, t.task, now));
+    }
+    true
+}
+
+/// Binds the tasks of a job just accepted here to machines, wherever their queues are.
+pub fn bind_job(node: &Rc<Node>, ix: JobIx) {
+    let bound = plan::bind(&node.view.borrow(), &node.rules, ix, node.now());
+    let mut remote: HashMap<String, Vec<(String, TaskRef)>> = HashMap::new();
+    for (task, mix) in bound {
+        let (job, owner, name) = {
+            let view = node.view.borrow();
+            let Some(m) = view.machine(mix) else { continue };
+            let owner = view.shards[m.shard.at()].rec.owner.clone();
+            (view.jobs[ix.at()].id.to_string(), owner, m.name.to_string())
+        };
+        let t = TaskRef { job, task };
+        if owner == node.rules.node {
+            enqueue(node, mix, &t, false);
+        } else {
+            remote.entry(owner).or_default().push((name, t));
+        }
+    }
+    node.plan.ring();
+    for (owner, tasks) in remote {
+        let node = node.clone();
+        node.ex
+            .clone()
+            .spawn(async move {
+                if let Some(p) = node.peer(&owner) {
+                    let _ = p.client.ask(&Ask::Bind { tasks }, PEER_MS).await;
+                }
+            })
+            .detach();
+    }
+}
+
+/// Drops queue entries that no longer wait.
+pub fn sweep_queues(node: &Node) {
+    let mut view = node.view.borrow_mut();
+    let view = &mut *view;
+    for m in view.machines.iter_mut().flatten() {
+        m.queue.retain(|(ix, t, _)| view.jobs[ix.at()].waits(*t));
+    }
+}
--- /dev/null
+++ b/src/coordination/renting.rs
@@ -0,0 +1,762 @@
+//! Renting and returning machines: one duty with one fenced owner.
+
+use super::node::Node;
+use super::plan::{self, Draft};
+use super::siblings;
+use super::store::{set, Outcome};
+use crate::bookkeeping::fleet::Machine;
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, ZoneIx};
+use crate::bookkeeping::units::{ms_of, Ms, Res};
+use crate::bookkeeping::view::{BookingRecord, View, ROOT};
+use crate::protocol::cloud::{Booking, Flavors, HostList, Hosts, Listed};
+use crate::protocol::peers::{Ask, Reply};
+use crate::protocol::state::{Condition, Transaction, Write};
+use http_types::Method;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+const TICK_MS: u64 = 500;
+const CALL_MS: u64 = 3000;
+/// Most machines in one request.
+const MOST_AT_ONCE: u32 = 10;
+
+/// A kind of machine that can be rented.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
+pub struct Pool {
+    /// Type.
+    pub rig: RigIx,
+    /// Zone.
+    pub zone: ZoneIx,
+    /// Spot.
+    pub spot: bool,
+}
+
+/// A machine that is on its way or there, as the renting duty counts it.
+#[derive(Clone, Debug)]
+pub struct Supply {
+    /// What it is.
+    pub pool: Pool,
+    /// Room that waiting tasks may use.
+    pub free: Res,
+    /// Zone limits and the like are those of a machine of this index, if it is up.
+    pub machine: Option<MachineIx>,
+}
+
+/// What waits, one entry a job.
+struct Demand {
+    ix: JobIx,
+    tasks: u32,
+}
+
+/// How many of a job's waiting tasks its team's limit lets run now.
+fn demands(view: &View, now: Ms) -> Vec<Demand> {
+    let mut room: Vec<(i64, i64)> = Vec::new();
+    for (t, l) in view.team_limits.iter().enumerate() {
+        let mut used = (0, 0);
+        for (_, j) in view.active_jobs() {
+            if let Some(s) = j.spec.as_ref().filter(|s| s.team.at() == t) {
+                let n = j.placements.len() as i64;
+                used = (used.0 + n * s.need.cpu, used.1 + n * s.need.gpu);
+            }
+        }
+        let left = |most: i64, used: i64| if most == 0 { i64::MAX } else { most - used };
+        room.push((left(l.most.0, used.0), left(l.most.1, used.1)));
+    }
+    let mut jobs: Vec<(JobIx, &crate::bookkeeping::job::Job)> = view
+        .active_jobs()
+        .filter(|(_, j)| j.waiting_count() > 0)
+        .filter(|(ix, _)| view.failures.get(ix).is_none_or(|(_, until)| now >= *until))
+        .collect();
+    jobs.sort_by_key(|(ix, j)| (j.spec.as_ref().map(|s| s.rank()), j.submitted, *ix));
+    let mut out = Vec::new();
+    for (ix, j) in jobs {
+        let Some(s) = &j.spec else { continue };
+        let r = &mut room[s.team.at()];
+        let mut tasks = 0;
+        while tasks < j.waiting_count() && tasks < 200 && s.need.cpu <= r.0 && s.need.gpu <= r.1 {
+            *r = (
+                r.0.saturating_sub(s.need.cpu),
+                r.1.saturating_sub(s.need.gpu),
+            );
+            tasks += 1;
+        }
+        if s.is_wide_gang() && tasks < s.tasks() {
+            continue;
+        }
+        if tasks > 0 {
+            out.push(Demand { ix, tasks });
+        }
+    }
+    out
+}
+
+/// What to rent so that waiting tasks find room: machines per pool.
+pub fn wanted(
+    view: &View,
+    supply: &mut Vec<Supply>,
+    blocked: &HashSet<Pool>,
+    now: Ms,
+) -> BTreeMap<Pool, u32> {
+    let mut out: BTreeMap<Pool, u32> = BTreeMap::new();
+    for d in demands(view, now) {
+        let job = &view.jobs[d.ix.at()];
+        let Some(spec) = job.spec.clone() else {
+            continue;
+        };
+        let mut per_zone: HashMap<ZoneIx, u32> = HashMap::new();
+        for p in &job.placements {
+            if let Some(z) = view.shard_zone(p.shard) {
+                *per_zone.entry(z).or_default() += 1;
+            }
+        }
+        let kind_ok = |p: &Pool| {
+            spec.rigs.as_ref().is_none_or(|r| r.contains(&p.rig))
+                && spec.zone.is_none_or(|z| z == p.zone)
+                && (spec.wire.spot || !p.spot)
+        };
+        let zone_ok = |per: &HashMap<ZoneIx, u32>, z: ZoneIx| {
+            per.get(&z).copied().unwrap_or(0) < spec.zone_cap()
+                && (!spec.wire.one_zone || per.keys().all(|k| *k == z))
+        };
+        // A gang that must be in one zone: the zone with the most room for it.
+        let only = (spec.wire.one_zone && spec.is_wide_gang()).then(|| {
+            let mut zones: Vec<(u32, ZoneIx)> = (0..view.zone_names.len())
+                .map(ZoneIx::new)
+                .map(|z| {
+                    let fit = supply
+                        .iter()
+                        .filter(|s| s.pool.zone == z && kind_ok(&s.pool) && spec.need.fits(s.free))
+                        .count();
+                    (fit as u32, z)
+                })
+                .collect();
+            zones.sort();
+            zones.last().map(|z| z.1)
+        });
+        for _ in 0..d.tasks {
+            let ok = |p: &Pool, per: &HashMap<ZoneIx, u32>| {
+                kind_ok(p) && zone_ok(per, p.zone) && only.flatten().is_none_or(|z| z == p.zone)
+            };
+            let found = supply.iter_mut().find(|s| {
+                let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
+                ok(&s.pool, &per_zone)
+                    && spec.need.fits(s.free)
+                    && here.is_none_or(|(mix, m)| plan::allowed(view, job, d.ix, &spec, mix, m))
+            });
+            if let Some(s) = found {
+                s.free = s.free.minus(spec.need);
+                *per_zone.entry(s.pool.zone).or_default() += 1;
+                continue;
+            }
+            let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
+                ok(p, &per_zone) && !blocked.contains(p)
+            }) else {
+                break;
+            };
+            let Some(rig) = view.rigs.get(&pool.rig) else {
+                break;
+            };
+            *out.entry(pool).or_default() += 1;
+            *per_zone.entry(pool.zone).or_default() += 1;
+            supply.push(Supply {
+                pool,
+                free: rig.room.minus(spec.need),
+                machine: None,
+            });
+        }
+    }
+    out
+}
+
+/// The pool with the least cost for a task; boot time counts a little.
+fn cheapest(view: &View, need: &Res, tasks: u32, ok: impl Fn(&Pool) -> bool) -> Option<Pool> {
+    let mut best: Option<(f64, Pool)> = None;
+    let mut rigs: Vec<_> = view.rigs.iter().collect();
+    rigs.sort_by_key(|(ix, _)| **ix);
+    for (ix, rig) in rigs {
+        if !need.fits(rig.room) {
+            continue;
+        }
+        let mut fit = 0u32;
+        let mut left = rig.room;
+        while fit < tasks.max(1) && need.fits(left) && fit < 64 {
+            left = left.minus(*need);
+            fit += 1;
+        }
+        // What a task leaves free is used by others more often than not.
+        let share = need.share_of(rig.room) * f64::from(fit);
+        let used = share.clamp(0.5, 1.0) * 0.5 + share.min(1.0) * 0.5;
+        for zone in &rig.flavor.zones {
+            let Some(zone) = view.zone_names.find(zone) else {
+                continue;
+            };
+            for spot in [false, true] {
+                let pool = Pool {
+                    rig: *ix,
+                    zone,
+                    spot,
+                };
+                if !ok(&pool) {
+                    continue;
+                }
+                let price = if spot {
+                    rig.flavor.spot_price
+                } else {
+                    rig.flavor.price
+                };
+                let cost = price * used / f64::from(fit.max(1)) * (1.0 + rig.flavor.boot_s / 300.0);
+                // Equal pools share the load between zones.
+                let cost = cost * (1.0 + fastrand::f64() * 0.02);
+                if best.as_ref().is_none_or(|(c, _)| cost < *c) {
+                    best = Some((cost, pool));
+                }
+            }
+        }
+    }
+    best.map(|(_, p)| p)
+}
+
+/// What the duty remembers between turns; lost at a change of owner, which only costs time.
+#[derive(Default)]
+struct Desk {
+    listed: HashMap<String, Listed>,
+    listed_at: Option<Ms>,
+    list_due: Ms,
+    backoff: HashMap<Pool, (Ms, u64)>,
+    counter: u64,
+    released: HashMap<String, Ms>,
+    booked_at: HashMap<String, Ms>,
+    owner_since: Option<Ms>,
+    token: u64,
+}
+
+/// Duty: rents and returns machines while this node owns the renting shard.
+pub async fn run(node: Rc<Node>) {
+    let mut desk = Desk::default();
+    loop {
+        crate::transport::pause(TICK_MS).await;
+        if !node.view.borrow().loaded {
+            continue;
+        }
+        learn_flavors(&node).await;
+        let token = {
+            let view = node.view.borrow();
+            let shard = view.renting();
+            node.rules
+                .owns(&view, shard)
+                .then(|| view.shards[shard.at()].rec.token)
+        };
+        let Some(token) = token else {
+            desk.owner_since = None;
+            continue;
+        };
+        let now = node.now();
+        if desk.owner_since.is_none() || desk.token != token {
+            desk = Desk {
+                owner_since: Some(now),
+                token,
+                ..Desk::default()
+            };
+        }
+        turn(&node, &mut desk).await;
+    }
+}
+
+/// Machine types: from the state service, or from the cloud, then shared through the state service.
+async fn learn_flavors(node: &Rc<Node>) {
+    let (known, version) = {
+        let view = node.view.borrow();
+        (!view.rigs.is_empty(), view.flavors_version)
+    };
+    if known && version > 0 {
+        return;
+    }
+    let Ok(f) = node
+        .cloud
+        .call(Method::Get, "/flavors", Vec::new(), CALL_MS)
+        .await
+    else {
+        node.cloud.reset();
+        return;
+    };
+    let Ok(flavors) = rmp_serde::from_slice::<Flavors>(&f.body) else {
+        return;
+    };
+    if f.status != 200 || flavors.types.is_empty() {
+        return;
+    }
+    node.view.borrow_mut().set_flavors(&flavors);
+    let key = format!("{ROOT}flavors/all");
+    let txn = Transaction {
+        conditions: vec![Condition {
+            key: key.clone(),
+            version: 0,
+        }],
+        writes: set(key, &flavors, None).into_iter().collect(),
+    };
+    if let Outcome::Done(r) = node.commit(&txn).await {
+        node.view.borrow_mut().flavors_version = r;
+    } else {
+        node.refreshed(1500).await;
+    }
+}
+
+async fn turn(node: &Rc<Node>, desk: &mut Desk) {
+    let s = &node.platform.settings;
+    let lag_ms = ms_of(s.cloud.list_lag_s);
+    let now = node.now();
+    if now >= desk.list_due {
+        let every = ((2000.0 / s.cloud.rps) as u64).clamp(1000, 3000);
+        desk.list_due = now.plus(every);
+        if let Some(list) = read_list(node).await {
+            let now = node.now();
+            desk.listed_at = Some(now);
+            let mut view = node.view.borrow_mut();
+            for h in &list {
+                if let Some(mix) = view.learn_machine(&h.name, &h.rig, &h.zone, h.spot, now) {
+                    if let Some(m) = view.machine_mut(mix).filter(|m| m.addr.is_empty()) {
+                        m.addr.clone_from(&h.addr);
+                    }
+                }
+            }
+            // An older list than the last may lack new machines: those stay for a while.
+            let names: HashSet<&str> = list.iter().map(|h| h.name.as_str()).collect();
+            desk.listed.retain(|n, _| names.contains(n.as_str()));
+            desk.listed
+                .extend(list.iter().map(|h| (h.name.clone(), h.clone())));
+        }
+    }
+    repeat_bookings(node, desk).await;
+    clear_bookings(node, desk, lag_ms).await;
+    release(node, desk).await;
+    rent(node, desk).await;
+}
+
+async fn read_list(node: &Rc<Node>) -> Option<Vec<Listed>> {
+    let mut out: Vec<Listed> = Vec::new();
+    let mut from = String::new();
+    loop {
+        let path = format!("/hosts?from={from}&most=500");
+        let f = match node
+            .cloud
+            .call(Method::Get, &path, Vec::new(), CALL_MS)
+            .await
+        {
+            Ok(f) if f.status == 200 => f,
+            Ok(f) => {
+                log::debug!("machine list refused with {}", f.status);
+                return None;
+            }
+            Err(e) => {
+                log::debug!("machine list: {e}");
+                node.cloud.reset();
+                return None;
+            }
+        };
+        let page: HostList = rmp_serde::from_slice(&f.body).ok()?;
+        out.extend(page.hosts);
+        match out.last() {
+            Some(h) if page.more => from.clone_from(&h.name),
+            _ => return Some(out),
+        }
+    }
+}
+
+/// Asks once more for bookings without an answer: a repeated one rents nothing twice.
+async fn repeat_bookings(node: &Rc<Node>, desk: &mut Desk) {
+    let now = node.now();
+    let open: Vec<(String, BookingRecord)> = {
+        let view = node.view.borrow();
+        view.bookings
+            .iter()
+            .filter(|(_, b)| b.rec.hosts.is_empty())
+            .map(|(n, b)| (n.clone(), b.rec.clone()))
+            .collect()
+    };
+    for (name, rec) in open {
+        let due = desk
+            .booked_at
+            .get(&name)
+            .is_none_or(|t| now.since(*t) > 2000);
+        if due {
+            book(node, desk, &name, &rec).await;
+        }
+    }
+}
+
+/// Sends a booking and notes what came of it.
+async fn book(node: &Rc<Node>, desk: &mut Desk, name: &str, rec: &BookingRecord) {
+    desk.booked_at.insert(name.to_string(), node.now());
+    let request = Booking {
+        request: name.to_string(),
+        rig: rec.rig.clone(),
+        zone: rec.zone.clone(),
+        spot: rec.spot,
+        count: rec.count,
+    };
+    let Ok(body) = rmp_serde::to_vec_named(&request) else {
+        return;
+    };
+    let (status, hosts) = match node.cloud.call(Method::Post, "/hosts", body, CALL_MS).await {
+        Ok(f) => (f.status, rmp_serde::from_slice::<Hosts>(&f.body).ok()),
+        Err(e) => {
+            log::warn!("booking {name}: {e}; it will be repeated");
+            node.cloud.reset();
+            return;
+        }
+    };
+    let pool = {
+        let mut view = node.view.borrow_mut();
+        let rig = view.rig_names.intern(&rec.rig);
+        view.zone_names.find(&rec.zone).map(|zone| Pool {
+            rig,
+            zone,
+            spot: rec.spot,
+        })
+    };
+    let Some(pool) = pool else { return };
+    let now = node.now();
+    match (status, hosts) {
+        (200, Some(h)) => {
+            log::info!(
+                "rented {} of {} {} in {} (spot: {})",
+                h.hosts.len(),
+                rec.count,
+                rec.rig,
+                rec.zone,
+                rec.spot
+            );
+            if (h.hosts.len() as u32) < rec.count {
+                back_off(desk, pool, now);
+            } else {
+                desk.backoff.remove(&pool);
+            }
+            {
+                let mut view = node.view.borrow_mut();
+                for n in &h.hosts {
+                    view.learn_machine(n, &rec.rig, &rec.zone, rec.spot, now);
+                }
+            }
+            let mut rec = rec.clone();
+            rec.hosts = h.hosts;
+            store_booking(node, name, (!rec.hosts.is_empty()).then_some(&rec)).await;
+        }
+        (503, _) => {
+            log::info!("no {} in {} (spot: {})", rec.rig, rec.zone, rec.spot);
+            back_off(desk, pool, now);
+            store_booking(node, name, None).await;
+        }
+        (429, _) => {}
+        (s, _) => {
+            log::warn!("booking {name} answered with {s}");
+            store_booking(node, name, None).await;
+        }
+    }
+}
+
+fn back_off(desk: &mut Desk, pool: Pool, now: Ms) {
+    let entry = desk.backoff.entry(pool).or_insert((now, 3000));
+    entry.1 = (entry.1 * 2).min(20_000);
+    entry.0 = now.plus(entry.1);
+}
+
+/// Writes or removes a booking, as long as this node owns the duty.
+async fn store_booking(node: &Rc<Node>, name: &str, rec: Option<&BookingRecord>) -> bool {
+    let key = format!("{ROOT}book/{name}");
+    let txn = {
+        let view = node.view.borrow();
+        let shard = view.renting();
+        let write = match rec {
+            Some(r) => match set(key.clone(), r, None) {
+                Some(w) => w,
+                None => return false,
+            },
+            None => Write::Remove { remove: key },
+        };
+        Transaction {
+            conditions: vec![Condition {
+                key: view.shard_key(shard),
+                version: view.shards[shard.at()].version,
+            }],
+            writes: vec![write],
+        }
+    };
+    let done = matches!(node.commit(&txn).await, Outcome::Done(_));
+    // The next step depends on what the records say.
+    node.refreshed(1500).await && done
+}
+
+/// Removes bookings whose machines are all in the list, or should long be.
+async fn clear_bookings(node: &Rc<Node>, desk: &mut Desk, lag_ms: u64) {
+    let now = node.now();
+    let old: Vec<String> = {
+        let view = node.view.borrow();
+        view.bookings
+            .iter()
+            .filter(|(n, b)| {
+                let at = *desk.booked_at.entry((*n).clone()).or_insert(now);
+                let listed = b.rec.hosts.iter().all(|h| desk.listed.contains_key(h));
+                !b.rec.hosts.is_empty()
+                    && now.since(at) > lag_ms * 2
+                    && (listed || now.since(at) > lag_ms * 4 + 10_000)
+            })
+            .map(|(n, _)| n.clone())
+            .take(2)
+            .collect()
+    };
+    for name in old {
+        store_booking(node, &name, None).await;
+        desk.booked_at.remove(&name);
+    }
+}
+
+/// Machines to be released now, with the reason.
+fn to_release(node: &Node, desk: &Desk, now: Ms) -> (Vec<(String, &'static str)>, Vec<String>) {
+    let s = &node.platform.settings;
+    let view = node.view.borrow();
+    let placed = view.placed();
+    let lease_ms = ms_of(s.workers.lease_s);
+    let silent_limit = ms_of(s.workers.report_s * 4.0) + 4000;
+    let idle_ms = ms_of(node.operator.idle_return_s);
+    let mut dead = Vec::new();
+    let mut idle = Vec::new();
+    for h in desk.listed.values() {
+        if desk
+            .released
+            .get(&h.name)
+            .is_some_and(|t| now.since(*t) < 5000)
+        {
+            continue;
+        }
+        let mix = view.machine_names.find(&h.name);
+        let m: Option<&Machine> = mix.and_then(|m| view.machine(m));
+        let (Some(mix), Some(m)) = (mix, m) else {
+            continue;
+        };
+        let boot = view.rigs.get(&m.rig).map_or(60.0, |r| r.flavor.boot_s);
+        let owner_here = node.rules.owns(&view, m.shard);
+        let owner = view.live_owner(m.shard);
+        let told = owner_here
+            || owner
+                .and_then(|o| node.peer(o))
+                .is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
+        let since = node.owned_since.borrow().get(&m.shard).copied();
+        let base = if owner_here { since } else { desk.owner_since };
+        let silent = siblings::silence(m.heard, m.known, base, now);
+        if h.status == "failed" {
+            dead.push((h.name.clone(), "failed"));
+        } else if m.sick {
+            dead.push((h.name.clone(), "faulty"));
+        } else if m.heard.is_none() && h.status == "booting" {
+            if h.age_s > boot * 4.0 + 20.0 {
+                dead.push((h.name.clone(), "did not come up"));
+            }
+        } else if told && silent > silent_limit && (m.heard.is_some() || silent > lease_ms + 20_000)
+        {
+            dead.push((h.name.clone(), "silent"));
+        } else if !placed.contains_key(&mix)
+            && m.heard.is_some()
+            && m.idle_since.is_some_and(|t| now.since(t) > idle_ms)
+            && m.held.is_none_or(|(_, until)| now > until)
+        {
+            idle.push(h.name.clone());
+        }
+    }
+    dead.sort();
+    idle.sort();
+    (dead, idle)
+}
+
+fn note_idle(node: &Node, now: Ms) {
+    let mut view = node.view.borrow_mut();
+    let placed = view.placed();
+    for (i, m) in view.machines.iter_mut().enumerate() {
+        let Some(m) = m else { continue };
+        let busy = placed.contains_key(&MachineIx(i as u32))
+            || !m.queue.is_empty()
+            || m.queued_elsewhere > 0;
+        m.idle_since = match (busy, m.heard) {
+            (false, Some(_)) => m.idle_since.or(Some(now)),
+            _ => None,
+        };
+    }
+}
+
+async fn release(node: &Rc<Node>, desk: &mut Desk) {
+    let now = node.now();
+    note_idle(node, now);
+    // Just after a change of owner little is known yet.
+    if desk.owner_since.is_none_or(|t| now.since(t) < 3000) {
+        return;
+    }
+    let (dead, idle) = to_release(node, desk, now);
+    let mut names: Vec<String> = Vec::new();
+    for (n, why) in dead {
+        log::info!("machine {n} is to be returned: {why}");
+        names.push(n);
+    }
+    if !idle.is_empty() {
+        let closed = close_idle(node, &idle).await;
+        for n in &closed {
+            log::info!("machine {n} is to be returned: idle");
+        }
+        names.extend(closed);
+    }
+    if names.is_empty() {
+        return;
+    }
+    names.truncate(100);
+    let Ok(body) = rmp_serde::to_vec_named(&Hosts {
+        hosts: names.clone(),
+    }) else {
+        return;
+    };
+    let answer = node
+        .cloud
+        .call(Method::Post, "/hosts/release", body, CALL_MS)
+        .await;
+    for n in &names {
+        desk.released.insert(n.clone(), node.now());
+    }
+    match answer {
+        Ok(f) if f.status == 200 => {
+            // The only proof there is for a machine that does not talk any more.
+            siblings::gone(node, &names);
+            for p in &node.peers {
+                let ask = Ask::Gone {
+                    machines: names.clone(),
+                };
+                let _ = p.client.ask(&ask, 500).await;
+            }
+        }
+        Ok(f) => log::warn!("release refused with {}", f.status),
+        Err(e) => {
+            log::warn!("release: {e}");
+            node.cloud.reset();
+        }
+    }
+}
+
+/// Has owners close idle machines, so that nothing new goes there; returns the closed ones.
+async fn close_idle(node: &Rc<Node>, idle: &[String]) -> Vec<String> {
+    let mut by_owner: HashMap<String, Vec<String>> = HashMap::new();
+    {
+        let view = node.view.borrow();
+        for n in idle {
+            let m = view.machine_names.find(n).and_then(|m| view.machine(m));
+            if let Some(m) = m {
+                let owner = view.shards[m.shard.at()].rec.owner.clone();
+                by_owner.entry(owner).or_default().push(n.clone());
+            }
+        }
+    }
+    let mut out = Vec::new();
+    for (owner, machines) in by_owner {
+        if owner == node.rules.node {
+            out.extend(siblings::close(node, &machines));
+        } else if let Some(p) = node.peer(&owner) {
+            if let Ok(Reply::Closed(c)) = p.client.ask(&Ask::Close { machines }, 800).await {
+                out.extend(c);
+            }
+        }
+    }
+    out
+}
+
+/// Everything rented, as supply for what waits.
+fn supply(view: &View, desk: &Desk, silent_ms: u64, now: Ms) -> Vec<Supply> {
+    let free = plan::free_room(view, &Draft::default());
+    let booked: HashSet<&str> = view
+        .bookings
+        .values()
+        .flat_map(|b| b.rec.hosts.iter().map(String::as_str))
+        .collect();
+    let mut out = Vec::new();
+    for (mix, m) in view.all_machines() {
+        let name = &*m.name;
+        let listed = desk.listed.get(name);
+        let up = m.takes(now, silent_ms);
+        let coming = m.heard.is_none()
+            && !m.gone
+            && !m.closed
+            && (booked.contains(name) || listed.is_some_and(|h| h.status != "failed"));
+        if !up && !coming {
+            continue;
+        }
+        if let Some(f) = free.get(&mix) {
+            out.push(Supply {
+                pool: Pool {
+                    rig: m.rig,
+                    zone: m.zone,
+                    spot: m.spot,
+                },
+                free: *f,
+                machine: Some(mix),
+            });
+        }
+    }
+    // Bookings without an answer may have rented what they ask for.
+    for b in view.bookings.values().filter(|b| b.rec.hosts.is_empty()) {
+        let (Some(rig), Some(zone)) = (
+            view.rig_names.find(&b.rec.rig),
+            view.zone_names.find(&b.rec.zone),
+        ) else {
+            continue;
+        };
+        let Some(r) = view.rigs.get(&rig) else {
+            continue;
+        };
+        for _ in 0..b.rec.count {
+            out.push(Supply {
+                pool: Pool {
+                    rig,
+                    zone,
+                    spot: b.rec.spot,
+                },
+                free: r.room,
+                machine: None,
+            });
+        }
+    }
+    // Spot first, as the planner does; the fullest first, so that others empty out.
+    out.sort_by_key(|s| (!s.pool.spot, s.free.gpu, s.free.cpu));
+    out
+}
+
+async fn rent(node: &Rc<Node>, desk: &mut Desk) {
+    let now = node.now();
+    // Without a list of this owner's time, what is rented already is not known.
+    if desk.listed_at.is_none() {
+        return;
+    }
+    let blocked: HashSet<Pool> = desk
+        .backoff
+        .iter()
+        .filter(|(_, (until, _))| now < *until)
+        .map(|(p, _)| *p)
+        .collect();
+    let plan = {
+        let view = node.view.borrow();
+        let mut have = supply(&view, desk, node.rules.silent_ms, now);
+        wanted(&view, &mut have, &blocked, now)
+    };
+    for (pool, count) in plan.into_iter().take(4) {
+        desk.counter += 1;
+        let (name, rec) = {
+            let view = node.view.borrow();
+            let rec = BookingRecord {
+                rig: view.rig_names.name(pool.rig).to_string(),
+                zone: view.zone_names.name(pool.zone).to_string(),
+                spot: pool.spot,
+                count: count.min(MOST_AT_ONCE),
+                hosts: Vec::new(),
+            };
+            // The token is of this owner alone, so no name is ever used twice.
+            (format!("b-{}-{}", desk.token, desk.counter), rec)
+        };
+        if !store_booking(node, &name, Some(&rec)).await {
+            return;
+        }
+        book(node, desk, &name, &rec).await;
+    }
+}
--- /dev/null
+++ b/src/coordination/siblings.rs
@@ -0,0 +1,217 @@
+//! What controllers tell each other.
+
+use super::node::Node;
+use super::{plan, planner};
+use crate::bookkeeping::units::Ms;
+use crate::protocol::peers::{Ask, MachineNews, Reply};
+use std::rc::Rc;
+
+const NEWS_MS: u64 = 1000;
+/// How long machines are kept free for a gang unless that is asked again.
+const HOLD_MS: u64 = 4000;
+
+/// Duty: tells the others about the own machines, and holds machines for gangs.
+pub async fn news(node: Rc<Node>) {
+    loop {
+        crate::transport::pause(NEWS_MS).await;
+        planner::sweep_queues(&node);
+        hold_for_gangs(&node);
+        let now = node.now();
+        let machines: Vec<MachineNews> = {
+            let view = node.view.borrow();
+            let since = node.owned_since.borrow();
+            view.all_machines()
+                .filter(|(_, m)| node.rules.owns(&view, m.shard) && !m.gone)
+                .map(|(_, m)| MachineNews {
+                    name: m.name.to_string(),
+                    addr: m.addr.clone(),
+                    rig: view.rig_names.name(m.rig).to_string(),
+                    zone: view.zone_names.name(m.zone).to_string(),
+                    spot: m.spot,
+                    silent_ms: silence(m.heard, m.known, since.get(&m.shard).copied(), now),
+                    queued: m.queue.len().min(255) as u8,
+                    closed: m.closed || m.leaves.is_some(),
+                    sick: m.sick,
+                })
+                .collect()
+        };
+        let ask = Ask::News {
+            node: node.rules.node.clone(),
+            store_ok: node.store_ok(),
+            machines,
+        };
+        for i in 0..node.peers.len() {
+            let (node, ask) = (node.clone(), ask.clone());
+            node.ex
+                .clone()
+                .spawn(async move {
+                    let _ = node.peers[i].client.ask(&ask, NEWS_MS).await;
+                })
+                .detach();
+        }
+    }
+}
+
+/// How long an owner has waited for a machine in vain.
+pub fn silence(heard: Option<Ms>, known: Ms, owned: Option<Ms>, now: Ms) -> u64 {
+    let since = heard.unwrap_or(known).max(owned.unwrap_or(known));
+    now.since(since)
+}
+
+fn hold_for_gangs(node: &Rc<Node>) {
+    let now = node.now();
+    let holds = {
+        let view = node.view.borrow();
+        plan::gang_holds(&view, &node.rules, now, super::node::wall_ms())
+    };
+    for (job, machines) in holds {
+        let (id, names): (String, Vec<String>) = {
+            let view = node.view.borrow();
+            let names = machines
+                .iter()
+                .map(|m| view.machine_names.name(*m).to_string());
+            (view.jobs[job.0 as usize].id.to_string(), names.collect())
+        };
+        hold(node, &id, &names);
+        for i in 0..node.peers.len() {
+            let ask = Ask::Hold {
+                job: id.clone(),
+                machines: names.clone(),
+            };
+            let node = node.clone();
+            node.ex
+                .clone()
+                .spawn(async move {
+                    let _ = node.peers[i].client.ask(&ask, NEWS_MS).await;
+                })
+                .detach();
+        }
+    }
+}
+
+fn hold(node: &Node, job: &str, machines: &[String]) {
+    let until = node.now().plus(HOLD_MS);
+    let mut view = node.view.borrow_mut();
+    let Some((ix, _)) = view.job(job) else { return };
+    for name in machines {
+        let m = view
+            .machine_names
+            .find(name)
+            .and_then(|m| view.machine_mut(m));
+        if let Some(m) = m {
+            m.held = Some((ix, until));
+        }
+    }
+}
+
+/// Answers a peer. Everything in here is a hint; nothing starts or ends by it.
+pub fn handle(node: &Rc<Node>, ask: Ask) -> Reply {
+    let now = node.now();
+    match ask {
+        Ask::News {
+            node: from,
+            store_ok,
+            machines,
+        } => {
+            if let Some(p) = node.peer(&from) {
+                p.heard.set(Some(now));
+                p.store_ok.set(store_ok);
+            }
+            let mut view = node.view.borrow_mut();
+            let view = &mut *view;
+            for n in machines {
+                let Some(mix) = view.learn_machine(&n.name, &n.rig, &n.zone, n.spot, now) else {
+                    continue;
+                };
+                let owned = view
+                    .machine(mix)
+                    .is_some_and(|m| node.rules.owns(view, m.shard));
+                if owned {
+                    continue;
+                }
+                if let Some(m) = view.machine_mut(mix) {
+                    m.addr = n.addr;
+                    m.heard = now.0.checked_sub(n.silent_ms).map(Ms);
+                    m.queued_elsewhere = n.queued;
+                    m.closed = n.closed;
+                    m.sick = n.sick;
+                }
+            }
+            Reply::Noted
+        }
+        Ask::Bind { tasks } => {
+            for (machine, t) in tasks {
+                let mix = node.view.borrow().machine_names.find(&machine);
+                if let Some(mix) = mix {
+                    planner::enqueue(node, mix, &t, false);
+                }
+            }
+            node.plan.ring();
+            Reply::Noted
+        }
+        Ask::Poll { idle, machines } => {
+            let (idle, asked) = {
+                let view = node.view.borrow();
+                let find = |n: &String| view.machine_names.find(n);
+                (
+                    find(&idle),
+                    machines.iter().filter_map(find).collect::<Vec<_>>(),
+                )
+            };
+            let given = idle.and_then(|i| {
+                asked
+                    .into_iter()
+                    .find_map(|m| planner::hand_over(node, m, i, false))
+            });
+            Reply::Task(given)
+        }
+        Ask::Hold { job, machines } => {
+            hold(node, &job, &machines);
+            Reply::Noted
+        }
+        Ask::Close { machines } => Reply::Closed(close(node, &machines)),
+        Ask::Gone { machines } => {
+            gone(node, &machines);
+            Reply::Noted
+        }
+    }
+}
+
+/// Closes owned machines without placements; returns those that are closed now.
+pub fn close(node: &Node, machines: &[String]) -> Vec<String> {
+    let mut view = node.view.borrow_mut();
+    let placed = view.placed();
+    let mut out = Vec::new();
+    for name in machines {
+        let Some(mix) = view.machine_names.find(name) else {
+            continue;
+        };
+        if placed.contains_key(&mix) {
+            continue;
+        }
+        let rules = &node.rules;
+        let owned = view
+            .machine(mix)
+            .is_some_and(|m| rules.owns(&view, m.shard));
+        if let (true, Some(m)) = (owned, view.machine_mut(mix)) {
+            m.closed = true;
+            m.queue.clear();
+            out.push(name.clone());
+        }
+    }
+    out
+}
+
+/// Notes machines that the cloud has deleted.
+pub fn gone(node: &Node, machines: &[String]) {
+    let mut view = node.view.borrow_mut();
+    for name in machines {
+        let mix = view.intern_machine(name);
+        if let Some(m) = view.machine_mut(mix) {
+            m.gone = true;
+            m.tasks.clear();
+            m.queue.clear();
+        }
+    }
+    node.plan.ring();
+}
--- /dev/null
+++ b/src/coordination/store.rs
@@ -0,0 +1,254 @@
+//! Dealings with the state service: transactions, the watch and fresh reads.
+
+use super::node::Node;
+use super::plan::Draft;
+use crate::bookkeeping::names::Index;
+use crate::bookkeeping::view::{View, ROOT};
+use crate::protocol::state::{Changes, Committed, Condition, Page, Transaction, Write};
+use crate::transport::http::{jittered, Fetched};
+use crate::transport::{pause, TransportError};
+use http_types::Method;
+use std::rc::Rc;
+
+/// How a transaction ended.
+#[derive(Debug, PartialEq)]
+pub enum Outcome {
+    /// Applied at this revision.
+    Done(u64),
+    /// Nothing applied: these keys had other versions.
+    Conflict(Vec<String>),
+    /// Nothing applied: the service does not serve now.
+    Refused(u16),
+    /// Nothing is known: it may be applied, even later.
+    Unknown,
+}
+
+const CALL_MS: u64 = 1500;
+const WATCH_MS: u64 = 5000;
+
+impl Node {
+    fn note(&self, answer: &Result<Fetched, TransportError>) {
+        if let Ok(f) = answer {
+            if f.status != 503 {
+                self.store_served.set(Some(self.now()));
+            }
+        }
+    }
+
+    /// One call to the state service.
+    pub async fn store_call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Fetched, TransportError> {
+        let answer = self.store.call(method, path, body, CALL_MS).await;
+        self.note(&answer);
+        if answer.is_err() {
+            // Kept connections of before a cut hang; new ones tell at once.
+            self.store.reset();
+        }
+        answer
+    }
+
+    /// One transaction, sent once.
+    pub async fn commit(&self, txn: &Transaction) -> Outcome {
+        let Ok(body) = rmp_serde::to_vec_named(txn) else {
+            return Outcome::Refused(400);
+        };
+        match self.store_call(Method::Post, "/commit", body).await {
+            Ok(f) => match (f.status, rmp_serde::from_slice::<Committed>(&f.body)) {
+                (200, Ok(c)) => Outcome::Done(c.revision),
+                (409, Ok(c)) => Outcome::Conflict(c.failed),
+                (200 | 409, Err(_)) => Outcome::Unknown,
+                (s @ (400 | 429 | 503), _) => Outcome::Refused(s),
+                _ => Outcome::Unknown,
+            },
+            Err(TransportError::Connect(_)) => Outcome::Refused(0),
+            Err(_) => Outcome::Unknown,
+        }
+    }
+
+    /// Commits a draft and takes it over into the view.
+    pub async fn commit_draft(&self, draft: &Draft) -> Outcome {
+        let mut txn = Transaction::default();
+        {
+            let view = self.view.borrow();
+            let mut condition = |key: &str, version| {
+                txn.conditions.push(Condition {
+                    key: key.to_string(),
+                    version,
+                })
+            };
+            for ix in draft.jobs.keys() {
+                condition(
+                    &View::job_key(&view.jobs[ix.at()].id),
+                    view.jobs[ix.at()].version,
+                );
+            }
+            for s in &draft.shards {
+                condition(&view.shard_key(*s), view.shards[s.at()].version);
+            }
+            for t in draft.teams.keys() {
+                condition(&view.team_key(*t), view.teams[t.at()].version);
+            }
+            for job in draft.jobs.values() {
+                txn.writes
+                    .extend(set(View::job_key(&job.id), &view.record(job), None));
+            }
+            for (t, rec) in &draft.teams {
+                txn.writes.extend(set(view.team_key(*t), rec, None));
+            }
+        }
+        let outcome = self.commit(&txn).await;
+        let mut view = self.view.borrow_mut();
+        match &outcome {
+            Outcome::Done(revision) => {
+                for job in draft.jobs.values() {
+                    let rec = view.record(job);
+                    view.put_job(&job.id, *revision, &rec);
+                }
+                for (t, rec) in &draft.teams {
+                    let slot = &mut view.teams[t.at()];
+                    if slot.version < *revision {
+                        slot.version = *revision;
+                        slot.rec = rec.clone();
+                    }
+                }
+            }
+            Outcome::Unknown => {
+                let changed: Vec<_> = draft
+                    .jobs
+                    .iter()
+                    .filter(|(ix, j)| view.jobs[ix.at()].version == j.version)
+                    .map(|(ix, _)| *ix)
+                    .collect();
+                view.suspects.extend(changed);
+            }
+            _ => {}
+        }
+        outcome
+    }
+
+    /// Brings the view up to the state of now; false if the state service is out of reach.
+    pub async fn refreshed(&self, ms: u64) -> bool {
+        self.fresh.turn(ms).await.unwrap_or(false)
+    }
+
+    async fn load_all(&self) -> bool {
+        let mut entries = Vec::new();
+        let mut revision = None;
+        let mut from = String::new();
+        loop {
+            let path = format!("/keys?prefix={ROOT}&most=500{from}");
+            let Ok(f) = self.store_call(Method::Get, &path, Vec::new()).await else {
+                return false;
+            };
+            let Ok(page) = rmp_serde::from_slice::<Page>(&f.body) else {
+                return false;
+            };
+            revision.get_or_insert(page.revision);
+            let last = page.entries.last().map(|e| e.key.clone());
+            entries.extend(page.entries);
+            match last {
+                Some(key) if page.more => from = format!("&from={key}"),
+                _ => break,
+            }
+        }
+        let mut view = self.view.borrow_mut();
+        view.take_all(&entries, revision.unwrap_or(0));
+        log::info!(
+            "records read: {} keys, {} open jobs, revision {}",
+            entries.len(),
+            view.active.len(),
+            view.revision
+        );
+        true
+    }
+
+    /// One watch call; false if it did not bring the view up to date.
+    async fn watch_once(&self, wait_ms: u64) -> bool {
+        let from = self.view.borrow().revision;
+        let path = format!("/watch?prefix={ROOT}&from={from}&wait_ms={wait_ms}");
+        let answer = if wait_ms == 0 {
+            self.store_call(Method::Get, &path, Vec::new()).await
+        } else {
+            let a = self
+                .watcher
+                .call(Method::Get, &path, Vec::new(), wait_ms + 2000)
+                .await;
+            self.note(&a);
+            a
+        };
+        let Ok(f) = answer else {
+            self.watcher.reset();
+            return false;
+        };
+        match f.status {
+            200 => {
+                let Ok(c) = rmp_serde::from_slice::<Changes>(&f.body) else {
+                    log::warn!("state service: unreadable answer to a watch");
+                    return false;
+                };
+                self.view
+                    .borrow_mut()
+                    .take_changes(from, c.revision, &c.events);
+                if !c.events.is_empty() {
+                    self.plan.ring();
+                }
+                true
+            }
+            410 => {
+                log::warn!("watch at revision {from} is too old, reading all records");
+                self.load_all().await
+            }
+            _ => false,
+        }
+    }
+}
+
+/// A put, if the value can be stored.
+pub fn set<T: serde::Serialize>(key: String, value: &T, lease: Option<u64>) -> Option<Write> {
+    // By way of bytes: the same named maps that the service reads back.
+    let bytes = rmp_serde::to_vec_named(value).ok()?;
+    let v = rmp_serde::from_slice(&bytes).ok()?;
+    Some(Write::Set { set: key, v, lease })
+}
+
+/// Duty: keeps the view close to the records.
+pub async fn watch(node: Rc<Node>) {
+    loop {
+        let loaded = node.view.borrow().loaded;
+        let ok = if loaded {
+            node.watch_once(WATCH_MS).await
+        } else {
+            node.load_all().await
+        };
+        if !ok {
+            async_io::Timer::after(jittered(300)).await;
+        }
+    }
+}
+
+/// Duty: serves all who need the state of now with one read each time.
+pub async fn fresh_reads(node: Rc<Node>) {
+    loop {
+        node.fresh.rung(60_000).await;
+        let waiters = node.fresh.take_waiters();
+        if waiters.is_empty() {
+            continue;
+        }
+        let mut ok = false;
+        // Over the limit a read is refused; the next moment's may not be.
+        for _ in 0..3 {
+            ok = node.view.borrow().loaded && node.watch_once(0).await;
+            if ok {
+                break;
+            }
+            pause(60).await;
+        }
+        for w in waiters {
+            let _ = w.try_send(ok);
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! pointhook: a cluster scheduler. Controllers hold short queues of waiting
+//! tasks, one per machine; a machine with free room pulls.
+
+pub mod bookkeeping;
+pub mod cli;
+pub mod coordination;
+pub mod protocol;
+pub mod settings;
+pub mod transport;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The `pointhook` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    pointhook::cli::main()
+}
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,129 @@
+//! Frames between the service's own processes.
+//!
+//! A frame is a length (4 bytes, big endian), a version byte and an `rkyv`
+//! archive, which is validated before it is looked at. Queue traffic is a
+//! hint: a frame that is lost, doubled or refused breaks nothing.
+
+// rkyv's derive makes archived twins whose fields carry no docs of their own.
+#![allow(missing_docs)]
+
+use rkyv::{rancor::Error, Archive, Deserialize, Serialize};
+
+/// Version of the frames.
+pub const VERSION: u8 = 1;
+/// Largest frame.
+pub const MAX_FRAME: usize = 64 * 1024;
+
+/// A task by name.
+#[derive(Archive, Serialize, Deserialize, Clone, PartialEq, Debug)]
+pub struct TaskRef {
+    /// Job id.
+    pub job: String,
+    /// Task number.
+    pub task: u32,
+}
+
+/// What an owner tells of one of its machines.
+#[derive(Archive, Serialize, Deserialize, Clone, PartialEq, Debug)]
+pub struct MachineNews {
+    /// Name.
+    pub name: String,
+    /// Worker's address.
+    pub addr: String,
+    /// Type.
+    pub rig: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot.
+    pub spot: bool,
+    /// Since its last report.
+    pub silent_ms: u64,
+    /// Tasks in its queue.
+    pub queued: u8,
+    /// Tells that it takes no more tasks.
+    pub closed: bool,
+    /// Suspected to be faulty.
+    pub sick: bool,
+}
+
+/// A request.
+#[derive(Archive, Serialize, Deserialize, Clone, PartialEq, Debug)]
+pub enum Ask {
+    /// Owner's view of its machines, sent every second or so.
+    News {
+        /// Sender.
+        node: String,
+        /// The sender reaches the state service.
+        store_ok: bool,
+        /// Machines.
+        machines: Vec<MachineNews>,
+    },
+    /// Put these tasks into these machines' queues.
+    Bind {
+        /// Machine and task.
+        tasks: Vec<(String, TaskRef)>,
+    },
+    /// An idle machine polls others' queues.
+    Poll {
+        /// The idle machine.
+        idle: String,
+        /// Machines asked.
+        machines: Vec<String>,
+    },
+    /// Keep machines free for a gang for a while.
+    Hold {
+        /// The gang.
+        job: String,
+        /// Machines.
+        machines: Vec<String>,
+    },
+    /// Take no more tasks on these machines; they are to be returned.
+    Close {
+        /// Machines.
+        machines: Vec<String>,
+    },
+    /// The cloud has deleted these machines.
+    Gone {
+        /// Machines.
+        machines: Vec<String>,
+    },
+}
+
+/// A reply.
+#[derive(Archive, Serialize, Deserialize, Clone, PartialEq, Debug)]
+pub enum Reply {
+    /// Taken note.
+    Noted,
+    /// A task handed over, or none.
+    Task(Option<TaskRef>),
+    /// Machines that are closed and empty.
+    Closed(Vec<String>),
+}
+
+/// Encodes a frame's content.
+pub fn encode<T>(value: &T) -> Option<Vec<u8>>
+where
+    T: for<'a> Serialize<
+        rkyv::api::high::HighSerializer<
+            rkyv::util::AlignedVec,
+            rkyv::ser::allocator::ArenaHandle<'a>,
+            Error,
+        >,
+    >,
+{
+    rkyv::to_bytes::<Error>(value).ok().map(|b| b.to_vec())
+}
+
+/// Decodes a request after validation.
+pub fn decode_ask(bytes: &[u8]) -> Option<Ask> {
+    let mut aligned: rkyv::util::AlignedVec = rkyv::util::AlignedVec::new();
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<Ask, Error>(&aligned).ok()
+}
+
+/// Decodes a reply after validation.
+pub fn decode_reply(bytes: &[u8]) -> Option<Reply> {
+    let mut aligned: rkyv::util::AlignedVec = rkyv::util::AlignedVec::new();
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<Reply, Error>(&aligned).ok()
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,287 @@
+//! The platform's settings file and the operators' own.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Why settings can't be used; one line, naming file and field.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{file}: {source}")]
+    Read {
+        /// File.
+        file: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file is not what it should be.
+    #[error("{file}: {what}")]
+    Content {
+        /// File.
+        file: String,
+        /// What is wrong.
+        what: String,
+    },
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Team {
+    /// Name.
+    pub name: String,
+    /// Guaranteed processors.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most processors.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed graphics processors.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most graphics processors.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// What is expected of a class of jobs.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Objective {
+    /// `wait`, `finished`, `deadline` or `guarantee`.
+    pub kind: String,
+    /// Class.
+    #[serde(default)]
+    pub class: Option<String>,
+    /// Time allowed.
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// Workers' times.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Workers {
+    /// Between reports.
+    pub report_s: f64,
+    /// Lease.
+    pub lease_s: f64,
+    /// A gang's wait for its tasks.
+    pub gang_wait_s: f64,
+    /// Time in which a gang's tasks notice and are told.
+    pub gang_peer_s: f64,
+    /// Time for a cancellation.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Deserialize, Clone, Debug)]
+pub struct StateLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Puts and deletes a second.
+    pub write_rps: f64,
+    /// Size of a value.
+    pub value_kb: f64,
+    /// Changes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud.
+#[derive(Deserialize, Clone, Debug)]
+pub struct CloudLimits {
+    /// Requests a second.
+    pub rps: f64,
+    /// Lag of the machine list.
+    pub list_lag_s: f64,
+}
+
+/// Limits of this controller.
+#[derive(Deserialize, Clone, Debug)]
+pub struct MachineLimits {
+    /// Sockets.
+    pub max_connections: usize,
+}
+
+/// What all controllers share.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Shared {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// Objectives.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers.
+    pub workers: Workers,
+    /// State service.
+    pub state: StateLimits,
+    /// Cloud.
+    pub cloud: CloudLimits,
+    /// This controller.
+    pub machine_limits: MachineLimits,
+}
+
+/// Another controller.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Sibling {
+    /// Name.
+    pub node: String,
+    /// Zone.
+    pub domain: String,
+    /// Address for peers.
+    pub addr: SocketAddr,
+}
+
+/// Services outside.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Outside {
+    /// Cloud.
+    pub cloud: SocketAddr,
+    /// State service.
+    pub state: SocketAddr,
+}
+
+/// The platform's file. Unknown fields are ignored.
+#[derive(Deserialize, Clone, Debug)]
+pub struct Platform {
+    /// This controller.
+    pub node: String,
+    /// Its zone.
+    pub domain: String,
+    /// Address for users, workers and health checks.
+    pub bind: SocketAddr,
+    /// Address for the other controllers.
+    pub cluster_listen: SocketAddr,
+    /// The other controllers.
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    /// Services outside.
+    pub outside: Outside,
+    /// What all controllers share.
+    pub settings: Shared,
+}
+
+/// The operators' own file. Unknown fields are refused.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Machines polled by an idle one.
+    pub polls: usize,
+    /// Tasks in a machine's queue at most.
+    pub queue_cap: usize,
+    /// A gang waiting longer has machines kept free for it.
+    pub gang_hold_s: f64,
+    /// A queued task waiting longer may be taken by any idle machine.
+    pub steal_after_s: f64,
+    /// An idle machine is returned after this time.
+    pub idle_return_s: f64,
+    /// Shards per zone.
+    pub shards_per_zone: usize,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            polls: 5,
+            queue_cap: 2,
+            gang_hold_s: 10.0,
+            steal_after_s: 2.0,
+            idle_return_s: 45.0,
+            shards_per_zone: 2,
+        }
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        file: file.clone(),
+        source,
+    })?;
+    toml::from_str(&text).map_err(|e| {
+        let line = e
+            .span()
+            .map_or(0, |s| text[..s.start.min(text.len())].lines().count());
+        SettingsError::Content {
+            file,
+            what: format!("line {line}: {}", e.message().replace('\n', " ")),
+        }
+    })
+}
+
+fn check(file: &Path, ok: bool, what: &str) -> Result<(), SettingsError> {
+    if ok {
+        return Ok(());
+    }
+    Err(SettingsError::Content {
+        file: file.display().to_string(),
+        what: what.into(),
+    })
+}
+
+impl Platform {
+    /// Reads and checks the platform's file.
+    pub fn load(path: &Path) -> Result<Platform, SettingsError> {
+        let p: Platform = read(path)?;
+        let s = &p.settings;
+        let w = &s.workers;
+        let times = [
+            w.report_s,
+            w.lease_s,
+            w.gang_wait_s,
+            w.gang_peer_s,
+            w.cancel_s,
+        ];
+        let rates = [
+            s.state.rps,
+            s.state.write_rps,
+            s.state.value_kb,
+            s.cloud.rps,
+        ];
+        let positive = |x: &f64| x.is_finite() && *x > 0.0;
+        check(path, !s.zones.is_empty(), "settings.zones is empty")?;
+        check(
+            path,
+            s.zones.contains(&p.domain),
+            "domain is not among settings.zones",
+        )?;
+        check(
+            path,
+            times.iter().all(positive),
+            "settings.workers: times must be above 0",
+        )?;
+        check(
+            path,
+            rates.iter().all(positive),
+            "settings.state, settings.cloud: limits must be above 0",
+        )?;
+        check(
+            path,
+            s.state.txn_ops >= 2,
+            "settings.state.txn_ops must be at least 2",
+        )?;
+        Ok(p)
+    }
+}
+
+impl Operator {
+    /// Reads and checks the operators' file.
+    pub fn load(path: &Path) -> Result<Operator, SettingsError> {
+        let o: Operator = read(path)?;
+        check(
+            path,
+            (1..=64).contains(&o.shards_per_zone),
+            "shards_per_zone must be 1 to 64",
+        )?;
+        check(path, o.polls <= 64, "polls must be at most 64")?;
+        check(path, o.queue_cap <= 64, "queue_cap must be at most 64")?;
+        let times = [o.gang_hold_s, o.steal_after_s, o.idle_return_s];
+        check(
+            path,
+            times.iter().all(|t| t.is_finite() && *t >= 0.0),
+            "times must not be negative",
+        )?;
+        Ok(o)
+    }
+}
--- /dev/null
+++ b/src/transport/http.rs
@@ -0,0 +1,255 @@
+//! HTTP/1.1 with MessagePack bodies, server and client.
+
+use super::{within, TransportError};
+use async_dup::Arc;
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::AsyncReadExt;
+use http_types::{Body, Method, Request, Response, StatusCode, Url};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+type Stream = Arc<Async<TcpStream>>;
+
+/// Largest request body taken.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// A request at the door.
+pub struct Incoming {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Body; `None` if it is too large or broken.
+    pub body: Option<Vec<u8>>,
+}
+
+/// An answer.
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// MessagePack body.
+    pub body: Vec<u8>,
+    /// Seconds after which to come back.
+    pub retry_after: Option<u32>,
+}
+
+impl Answer {
+    /// An answer without a body.
+    pub fn bare(status: u16) -> Answer {
+        Answer {
+            status,
+            body: Vec::new(),
+            retry_after: None,
+        }
+    }
+    /// An answer with a body.
+    pub fn of<T: serde::Serialize>(status: u16, value: &T) -> Answer {
+        match rmp_serde::to_vec_named(value) {
+            Ok(body) => Answer {
+                status,
+                body,
+                retry_after: None,
+            },
+            Err(_) => Answer::bare(500),
+        }
+    }
+    /// Can't be taken now; come back after `seconds`.
+    pub fn later(seconds: u32) -> Answer {
+        Answer {
+            status: 503,
+            body: Vec::new(),
+            retry_after: Some(seconds),
+        }
+    }
+}
+
+async fn read_body(req: &mut Request) -> Option<Vec<u8>> {
+    if req.len().is_some_and(|n| n > MAX_BODY) {
+        return None;
+    }
+    let mut out = Vec::with_capacity(req.len().unwrap_or(0));
+    let body = req.take_body();
+    body.take(MAX_BODY as u64 + 1)
+        .read_to_end(&mut out)
+        .await
+        .ok()?;
+    (out.len() <= MAX_BODY).then_some(out)
+}
+
+fn to_response(answer: Answer, close: bool) -> Response {
+    let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
+    let mut res = Response::new(status);
+    if let Some(s) = answer.retry_after {
+        res.insert_header("Retry-After", s.to_string());
+    }
+    if close {
+        res.insert_header("Connection", "close");
+    }
+    let mut body = Body::from_bytes(answer.body);
+    body.set_mime("application/msgpack");
+    res.set_body(body);
+    res
+}
+
+/// Accepts connections until the listener fails; one routine each.
+pub async fn serve<F, Fut>(
+    ex: Rc<LocalExecutor<'static>>,
+    listener: Async<TcpListener>,
+    max_connections: usize,
+    handler: F,
+) where
+    F: Fn(Incoming) -> Fut + Clone + 'static,
+    Fut: Future<Output = Answer> + 'static,
+{
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let (stream, _) = match listener.accept().await {
+            Ok(s) => s,
+            Err(e) => {
+                // Out of sockets: wait for some to close instead of spinning.
+                log::warn!("accept failed: {e}");
+                super::pause(100).await;
+                continue;
+            }
+        };
+        if open.get() >= max_connections {
+            drop(stream);
+            continue;
+        }
+        let _ = stream.get_ref().set_nodelay(true);
+        open.set(open.get() + 1);
+        let open = open.clone();
+        let handler = handler.clone();
+        ex.spawn(async move {
+            let stream: Stream = Arc::new(stream);
+            let endpoint = |mut req: Request| {
+                let handler = handler.clone();
+                async move {
+                    let body = within(4000, read_body(&mut req)).await.flatten();
+                    // The rest of a body that was not read is not worth draining.
+                    let close = body.is_none()
+                        || req
+                            .header("Connection")
+                            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+                    let incoming = Incoming {
+                        method: req.method(),
+                        path: req.url().path().to_string(),
+                        body,
+                    };
+                    Ok(to_response(handler(incoming).await, close))
+                }
+            };
+            let mut server = async_h1::server::Server::new(stream, endpoint);
+            // Half-open and slow peers end by this deadline.
+            while let Some(Ok(async_h1::server::ConnectionStatus::KeepAlive)) =
+                within(75_000, server.accept_one()).await
+            {}
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+}
+
+/// A client of one address with kept-alive connections.
+pub struct Client {
+    addr: SocketAddr,
+    idle: RefCell<Vec<Stream>>,
+}
+
+/// What came back.
+pub struct Fetched {
+    /// Status.
+    pub status: u16,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+const MAX_IDLE: usize = 4;
+
+impl Client {
+    /// A client of `addr`.
+    pub fn new(addr: SocketAddr) -> Client {
+        Client {
+            addr,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
+    async fn open(&self) -> Result<Stream, TransportError> {
+        let stream = Async::<TcpStream>::connect(self.addr)
+            .await
+            .map_err(TransportError::Connect)?;
+        let _ = stream.get_ref().set_nodelay(true);
+        Ok(Arc::new(stream))
+    }
+
+    /// One exchange within `ms`.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        ms: u64,
+    ) -> Result<Fetched, TransportError> {
+        match within(ms, self.exchange(method, path, body)).await {
+            Some(r) => r,
+            None => Err(TransportError::Deadline),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<Fetched, TransportError> {
+        let broken = |e: http_types::Error| TransportError::Broken(e.to_string());
+        let kept = self.idle.borrow_mut().pop();
+        let stream = match kept {
+            Some(s) => s,
+            None => self.open().await?,
+        };
+        let url = Url::parse(&format!("http://{}{path}", self.addr))
+            .map_err(|e| TransportError::Broken(e.to_string()))?;
+        let mut req = Request::new(method, url);
+        if method == Method::Post || !body.is_empty() {
+            let mut b = Body::from_bytes(body);
+            b.set_mime("application/msgpack");
+            req.set_body(b);
+        }
+        let mut res = async_h1::connect(stream.clone(), req)
+            .await
+            .map_err(broken)?;
+        let closes = res
+            .header("Connection")
+            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+        let body = res.body_bytes().await.map_err(broken)?;
+        let mut idle = self.idle.borrow_mut();
+        if !closes && idle.len() < MAX_IDLE {
+            idle.push(stream);
+        }
+        Ok(Fetched {
+            status: res.status() as u16,
+            body,
+        })
+    }
+
+    /// Drops kept connections, for example after a failure.
+    pub fn reset(&self) {
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// Binds a listener.
+pub fn listen(addr: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(addr)
+}
+
+/// A pause whose length is a little random, so that nodes do not act in step.
+pub fn jittered(ms: u64) -> Duration {
+    Duration::from_millis(ms / 2 + fastrand::u64(0..=ms.max(1)))
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,37 @@
+//! TCP, HTTP, frames, deadlines and limits.
+
+pub mod frames;
+pub mod http;
+
+use futures_lite::FutureExt;
+use std::future::Future;
+use std::time::Duration;
+
+/// Why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum TransportError {
+    /// No connection.
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    /// No answer in time.
+    #[error("no answer in time")]
+    Deadline,
+    /// The exchange broke.
+    #[error("exchange broke: {0}")]
+    Broken(String),
+}
+
+/// Runs `work` for `ms` milliseconds at most.
+pub async fn within<T>(ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    async { Some(work.await) }
+        .or(async {
+            async_io::Timer::after(Duration::from_millis(ms)).await;
+            None
+        })
+        .await
+}
+
+/// Waits.
+pub async fn pause(ms: u64) {
+    async_io::Timer::after(Duration::from_millis(ms)).await;
+}
