Direct starts, best-suited machine for each task, bookings side by side

Cause: tasks waited for the next report of an idle machine, images were fetched where others had them, rentals went out one after the other, and a booting machine that a peer's news named counted as heard and was returned as silent. Excluded: write limits of the state service (0 refused), processor time (mean 3-5%).

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -38,6 +38,17 @@
 /// The newest of a machine's reports, by (session, number).
 pub type Stamp = (u64, u64);
 
+/// What a direct start without an answer is bound to.
+#[derive(Clone, Copy, Debug)]
+pub struct LateStart {
+    /// Token.
+    pub token: u64,
+    /// Session.
+    pub session: u64,
+    /// When it was sent.
+    pub sent: Ms,
+}
+
 /// A machine.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -57,8 +68,12 @@
     pub known: Ms,
     /// Newest sign of life, by report or by a peer's news.
     pub heard: Option<Ms>,
-    /// Newest report taken here.
+    /// Newest message with a task list taken here, be it a report or an answer.
     pub stamp: Stamp,
+    /// Newest report taken here.
+    pub reported: Stamp,
+    /// Reports being answered right now.
+    pub answering: u32,
     /// Token in that report.
     pub token: u64,
     /// When the cloud takes it away.
@@ -67,6 +82,8 @@
     pub tasks: Vec<Seen>,
     /// Report that an order to start an attempt answered last.
     pub start_sent: HashMap<Attempt, Stamp>,
+    /// Direct starts without an answer, with what they are bound to.
+    pub late_starts: HashMap<Attempt, LateStart>,
     /// Attempts that were seen here in a report.
     pub shown: HashSet<Attempt>,
     /// Attempts to be stopped, with the time to save.
@@ -111,10 +128,13 @@
             known: now,
             heard: None,
             stamp: (0, 0),
+            reported: (0, 0),
+            answering: 0,
             token: 0,
             leaves: None,
             tasks: Vec::new(),
             start_sent: HashMap::new(),
+            late_starts: HashMap::new(),
             shown: HashSet::new(),
             stopping: HashMap::new(),
             queue: VecDeque::new(),
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -39,6 +39,11 @@
     choice.get(turn % choice.len().max(1)).copied()
 }
 
+/// Least time between rises of tokens for late starts.
+const RAISE_MS: u64 = 5000;
+/// Age at which a direct start without an answer counts as late.
+const LATE_MS: u64 = 2500;
+
 /// A change of owner to be tried.
 #[derive(Debug, PartialEq)]
 pub struct Move {
@@ -55,6 +60,7 @@
     rules: &Rules,
     zones: &BTreeMap<String, ZoneIx>,
     seen: &HashMap<(String, u64), Ms>,
+    may_raise: bool,
     now: Ms,
 ) -> Vec<Move> {
     let live: Vec<&str> = view.nodes.keys().map(String::as_str).collect();
@@ -74,7 +80,18 @@
         let target = match view.live_owner(shard) {
             None => wanted_owner(view, zones, &live, shard).filter(|n| *n == rules.node),
             Some(owner) if owner == rules.node && rules.owns(view, shard) => {
-                wanted_owner(view, zones, &settled, shard).filter(|n| *n != rules.node)
+                // A direct start that was not answered may run until the token rises.
+                let late = || {
+                    let token = view.shards[shard.at()].rec.token;
+                    view.all_machines().any(|(_, m)| {
+                        m.shard == shard
+                            && m.late_starts
+                                .values()
+                                .any(|l| l.token >= token && now.since(l.sent) > LATE_MS)
+                    })
+                };
+                wanted_owner(view, zones, &settled, shard)
+                    .filter(|n| *n != rules.node || may_raise && late())
             }
             Some(_) => None,
         };
@@ -137,6 +154,7 @@
     let ttl_ms = ((s.workers.lease_s * 400.0) as u64).clamp(3000, 5000);
     let mut lease: Option<u64> = None;
     let mut renewed = Ms(0);
+    let mut raised = Ms(0);
     let mut seen: HashMap<(String, u64), Ms> = HashMap::new();
     loop {
         let now = node.now();
@@ -144,6 +162,10 @@
             lease = keep_lease(&node, lease, ttl_ms).await;
             renewed = now;
         }
+        let may_raise = now.since(raised) >= RAISE_MS;
+        if may_raise {
+            raised = now;
+        }
         let wanted = {
             let view = node.view.borrow();
             seen.retain(|(n, i), _| view.nodes.get(n).is_some_and(|r| r.rec.incarnation == *i));
@@ -153,7 +175,7 @@
             // Without an own key there is nothing to take shards with.
             let me = view.nodes.get(&node.rules.node);
             if me.is_some_and(|r| r.rec.incarnation == node.rules.incarnation) {
-                moves(&view, &node.rules, &zones, &seen, now)
+                moves(&view, &node.rules, &zones, &seen, may_raise, now)
             } else {
                 Vec::new()
             }
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -4,7 +4,7 @@
 //! machines with free room. Its result is one transaction, conditional on
 //! every job record it changes and on every shard record it rests on.
 
-use crate::bookkeeping::fleet::{Attempt, Machine};
+use crate::bookkeeping::fleet::{Attempt, LateStart, Machine};
 use crate::bookkeeping::job::{Job, Placement, Spec};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, TeamIx, ZoneIx};
 use crate::bookkeeping::units::{Ms, Res};
@@ -105,15 +105,25 @@
 
 /// True if the newest report proves that the attempt is not there and can't begin later.
 ///
-/// Starts go out in report answers alone, so none can run late: a report that is
-/// newer than the one which the last start answered shows its effect or its loss.
-/// A report under the owner's own token also shuts out every older owner's answers.
+/// A start in a report's answer can't run late: a report newer than the one it answered
+/// shows its effect or its loss. Answers to direct commands prove no absence, since such
+/// an answer may still be on its way to the worker. A direct start without an answer may
+/// run at any time until the token is raised or the session ends. A report under the
+/// owner's own token shuts out every older owner's orders.
 pub fn proven_absent(m: &Machine, token: u64, a: Attempt) -> bool {
     m.heard.is_some()
         && m.token == token
         && token > 0
         && m.seen(a).is_none()
-        && m.start_sent.get(&a).is_none_or(|sent| *sent < m.stamp)
+        && m.start_sent.get(&a).is_none_or(|sent| *sent < m.reported)
+        && !may_start_late(m, token, a)
+}
+
+/// True if a direct start that was not answered may still take effect.
+pub fn may_start_late(m: &Machine, token: u64, a: Attempt) -> bool {
+    m.late_starts
+        .get(&a)
+        .is_some_and(|l| l.token >= token && l.session == m.stamp.0)
 }
 
 /// Takes what reports and deletions prove into the draft.
@@ -340,12 +350,46 @@
     out.into_iter().map(|(_, _, w)| w).collect()
 }
 
+/// How well a machine suits a task; less is better, in seconds of waiting.
+///
+/// Fetching an image is time lost. Room that nothing else can use once the task is
+/// there is lost too, and spot machines are for the work that may run on them.
+pub fn misfit(view: &View, spec: &Spec, m: &Machine, free: Res) -> i64 {
+    let Some(rig) = view.rigs.get(&m.rig) else {
+        return i64::MAX;
+    };
+    let fetch = if m.has_image(spec.image) {
+        0.0
+    } else {
+        spec.wire.image_gb / rig.flavor.fetch_gb_per_s.max(0.01)
+    };
+    let whole = rig.room;
+    let left = free.minus(spec.need);
+    let part = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
+    let parts = [
+        part(left.cpu, whole.cpu),
+        part(left.gpu, whole.gpu),
+        part(left.mem, whole.mem),
+    ];
+    let most = parts.iter().copied().fold(0.0, f64::max);
+    let least = parts.iter().copied().fold(1.0, f64::min);
+    let stranded = (most - least) * 20.0;
+    let kind = if spec.wire.spot && !m.spot { 10.0 } else { 0.0 };
+    // The fuller one first, so that others stay empty for large tasks or go back.
+    let spare = least * 3.0;
+    ((fetch + stranded + kind + spare) * 1000.0) as i64
+}
+
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
 pub fn claim(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) -> Vec<MachineIx> {
     let mut free = free_room(view, draft);
     claim_gangs(view, rules, draft, &mut free, now);
     let jobs = waiting_jobs(view, draft, now);
-    if jobs.is_empty() {
+    let machines: Vec<(MachineIx, &Machine)> = view
+        .all_machines()
+        .filter(|(_, m)| rules.owns(view, m.shard) && m.takes(now, rules.silent_ms))
+        .collect();
+    if jobs.is_empty() || machines.is_empty() {
         return Vec::new();
     }
     let mut bound: HashSet<(JobIx, u32)> = HashSet::new();
@@ -353,53 +397,79 @@
         let fresh = m.queue.iter().filter(|q| now.since(q.2) < rules.steal_ms);
         bound.extend(fresh.map(|q| (q.0, q.1)));
     }
-    let mut idle = Vec::new();
-    let mut machines: Vec<(MachineIx, &Machine)> = view
-        .all_machines()
-        .filter(|(_, m)| rules.owns(view, m.shard) && m.takes(now, rules.silent_ms))
-        .collect();
-    // Spot machines first: they are cheaper, and what may run there should not fill the others.
-    machines.sort_by_key(|(ix, m)| (!m.spot, *ix));
-    for (mix, m) in machines {
+    let fits = |d: &Draft, room: Res, ix: JobIx, s: &Spec, mix: MachineIx, m: &Machine| {
+        let job = d.job(view, ix);
         let held = m.held.is_some_and(|(_, until)| now < until);
-        while let Some(room) = free.get(&mix).copied() {
-            if room.gpu <= 0 && room.cpu <= 0 {
-                break;
+        (!held || s.rank() == Rank::Production)
+            && s.need.fits(room)
+            && job.size() + 44 < rules.value_bytes
+            && allowed(view, job, ix, s, mix, m)
+    };
+    let mut pulled: HashSet<MachineIx> = HashSet::new();
+    let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
+    for rank in ranks {
+        // Each machine's own queue, first in first out among those of one priority.
+        for (mix, m) in &machines {
+            for (ix, task, _) in &m.queue {
+                let job = draft.job(view, *ix);
+                let Some(s) = job.spec.clone().filter(|s| s.rank() == rank) else {
+                    continue;
+                };
+                let room = free.get(mix).copied().unwrap_or_default();
+                if !job.waits(*task)
+                    || backed_off(view, *ix, now)
+                    || !fits(draft, room, *ix, &s, *mix, m)
+                {
+                    continue;
+                }
+                if place(view, rules, draft, *ix, &s, &[(*task, *mix, m)], m.shard) {
+                    free.insert(*mix, room.minus(s.need));
+                    pulled.insert(*mix);
+                }
             }
-            let fits = |d: &Draft, ix: JobIx, s: &Spec| {
-                let job = d.job(view, ix);
-                (!held || s.rank() == Rank::Production)
-                    && s.need.fits(room)
-                    && job.size() + 44 < rules.value_bytes
-                    && allowed(view, job, ix, s, mix, m)
-            };
-            let queued = m.queue.iter().find_map(|(ix, task, _)| {
-                let j = draft.job(view, *ix);
-                let s = j.spec.clone()?;
-                (j.waits(*task) && !backed_off(view, *ix, now) && fits(draft, *ix, &s))
-                    .then_some((*ix, *task, s))
-            });
-            let unbound = jobs
-                .iter()
-                .take_while(|w| queued.as_ref().is_none_or(|q| w.rank < q.2.rank()))
-                .filter(|w| fits(draft, w.ix, &w.spec))
-                .find_map(|w| {
-                    let mut tasks = draft.job(view, w.ix).waiting();
-                    tasks
-                        .find(|t| !bound.contains(&(w.ix, *t)))
-                        .map(|t| (w.ix, t, w.spec.clone()))
-                });
-            let Some((ix, task, spec)) = unbound.or(queued) else {
-                idle.push(mix);
-                break;
-            };
-            if !place(view, rules, draft, ix, &spec, &[(task, mix, m)], m.shard) {
-                break;
+        }
+        // Then the oldest jobs' next unbound tasks, each by the machine that suits it best.
+        for w in jobs.iter().filter(|w| w.rank == rank) {
+            let tasks: Vec<u32> = draft
+                .job(view, w.ix)
+                .waiting()
+                .filter(|t| !bound.contains(&(w.ix, *t)))
+                .take(machines.len() * 8)
+                .collect();
+            for task in tasks {
+                let best = machines
+                    .iter()
+                    .filter_map(|(mix, m)| {
+                        let room = *free.get(mix)?;
+                        fits(draft, room, w.ix, &w.spec, *mix, m)
+                            .then(|| (misfit(view, &w.spec, m, room), *mix, *m))
+                    })
+                    .min_by_key(|(cost, mix, _)| (*cost, *mix));
+                let Some((_, mix, m)) = best else { break };
+                if !place(
+                    view,
+                    rules,
+                    draft,
+                    w.ix,
+                    &w.spec,
+                    &[(task, mix, m)],
+                    m.shard,
+                ) {
+                    break;
+                }
+                if let Some(f) = free.get_mut(&mix) {
+                    *f = f.minus(w.spec.need);
+                }
+                pulled.insert(mix);
             }
-            free.insert(mix, room.minus(spec.need));
         }
     }
-    idle
+    let has_room = |mix: &MachineIx| free.get(mix).is_some_and(|f| f.cpu > 0 && f.gpu > 0);
+    machines
+        .iter()
+        .map(|(mix, _)| *mix)
+        .filter(|mix| !pulled.contains(mix) && has_room(mix))
+        .collect()
 }
 
 /// Drafts placements of one attempt; false if the transaction is full or the limit is reached.
@@ -642,7 +712,6 @@
     while machines.len() > SAMPLE {
         machines.swap_remove(fastrand::usize(..machines.len()));
     }
-    machines.sort_by_key(|(mix, m)| (!m.has_image(spec.image), !m.spot, *mix));
     let mut queued: HashMap<MachineIx, usize> = machines
         .iter()
         .map(|(mix, m)| (*mix, m.queue.len().max(m.queued_elsewhere.into())))
@@ -658,20 +727,27 @@
         let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
         let fitting = machines
             .iter()
-            .find(|(mix, m)| zone_ok(m) && free.get(mix).is_some_and(|r| spec.need.fits(*r)));
+            .filter_map(|(mix, m)| {
+                let room = *free.get(mix)?;
+                let good = zone_ok(m) && spec.need.fits(room);
+                good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
+            })
+            .min_by_key(|(cost, (mix, _))| (*cost, *mix))
+            .map(|(_, chosen)| chosen);
         let chosen = fitting.or_else(|| {
             machines
                 .iter()
+                .copied()
                 .filter(|(mix, m)| zone_ok(m) && queued[mix] < rules.queue_cap)
                 .min_by_key(|(mix, _)| queued[mix])
         });
         let Some((mix, m)) = chosen else { break };
-        if let Some(f) = free.get_mut(mix) {
+        if let Some(f) = free.get_mut(&mix) {
             *f = f.minus(spec.need);
         }
-        *queued.entry(*mix).or_default() += 1;
+        *queued.entry(mix).or_default() += 1;
         *per_zone.entry(m.zone).or_default() += 1;
-        out.push((task, *mix));
+        out.push((task, mix));
     }
     out
 }
@@ -684,6 +760,7 @@
     if !rules.owns(view, m.shard) {
         return Vec::new();
     }
+    let token = view.shards[m.shard.at()].rec.token;
     let mut out = Vec::new();
     for s in &m.tasks {
         let (piece, attempt) = (s.name.to_string(), s.attempt);
@@ -695,7 +772,15 @@
         });
         match (s.state, placed) {
             // An exit is forgotten only after the record has it: the worker keeps it until then.
-            (TaskState::Exited, false) => out.push(Order::Forget { piece, attempt }),
+            (TaskState::Exited, false) => {
+                // Nor while a start may run late: the worker would take it for a new one.
+                let late = s
+                    .job
+                    .is_some_and(|j| may_start_late(m, token, (j, s.task, attempt)));
+                if !late {
+                    out.push(Order::Forget { piece, attempt });
+                }
+            }
             (TaskState::Exited, true) => {}
             (_, false) => out.push(Order::Stop {
                 piece,
@@ -723,24 +808,96 @@
             }
         }
     }
-    let mut starts: Vec<Attempt> = Vec::new();
+    let reported = m.reported;
+    for a in missing_starts(view, mix, m) {
+        out.push(start(view, a));
+        if let Some(m) = view.machine_mut(mix) {
+            m.start_sent.insert(a, reported);
+        }
+    }
+    out
+}
+
+fn start(view: &View, a: Attempt) -> Order {
+    Order::Start {
+        piece: format!("{}/{}", view.jobs[a.0.at()].id, a.1),
+        attempt: a.2,
+    }
+}
+
+/// Placements on a machine whose start it has not shown yet.
+fn missing_starts(view: &View, mix: MachineIx, m: &Machine) -> Vec<Attempt> {
+    let mut out = Vec::new();
     for (ix, job) in view.active_jobs() {
         for p in job.placements.iter().filter(|p| p.machine == mix) {
             let a = (ix, p.task, p.attempt);
             if m.seen(a).is_none() && !unwanted(job, m, a) && !m.shown.contains(&a) {
-                starts.push(a);
+                out.push(a);
             }
         }
     }
-    let stamp = m.stamp;
-    for a in starts {
-        out.push(Order::Start {
-            piece: format!("{}/{}", view.jobs[a.0.at()].id, a.1),
-            attempt: a.2,
-        });
+    out
+}
+
+/// Direct starts for a machine, whose next report may be seconds away.
+#[derive(Debug)]
+pub struct Push {
+    /// Machine.
+    pub machine: MachineIx,
+    /// Its worker.
+    pub addr: String,
+    /// Token and session that the orders are bound to.
+    pub token: u64,
+    /// Session.
+    pub session: u64,
+    /// Attempts to start.
+    pub attempts: Vec<Attempt>,
+    /// The orders.
+    pub orders: Vec<Order>,
+}
+
+/// Starts that no order has gone out for yet, on machines that no report is being answered to.
+/// They are noted as possibly late until the worker has answered.
+pub fn pushes(view: &mut View, rules: &Rules, now: Ms) -> Vec<Push> {
+    let mut out = Vec::new();
+    for i in 0..view.machines.len() {
+        let mix = MachineIx::new(i);
+        let Some(m) = view.machine(mix) else { continue };
+        let token = view.shards[m.shard.at()].rec.token;
+        let ready = rules.owns(view, m.shard)
+            && m.takes(now, rules.silent_ms)
+            && m.answering == 0
+            && m.token == token
+            && m.stamp.0 > 0
+            && !m.addr.is_empty();
+        if !ready {
+            continue;
+        }
+        let (addr, session) = (m.addr.clone(), m.stamp.0);
+        let late = LateStart {
+            token,
+            session,
+            sent: now,
+        };
+        let attempts: Vec<Attempt> = missing_starts(view, mix, m)
+            .into_iter()
+            .filter(|a| !m.start_sent.contains_key(a) && !m.late_starts.contains_key(a))
+            .collect();
+        if attempts.is_empty() {
+            continue;
+        }
+        let orders = attempts.iter().map(|a| start(view, *a)).collect();
         if let Some(m) = view.machine_mut(mix) {
-            m.start_sent.insert(a, stamp);
+            m.late_starts.extend(attempts.iter().map(|a| (*a, late)));
         }
+        out.push(Push {
+            machine: mix,
+            addr,
+            token,
+            session,
+            attempts,
+            orders,
+        });
     }
     out
 }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -1,18 +1,22 @@
 //! The planning duty: passes, their commits, and the pull between controllers.
 
 use super::node::Node;
-use super::plan::{self, Draft};
+use super::plan::{self, Draft, Push};
 use super::store::Outcome;
 use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::Ms;
 use crate::protocol::peers::{Ask, Reply, TaskRef};
-use crate::transport::http::jittered;
+use crate::protocol::workers::{Commands, Report};
+use crate::transport::http::{jittered, Client};
+use crate::transport::TransportError;
+use http_types::Method;
 use std::collections::HashMap;
 use std::rc::Rc;
 
 /// Passes in a row before others get a turn.
 const PASSES: usize = 12;
 const PEER_MS: u64 = 800;
+const WORKER_MS: u64 = 2000;
 
 /// Duty: plans whenever something changed, and now and then.
 pub async fn run(node: Rc<Node>) {
@@ -69,10 +73,54 @@
         for w in waiters {
             let _ = w.try_send(true);
         }
+        push_starts(&node);
         pull(&node, &idle, &mut last_poll);
     }
 }
 
+/// Sends starts that can't wait for the next report.
+fn push_starts(node: &Rc<Node>) {
+    let now = node.now();
+    let pushes = plan::pushes(&mut node.view.borrow_mut(), &node.rules, now);
+    for p in pushes {
+        node.ex.spawn(push(node.clone(), p)).detach();
+    }
+}
+
+async fn push(node: Rc<Node>, p: Push) {
+    let Ok(addr) = p.addr.parse() else { return };
+    let commands = Commands {
+        token: p.token,
+        session: p.session,
+        orders: p.orders,
+    };
+    let Ok(body) = rmp_serde::to_vec_named(&commands) else {
+        return;
+    };
+    let client = Client::new(addr);
+    let sent = client
+        .call(Method::Post, "/commands", body, WORKER_MS)
+        .await;
+    let unsent = matches!(sent, Err(TransportError::Connect(_)));
+    let answer = sent.ok().filter(|f| matches!(f.status, 200 | 409));
+    if !unsent && answer.is_none() {
+        // It may run minutes later: the token of this shard has to be raised.
+        log::info!("no answer to direct starts at {}", p.addr);
+        return;
+    }
+    let mut view = node.view.borrow_mut();
+    let view = &mut *view;
+    if let Some(m) = view.machine_mut(p.machine) {
+        for a in &p.attempts {
+            m.late_starts.remove(a);
+        }
+    }
+    let report = answer.and_then(|f| rmp_serde::from_slice::<Report>(&f.body).ok());
+    if let Some(r) = report {
+        super::reports::take(view, p.machine, &r, node.now(), false);
+    }
+}
+
 /// Idle machines poll a few random others, once for each of their reports.
 fn pull(node: &Rc<Node>, idle: &[MachineIx], last: &mut HashMap<MachineIx, (u64, u64)>) {
     for mix in idle {
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -15,10 +15,12 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
-const TICK_MS: u64 = 500;
+const TICK_MS: u64 = 250;
 const CALL_MS: u64 = 3000;
 /// Most machines in one request.
-const MOST_AT_ONCE: u32 = 10;
+const MOST_AT_ONCE: u32 = 25;
+/// Most requests side by side.
+const AT_ONCE: usize = 4;
 
 /// A kind of machine that can be rented.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
@@ -306,7 +308,7 @@
     let lag_ms = ms_of(s.cloud.list_lag_s);
     let now = node.now();
     if now >= desk.list_due {
-        let every = ((2000.0 / s.cloud.rps) as u64).clamp(1000, 3000);
+        let every = ((4000.0 / s.cloud.rps) as u64).clamp(1500, 4000);
         desk.list_due = now.plus(every);
         if let Some(list) = read_list(node).await {
             let now = node.now();
@@ -370,23 +372,35 @@
         view.bookings
             .iter()
             .filter(|(_, b)| b.rec.hosts.is_empty())
+            .filter(|(n, _)| desk.booked_at.get(*n).is_none_or(|t| now.since(*t) > 2000))
             .map(|(n, b)| (n.clone(), b.rec.clone()))
+            .take(4)
             .collect()
     };
-    for (name, rec) in open {
-        let due = desk
-            .booked_at
-            .get(&name)
-            .is_none_or(|t| now.since(*t) > 2000);
-        if due {
-            book(node, desk, &name, &rec).await;
-        }
+    book_all(node, desk, open).await;
+}
+
+/// Sends bookings side by side and notes together what came of them.
+async fn book_all(node: &Rc<Node>, desk: &mut Desk, list: Vec<(String, BookingRecord)>) {
+    let mut running = Vec::new();
+    for (name, rec) in list {
+        desk.booked_at.insert(name.clone(), node.now());
+        let n = node.clone();
+        running.push(node.ex.spawn(async move {
+            let answer = book(&n, &name, &rec).await;
+            (name, rec, answer)
+        }));
+    }
+    let mut notes: Vec<(String, Option<BookingRecord>)> = Vec::new();
+    for task in running {
+        let (name, rec, answer) = task.await;
+        notes.extend(note_booking(node, desk, &name, rec, answer).map(|r| (name, r)));
     }
+    store_bookings(node, &notes).await;
 }
 
-/// Sends a booking and notes what came of it.
-async fn book(node: &Rc<Node>, desk: &mut Desk, name: &str, rec: &BookingRecord) {
-    desk.booked_at.insert(name.to_string(), node.now());
+/// Sends a booking; status and machines.
+async fn book(node: &Rc<Node>, name: &str, rec: &BookingRecord) -> Option<(u16, Option<Hosts>)> {
     let request = Booking {
         request: name.to_string(),
         rig: rec.rig.clone(),
@@ -394,29 +408,33 @@
         spot: rec.spot,
         count: rec.count,
     };
-    let Ok(body) = rmp_serde::to_vec_named(&request) else {
-        return;
-    };
-    let (status, hosts) = match node.cloud.call(Method::Post, "/hosts", body, CALL_MS).await {
-        Ok(f) => (f.status, rmp_serde::from_slice::<Hosts>(&f.body).ok()),
+    let body = rmp_serde::to_vec_named(&request).ok()?;
+    match node.cloud.call(Method::Post, "/hosts", body, CALL_MS).await {
+        Ok(f) => Some((f.status, rmp_serde::from_slice::<Hosts>(&f.body).ok())),
         Err(e) => {
             log::warn!("booking {name}: {e}; it will be repeated");
             node.cloud.reset();
-            return;
+            None
         }
-    };
-    let pool = {
-        let mut view = node.view.borrow_mut();
-        let rig = view.rig_names.intern(&rec.rig);
-        view.zone_names.find(&rec.zone).map(|zone| Pool {
-            rig,
-            zone,
-            spot: rec.spot,
-        })
-    };
-    let Some(pool) = pool else { return };
+    }
+}
+
+/// What the record of a booking shall be after an answer; the outer `None` leaves it as it is.
+fn note_booking(
+    node: &Rc<Node>,
+    desk: &mut Desk,
+    name: &str,
+    mut rec: BookingRecord,
+    answer: Option<(u16, Option<Hosts>)>,
+) -> Option<Option<BookingRecord>> {
     let now = node.now();
-    match (status, hosts) {
+    let mut view = node.view.borrow_mut();
+    let pool = Pool {
+        rig: view.rig_names.intern(&rec.rig),
+        zone: view.zone_names.find(&rec.zone)?,
+        spot: rec.spot,
+    };
+    match answer? {
         (200, Some(h)) => {
             log::info!(
                 "rented {} of {} {} in {} (spot: {})",
@@ -431,25 +449,21 @@
             } else {
                 desk.backoff.remove(&pool);
             }
-            {
-                let mut view = node.view.borrow_mut();
-                for n in &h.hosts {
-                    view.learn_machine(n, &rec.rig, &rec.zone, rec.spot, now);
-                }
+            for n in &h.hosts {
+                view.learn_machine(n, &rec.rig, &rec.zone, rec.spot, now);
             }
-            let mut rec = rec.clone();
             rec.hosts = h.hosts;
-            store_booking(node, name, (!rec.hosts.is_empty()).then_some(&rec)).await;
+            Some((!rec.hosts.is_empty()).then_some(rec))
         }
         (503, _) => {
             log::info!("no {} in {} (spot: {})", rec.rig, rec.zone, rec.spot);
             back_off(desk, pool, now);
-            store_booking(node, name, None).await;
+            Some(None)
         }
-        (429, _) => {}
+        (429, _) => None,
         (s, _) => {
             log::warn!("booking {name} answered with {s}");
-            store_booking(node, name, None).await;
+            Some(None)
         }
     }
 }
@@ -460,30 +474,32 @@
     entry.0 = now.plus(entry.1);
 }
 
-/// Writes or removes a booking, as long as this node owns the duty.
-async fn store_booking(node: &Rc<Node>, name: &str, rec: Option<&BookingRecord>) -> bool {
-    let key = format!("{ROOT}book/{name}");
-    let txn = {
-        let view = node.view.borrow();
-        let shard = view.renting();
-        let write = match rec {
-            Some(r) => match set(key.clone(), r, None) {
-                Some(w) => w,
-                None => return false,
-            },
-            None => Write::Remove { remove: key },
+/// Writes or removes bookings, as long as this node owns the duty.
+async fn store_bookings(node: &Rc<Node>, list: &[(String, Option<BookingRecord>)]) -> bool {
+    let mut all = true;
+    for part in list.chunks(node.rules.txn_ops) {
+        let txn = {
+            let view = node.view.borrow();
+            let shard = view.renting();
+            let write = |(name, rec): &(String, Option<BookingRecord>)| {
+                let key = format!("{ROOT}book/{name}");
+                match rec {
+                    Some(r) => set(key, r, None),
+                    None => Some(Write::Remove { remove: key }),
+                }
+            };
+            Transaction {
+                conditions: vec![Condition {
+                    key: view.shard_key(shard),
+                    version: view.shards[shard.at()].version,
+                }],
+                writes: part.iter().filter_map(write).collect(),
+            }
         };
-        Transaction {
-            conditions: vec![Condition {
-                key: view.shard_key(shard),
-                version: view.shards[shard.at()].version,
-            }],
-            writes: vec![write],
-        }
-    };
-    let done = matches!(node.commit(&txn).await, Outcome::Done(_));
+        all &= matches!(node.commit(&txn).await, Outcome::Done(_));
+    }
     // The next step depends on what the records say.
-    node.refreshed(1500).await && done
+    list.is_empty() || node.refreshed(1500).await && all
 }
 
 /// Removes bookings whose machines are all in the list, or should long be.
@@ -501,12 +517,13 @@
                     && (listed || now.since(at) > lag_ms * 4 + 10_000)
             })
             .map(|(n, _)| n.clone())
-            .take(2)
+            .take(node.rules.txn_ops)
             .collect()
     };
-    for name in old {
-        store_booking(node, &name, None).await;
-        desk.booked_at.remove(&name);
+    let removed: Vec<_> = old.into_iter().map(|n| (n, None)).collect();
+    store_bookings(node, &removed).await;
+    for (n, _) in removed {
+        desk.booked_at.remove(&n);
     }
 }
 
@@ -740,23 +757,26 @@
         let mut have = supply(&view, desk, node.rules.silent_ms, now);
         wanted(&view, &mut have, &blocked, now)
     };
-    for (pool, count) in plan.into_iter().take(4) {
+    let mut list = Vec::new();
+    for (pool, count) in plan.into_iter().take(AT_ONCE) {
         desk.counter += 1;
-        let (name, rec) = {
-            let view = node.view.borrow();
-            let rec = BookingRecord {
-                rig: view.rig_names.name(pool.rig).to_string(),
-                zone: view.zone_names.name(pool.zone).to_string(),
-                spot: pool.spot,
-                count: count.min(MOST_AT_ONCE),
-                hosts: Vec::new(),
-            };
-            // The token is of this owner alone, so no name is ever used twice.
-            (format!("b-{}-{}", desk.token, desk.counter), rec)
+        let view = node.view.borrow();
+        let rec = BookingRecord {
+            rig: view.rig_names.name(pool.rig).to_string(),
+            zone: view.zone_names.name(pool.zone).to_string(),
+            spot: pool.spot,
+            count: count.min(MOST_AT_ONCE),
+            hosts: Vec::new(),
         };
-        if !store_booking(node, &name, Some(&rec)).await {
-            return;
-        }
-        book(node, desk, &name, &rec).await;
+        // The token is of this owner alone, so no name is ever used twice.
+        list.push((format!("b-{}-{}", desk.token, desk.counter), rec));
+    }
+    // The intent is on record before the request: whoever takes over asks again.
+    let intents: Vec<_> = list
+        .iter()
+        .map(|(n, r)| (n.clone(), Some(r.clone())))
+        .collect();
+    if !list.is_empty() && store_bookings(node, &intents).await {
+        book_all(node, desk, list).await;
     }
 }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -57,10 +57,17 @@
             );
             return elsewhere(None);
         }
-        (mix, token, take(view, mix, &report, now))
+        (mix, token, take(view, mix, &report, now, true))
     };
     if changed {
+        let answering = |by: i32| {
+            if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
+                m.answering = m.answering.saturating_add_signed(by);
+            }
+        };
+        answering(1);
         node.plan.turn(PLAN_MS).await;
+        answering(-1);
     }
     let mut view = node.view.borrow_mut();
     // Ownership may have gone while the planner was waited for.
@@ -81,8 +88,9 @@
     Answer::of(200, &ReportAnswer { token, orders })
 }
 
-/// Takes a report into the view; true if the planner should look at it before the answer.
-pub fn take(view: &mut View, mix: MachineIx, r: &Report, now: Ms) -> bool {
+/// Takes a report, or the same in a worker's answer to direct commands, into the view;
+/// true if the planner should look at it before the answer.
+pub fn take(view: &mut View, mix: MachineIx, r: &Report, now: Ms, is_report: bool) -> bool {
     let tasks: Vec<Seen> = r
         .tasks
         .iter()
@@ -124,8 +132,11 @@
         }
         m.addr.clone_from(&r.addr);
         m.stamp = (r.session, r.seq);
-        m.token = r.token;
-        m.heard = Some(now);
+        if is_report {
+            m.reported = m.stamp;
+            m.token = r.token;
+            m.heard = Some(now);
+        }
         m.spot = r.spot;
         m.leaves = r.notice_s.map(|s| now.plus(ms_of(s)));
         m.tasks = tasks;
@@ -135,6 +146,9 @@
             .filter_map(|s| Some((s.job?, s.task, s.attempt)))
             .collect();
         m.shown.extend(shown);
+        let (token, session) = (r.token, r.session);
+        m.late_starts
+            .retain(|_, l| l.token >= token && l.session == session);
         m.failed_jobs.extend(&failed);
         if m.failed_jobs.len() >= SICK_JOBS && !m.sick {
             log::warn!(
@@ -178,6 +192,7 @@
         })
         .collect();
     if let Some(m) = view.machine_mut(mix) {
+        // Late starts stay: they outlive their placement.
         m.start_sent.retain(|a, _| placed.contains(a));
         m.shown.retain(|a| placed.contains(a));
         m.stopping.retain(|a, _| placed.contains(a));
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -29,6 +29,7 @@
                     zone: view.zone_names.name(m.zone).to_string(),
                     spot: m.spot,
                     silent_ms: silence(m.heard, m.known, since.get(&m.shard).copied(), now),
+                    heard: m.heard.is_some(),
                     queued: m.queue.len().min(255) as u8,
                     closed: m.closed || m.leaves.is_some(),
                     sick: m.sick,
@@ -131,7 +132,10 @@
                 }
                 if let Some(m) = view.machine_mut(mix) {
                     m.addr = n.addr;
-                    m.heard = now.0.checked_sub(n.silent_ms).map(Ms);
+                    // A machine that still boots has not been heard, only waited for.
+                    if n.heard {
+                        m.heard = Some(Ms(now.0.saturating_sub(n.silent_ms)));
+                    }
                     m.queued_elsewhere = n.queued;
                     m.closed = n.closed;
                     m.sick = n.sick;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -36,8 +36,10 @@
     pub zone: String,
     /// Spot.
     pub spot: bool,
-    /// Since its last report.
+    /// Since its last report, or since the owner began to wait for one.
     pub silent_ms: u64,
+    /// It has reported at least once.
+    pub heard: bool,
     /// Tasks in its queue.
     pub queued: u8,
     /// Tells that it takes no more tasks.
