Leave empty ordinary machines to work that can't use spot ones

Cause: arrays that may run on spot machines filled empty ordinary machines, so gangs that need whole ordinary ones waited for a boot, and more dear machines were rented. Excluded: capacity (spot pools had room), planner latency (starts go out at once). Conclusion: kept; the wait is an operators' setting, spot_patience_s.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -118,6 +118,7 @@
             queue_cap: operator.queue_cap,
             steal_ms: ms_of(operator.steal_after_s),
             gang_hold_ms: ms_of(operator.gang_hold_s),
+            spot_patience_ms: ms_of(operator.spot_patience_s),
             txn_ops: s.state.txn_ops,
             value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
         };
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -29,6 +29,8 @@
     pub steal_ms: u64,
     /// Wait after which machines are kept free for a gang, ms.
     pub gang_hold_ms: u64,
+    /// Wait after which work for spot machines takes empty ordinary ones, ms.
+    pub spot_patience_ms: u64,
     /// Changes in a transaction.
     pub txn_ops: usize,
     /// Size of a record.
@@ -380,8 +382,35 @@
     ((fetch + stranded + kind + spare) * 1000.0) as i64
 }
 
+fn is_empty(view: &View, m: &Machine, free: Res) -> bool {
+    view.rigs.get(&m.rig).is_some_and(|r| r.room == free)
+}
+
+/// True if a task that may run on spot machines should leave this one alone for now: an
+/// empty ordinary machine is what work that may not use spot machines waits for.
+pub fn leaves_alone(
+    rules: &Rules,
+    job: &Job,
+    spec: &Spec,
+    spot: bool,
+    empty: bool,
+    wall_ms: u64,
+) -> bool {
+    spec.wire.spot
+        && !spot
+        && empty
+        && spec.rank() > Rank::High
+        && wall_ms.saturating_sub(job.submitted) < rules.spot_patience_ms
+}
+
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
-pub fn claim(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) -> Vec<MachineIx> {
+pub fn claim(
+    view: &View,
+    rules: &Rules,
+    draft: &mut Draft,
+    now: Ms,
+    wall_ms: u64,
+) -> Vec<MachineIx> {
     let mut free = free_room(view, draft);
     claim_gangs(view, rules, draft, &mut free, now);
     let jobs = waiting_jobs(view, draft, now);
@@ -404,6 +433,7 @@
             && s.need.fits(room)
             && job.size() + 44 < rules.value_bytes
             && allowed(view, job, ix, s, mix, m)
+            && !leaves_alone(rules, job, s, m.spot, is_empty(view, m, room), wall_ms)
     };
     let mut pulled: HashSet<MachineIx> = HashSet::new();
     let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
@@ -687,7 +717,7 @@
 
 /// Binds a job's waiting tasks: the first fitting machine in the stale view, else the
 /// shortest queue under the cap. Tasks that find all queues full stay unbound.
-pub fn bind(view: &View, rules: &Rules, ix: JobIx, now: Ms) -> Vec<(u32, MachineIx)> {
+pub fn bind(view: &View, rules: &Rules, ix: JobIx, now: Ms, wall_ms: u64) -> Vec<(u32, MachineIx)> {
     let job = &view.jobs[ix.at()];
     let Some(spec) = job.spec.clone().filter(|s| !s.is_wide_gang()) else {
         return Vec::new();
@@ -729,7 +759,9 @@
             .iter()
             .filter_map(|(mix, m)| {
                 let room = *free.get(mix)?;
-                let good = zone_ok(m) && spec.need.fits(room);
+                let alone =
+                    leaves_alone(rules, job, &spec, m.spot, is_empty(view, m, room), wall_ms);
+                let good = zone_ok(m) && spec.need.fits(room) && !alone;
                 good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
             })
             .min_by_key(|(cost, (mix, _))| (*cost, *mix))
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -1,6 +1,6 @@
 //! The planning duty: passes, their commits, and the pull between controllers.
 
-use super::node::Node;
+use super::node::{wall_ms, Node};
 use super::plan::{self, Draft, Push};
 use super::store::Outcome;
 use crate::bookkeeping::names::{Index, JobIx, MachineIx};
@@ -35,7 +35,7 @@
                 let view = node.view.borrow();
                 let mut d = Draft::default();
                 plan::settle(&view, &node.rules, &mut d);
-                idle = plan::claim(&view, &node.rules, &mut d, now);
+                idle = plan::claim(&view, &node.rules, &mut d, now, wall_ms());
                 if now.since(lowered) > 2000 {
                     plan::lower_shares(&view, &node.rules, &mut d);
                     lowered = now;
@@ -245,7 +245,7 @@
 
 /// Binds the tasks of a job just accepted here to machines, wherever their queues are.
 pub fn bind_job(node: &Rc<Node>, ix: JobIx) {
-    let bound = plan::bind(&node.view.borrow(), &node.rules, ix, node.now());
+    let bound = plan::bind(&node.view.borrow(), &node.rules, ix, node.now(), wall_ms());
     let mut remote: HashMap<String, Vec<(String, TaskRef)>> = HashMap::new();
     for (task, mix) in bound {
         let (job, owner, name) = {
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines: one duty with one fenced owner.
 
-use super::node::Node;
-use super::plan::{self, Draft};
+use super::node::{wall_ms, Node};
+use super::plan::{self, Draft, Rules};
 use super::siblings;
 use super::store::{set, Outcome};
 use crate::bookkeeping::fleet::Machine;
@@ -95,9 +95,11 @@
 /// What to rent so that waiting tasks find room: machines per pool.
 pub fn wanted(
     view: &View,
+    rules: &Rules,
     supply: &mut Vec<Supply>,
     blocked: &HashSet<Pool>,
     now: Ms,
+    wall_ms: u64,
 ) -> BTreeMap<Pool, u32> {
     let mut out: BTreeMap<Pool, u32> = BTreeMap::new();
     for d in demands(view, now) {
@@ -143,6 +145,7 @@
                 let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
                 ok(&s.pool, &per_zone)
                     && spec.need.fits(s.free)
+                    && !plan::leaves_alone(rules, job, &spec, s.pool.spot, whole(view, s), wall_ms)
                     && here.is_none_or(|(mix, m)| plan::allowed(view, job, d.ix, &spec, mix, m))
             });
             if let Some(s) = found {
@@ -151,7 +154,9 @@
                 continue;
             }
             let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
-                ok(p, &per_zone) && !blocked.contains(p)
+                ok(p, &per_zone)
+                    && !blocked.contains(p)
+                    && !plan::leaves_alone(rules, job, &spec, p.spot, true, wall_ms)
             }) else {
                 break;
             };
@@ -170,6 +175,10 @@
     out
 }
 
+fn whole(view: &View, s: &Supply) -> bool {
+    view.rigs.get(&s.pool.rig).is_some_and(|r| r.room == s.free)
+}
+
 /// The pool with the least cost for a task; boot time counts a little.
 fn cheapest(view: &View, need: &Res, tasks: u32, ok: impl Fn(&Pool) -> bool) -> Option<Pool> {
     let mut best: Option<(f64, Pool)> = None;
@@ -755,7 +764,7 @@
     let plan = {
         let view = node.view.borrow();
         let mut have = supply(&view, desk, node.rules.silent_ms, now);
-        wanted(&view, &mut have, &blocked, now)
+        wanted(&view, &node.rules, &mut have, &blocked, now, wall_ms())
     };
     let mut list = Vec::new();
     for (pool, count) in plan.into_iter().take(AT_ONCE) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -176,6 +176,8 @@
     pub steal_after_s: f64,
     /// An idle machine is returned after this time.
     pub idle_return_s: f64,
+    /// Work for spot machines takes empty ordinary ones after this wait.
+    pub spot_patience_s: f64,
     /// Shards per zone.
     pub shards_per_zone: usize,
 }
@@ -188,6 +190,7 @@
             gang_hold_s: 10.0,
             steal_after_s: 2.0,
             idle_return_s: 45.0,
+            spot_patience_s: 45.0,
             shards_per_zone: 2,
         }
     }
@@ -276,7 +279,12 @@
         )?;
         check(path, o.polls <= 64, "polls must be at most 64")?;
         check(path, o.queue_cap <= 64, "queue_cap must be at most 64")?;
-        let times = [o.gang_hold_s, o.steal_after_s, o.idle_return_s];
+        let times = [
+            o.gang_hold_s,
+            o.steal_after_s,
+            o.idle_return_s,
+            o.spot_patience_s,
+        ];
         check(
             path,
             times.iter().all(|t| t.is_finite() && *t >= 0.0),
