Keep room for work expected while a machine boots

Conclusion: kept with headroom 1.0 and headroom_ordinary 0.6, expected spot work rented as spot only. An idle machine that expected work needs is not returned.

--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -9,9 +9,12 @@
 use crate::protocol::users::{JobSpec, Shape};
 use rmpv::Value;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
+/// Arrivals remembered for the rate of each class.
+const MAX_ARRIVALS: usize = 256;
+
 /// All keys of the service start with this.
 pub const ROOT: &str = "ph/";
 
@@ -158,6 +161,10 @@
     pub suspects: HashSet<JobIx>,
     /// Per job: machines on which it failed, and the earliest next try.
     pub failures: HashMap<JobIx, (HashSet<MachineIx>, Ms)>,
+    /// Jobs that came lately: time of day, ms, and description.
+    pub arrivals: VecDeque<(u64, Rc<Spec>)>,
+    /// Time of day of the first job known.
+    pub opened: Option<u64>,
     /// Shards per zone.
     pub shards_per_zone: usize,
     /// This process' machine types were read from the state service.
@@ -410,6 +417,14 @@
                 }
             },
         };
+        if ix.at() == self.jobs.len() {
+            self.opened = Some(self.opened.map_or(rec.submitted, |o| o.min(rec.submitted)));
+            self.arrivals
+                .extend(spec.iter().map(|s| (rec.submitted, s.clone())));
+            while self.arrivals.len() > MAX_ARRIVALS {
+                self.arrivals.pop_front();
+            }
+        }
         let placements = rec
             .placements
             .iter()
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -119,6 +119,8 @@
             steal_ms: ms_of(operator.steal_after_s),
             gang_hold_ms: ms_of(operator.gang_hold_s),
             spot_patience_ms: ms_of(operator.spot_patience_s),
+            headroom: operator.headroom,
+            headroom_ordinary: operator.headroom_ordinary,
             txn_ops: s.state.txn_ops,
             value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
         };
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -31,6 +31,10 @@
     pub gang_hold_ms: u64,
     /// Wait after which work for spot machines takes empty ordinary ones, ms.
     pub spot_patience_ms: u64,
+    /// Part of the spot work expected during a boot that has room kept for it.
+    pub headroom: f64,
+    /// The same for other work.
+    pub headroom_ordinary: f64,
     /// Changes in a transaction.
     pub txn_ops: usize,
     /// Size of a record.
@@ -388,19 +392,12 @@
 
 /// True if a task that may run on spot machines should leave this one alone for now: an
 /// empty ordinary machine is what work that may not use spot machines waits for.
-pub fn leaves_alone(
-    rules: &Rules,
-    job: &Job,
-    spec: &Spec,
-    spot: bool,
-    empty: bool,
-    wall_ms: u64,
-) -> bool {
+pub fn leaves_alone(rules: &Rules, spec: &Spec, waited_ms: u64, spot: bool, empty: bool) -> bool {
     spec.wire.spot
         && !spot
         && empty
         && spec.rank() > Rank::High
-        && wall_ms.saturating_sub(job.submitted) < rules.spot_patience_ms
+        && waited_ms < rules.spot_patience_ms
 }
 
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
@@ -433,7 +430,13 @@
             && s.need.fits(room)
             && job.size() + 44 < rules.value_bytes
             && allowed(view, job, ix, s, mix, m)
-            && !leaves_alone(rules, job, s, m.spot, is_empty(view, m, room), wall_ms)
+            && !leaves_alone(
+                rules,
+                s,
+                wall_ms.saturating_sub(job.submitted),
+                m.spot,
+                is_empty(view, m, room),
+            )
     };
     let mut pulled: HashSet<MachineIx> = HashSet::new();
     let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
@@ -752,6 +755,7 @@
             *per_zone.entry(z).or_default() += 1;
         }
     }
+    let waited = wall_ms.saturating_sub(job.submitted);
     let mut out = Vec::new();
     for task in job.waiting() {
         let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
@@ -759,8 +763,7 @@
             .iter()
             .filter_map(|(mix, m)| {
                 let room = *free.get(mix)?;
-                let alone =
-                    leaves_alone(rules, job, &spec, m.spot, is_empty(view, m, room), wall_ms);
+                let alone = leaves_alone(rules, &spec, waited, m.spot, is_empty(view, m, room));
                 let good = zone_ok(m) && spec.need.fits(room) && !alone;
                 good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
             })
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -5,6 +5,7 @@
 use super::siblings;
 use super::store::{set, Outcome};
 use crate::bookkeeping::fleet::Machine;
+use crate::bookkeeping::job::{Job, Spec};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, ZoneIx};
 use crate::bookkeeping::units::{ms_of, Ms, Res};
 use crate::bookkeeping::view::{BookingRecord, View, ROOT};
@@ -19,6 +20,10 @@
 const CALL_MS: u64 = 3000;
 /// Most machines in one request.
 const MOST_AT_ONCE: u32 = 25;
+/// Time over which arrivals are counted.
+const ARRIVALS_MS: u64 = 150_000;
+/// Jobs that came this soon after the first are the backlog of the opening.
+const BACKLOG_MS: u64 = 10_000;
 /// Most requests side by side.
 const AT_ONCE: usize = 4;
 
@@ -44,13 +49,14 @@
     pub machine: Option<MachineIx>,
 }
 
-/// What waits, one entry a job.
+/// What needs room: tasks of a job that waits, or of one that is expected (no index).
 struct Demand {
-    ix: JobIx,
+    ix: Option<JobIx>,
+    spec: Rc<Spec>,
     tasks: u32,
 }
 
-/// How many of a job's waiting tasks its team's limit lets run now.
+/// How many of each job's waiting tasks its team's limit lets run now.
 fn demands(view: &View, now: Ms) -> Vec<Demand> {
     let mut room: Vec<(i64, i64)> = Vec::new();
     for (t, l) in view.team_limits.iter().enumerate() {
@@ -64,7 +70,7 @@
         let left = |most: i64, used: i64| if most == 0 { i64::MAX } else { most - used };
         room.push((left(l.most.0, used.0), left(l.most.1, used.1)));
     }
-    let mut jobs: Vec<(JobIx, &crate::bookkeeping::job::Job)> = view
+    let mut jobs: Vec<(JobIx, &Job)> = view
         .active_jobs()
         .filter(|(_, j)| j.waiting_count() > 0)
         .filter(|(ix, _)| view.failures.get(ix).is_none_or(|(_, until)| now >= *until))
@@ -86,13 +92,70 @@
             continue;
         }
         if tasks > 0 {
-            out.push(Demand { ix, tasks });
+            out.push(Demand {
+                ix: Some(ix),
+                spec: s.clone(),
+                tasks,
+            });
         }
     }
     out
 }
 
-/// What to rent so that waiting tasks find room: machines per pool.
+/// Room for jobs that are likely to come while a machine boots, by what came lately.
+fn expected(view: &View, rules: &Rules, wall_ms: u64) -> Vec<Demand> {
+    let mut classes: BTreeMap<&str, (u32, u32, Rc<Spec>)> = BTreeMap::new();
+    let Some(first) = view.opened else {
+        return Vec::new();
+    };
+    // What is there when the service opens is a backlog, not a rate.
+    let from = wall_ms.saturating_sub(ARRIVALS_MS).max(first + BACKLOG_MS);
+    let span = wall_ms.saturating_sub(from).max(60_000);
+    for (at, spec) in view.arrivals.iter().filter(|(at, _)| *at >= from) {
+        let _ = at;
+        let class = classes
+            .entry(spec.wire.class.as_str())
+            .or_insert((0, 0, spec.clone()));
+        class.0 += 1;
+        class.1 += spec.tasks();
+        class.2 = spec.clone();
+    }
+    let boot_ms = view
+        .rigs
+        .values()
+        .map(|r| ms_of(r.flavor.boot_s))
+        .max()
+        .unwrap_or(0);
+    let mut out = Vec::new();
+    for (jobs, tasks, spec) in classes.into_values() {
+        let part = if spec.wire.spot {
+            rules.headroom
+        } else {
+            rules.headroom_ordinary
+        };
+        let per_boot = f64::from(tasks) * boot_ms as f64 / span as f64;
+        let tasks = (per_boot * part).round() as u32;
+        if jobs > 0 && tasks > 0 {
+            out.push(Demand {
+                ix: None,
+                spec,
+                tasks: tasks.min(32),
+            });
+        }
+    }
+    out
+}
+
+/// What to rent, and which machines are needed.
+#[derive(Default)]
+pub struct Wanted {
+    /// Machines to rent, per pool.
+    pub rent: BTreeMap<Pool, u32>,
+    /// Machines that waiting or expected tasks need.
+    pub needed: HashSet<MachineIx>,
+}
+
+/// What to rent so that waiting and expected tasks find room.
 pub fn wanted(
     view: &View,
     rules: &Rules,
@@ -100,70 +163,69 @@
     blocked: &HashSet<Pool>,
     now: Ms,
     wall_ms: u64,
-) -> BTreeMap<Pool, u32> {
-    let mut out: BTreeMap<Pool, u32> = BTreeMap::new();
-    for d in demands(view, now) {
-        let job = &view.jobs[d.ix.at()];
-        let Some(spec) = job.spec.clone() else {
-            continue;
-        };
+) -> Wanted {
+    let mut out = Wanted::default();
+    let spares = expected(view, rules, wall_ms);
+    for d in demands(view, now).into_iter().chain(spares) {
+        let spec = &d.spec;
+        let job = d.ix.map(|ix| (ix, &view.jobs[ix.at()]));
         let mut per_zone: HashMap<ZoneIx, u32> = HashMap::new();
-        for p in &job.placements {
+        for p in job.iter().flat_map(|(_, j)| &j.placements) {
             if let Some(z) = view.shard_zone(p.shard) {
                 *per_zone.entry(z).or_default() += 1;
             }
         }
+        // Expected jobs are many: what binds the tasks of one to a zone does not bind theirs.
+        let one_zone = spec.wire.one_zone && job.is_some();
+        let cap = if job.is_some() {
+            spec.zone_cap()
+        } else {
+            u32::MAX
+        };
         let kind_ok = |p: &Pool| {
             spec.rigs.as_ref().is_none_or(|r| r.contains(&p.rig))
                 && spec.zone.is_none_or(|z| z == p.zone)
                 && (spec.wire.spot || !p.spot)
         };
+        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.submitted));
+        let alone = |spot: bool, empty: bool| plan::leaves_alone(rules, spec, waited, spot, empty);
         let zone_ok = |per: &HashMap<ZoneIx, u32>, z: ZoneIx| {
-            per.get(&z).copied().unwrap_or(0) < spec.zone_cap()
-                && (!spec.wire.one_zone || per.keys().all(|k| *k == z))
+            per.get(&z).copied().unwrap_or(0) < cap && (!one_zone || per.keys().all(|k| *k == z))
         };
-        // A gang that must be in one zone: the zone with the most room for it.
-        let only = (spec.wire.one_zone && spec.is_wide_gang()).then(|| {
-            let mut zones: Vec<(u32, ZoneIx)> = (0..view.zone_names.len())
-                .map(ZoneIx::new)
-                .map(|z| {
-                    let fit = supply
-                        .iter()
-                        .filter(|s| s.pool.zone == z && kind_ok(&s.pool) && spec.need.fits(s.free))
-                        .count();
-                    (fit as u32, z)
-                })
-                .collect();
-            zones.sort();
-            zones.last().map(|z| z.1)
-        });
+        // A gang that must be in one zone: where it can be complete, with the most room now.
+        let only = (one_zone && spec.is_wide_gang())
+            .then(|| gang_zone(view, supply, spec, |p| kind_ok(p) && !blocked.contains(p)))
+            .flatten();
         for _ in 0..d.tasks {
             let ok = |p: &Pool, per: &HashMap<ZoneIx, u32>| {
-                kind_ok(p) && zone_ok(per, p.zone) && only.flatten().is_none_or(|z| z == p.zone)
+                kind_ok(p) && zone_ok(per, p.zone) && only.is_none_or(|z| z == p.zone)
             };
             let found = supply.iter_mut().find(|s| {
                 let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
                 ok(&s.pool, &per_zone)
                     && spec.need.fits(s.free)
-                    && !plan::leaves_alone(rules, job, &spec, s.pool.spot, whole(view, s), wall_ms)
-                    && here.is_none_or(|(mix, m)| plan::allowed(view, job, d.ix, &spec, mix, m))
+                    && !alone(s.pool.spot, whole(view, s))
+                    && here
+                        .zip(job)
+                        .is_none_or(|((mix, m), (ix, j))| plan::allowed(view, j, ix, spec, mix, m))
             });
             if let Some(s) = found {
                 s.free = s.free.minus(spec.need);
                 *per_zone.entry(s.pool.zone).or_default() += 1;
+                out.needed.extend(s.machine);
                 continue;
             }
             let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
-                ok(p, &per_zone)
-                    && !blocked.contains(p)
-                    && !plan::leaves_alone(rules, job, &spec, p.spot, true, wall_ms)
+                // Room for what may come is rented only at the low price, if it may be.
+                let dear = job.is_none() && spec.wire.spot && !p.spot;
+                ok(p, &per_zone) && !blocked.contains(p) && !alone(p.spot, true) && !dear
             }) else {
                 break;
             };
             let Some(rig) = view.rigs.get(&pool.rig) else {
                 break;
             };
-            *out.entry(pool).or_default() += 1;
+            *out.rent.entry(pool).or_default() += 1;
             *per_zone.entry(pool.zone).or_default() += 1;
             supply.push(Supply {
                 pool,
@@ -175,6 +237,36 @@
     out
 }
 
+/// The zone for a gang that must be in one.
+fn gang_zone(
+    view: &View,
+    supply: &[Supply],
+    spec: &Spec,
+    open: impl Fn(&Pool) -> bool,
+) -> Option<ZoneIx> {
+    let zones = (0..view.zone_names.len()).map(ZoneIx::new);
+    zones
+        .filter(|z| spec.zone.is_none_or(|only| only == *z))
+        .max_by_key(|z| {
+            let fit: u32 = supply
+                .iter()
+                .filter(|s| {
+                    s.pool.zone == *z && (spec.wire.spot || !s.pool.spot) && spec.need.fits(s.free)
+                })
+                .count() as u32;
+            let more = view.rigs.keys().any(|rig| {
+                [false, true].into_iter().any(|spot| {
+                    open(&Pool {
+                        rig: *rig,
+                        zone: *z,
+                        spot,
+                    })
+                })
+            });
+            (fit >= spec.tasks() || more, fit)
+        })
+}
+
 fn whole(view: &View, s: &Supply) -> bool {
     view.rigs.get(&s.pool.rig).is_some_and(|r| r.room == s.free)
 }
@@ -239,6 +331,7 @@
     booked_at: HashMap<String, Ms>,
     owner_since: Option<Ms>,
     token: u64,
+    needed: HashSet<MachineIx>,
 }
 
 /// Duty: rents and returns machines while this node owns the renting shard.
@@ -339,8 +432,8 @@
     }
     repeat_bookings(node, desk).await;
     clear_bookings(node, desk, lag_ms).await;
-    release(node, desk).await;
     rent(node, desk).await;
+    release(node, desk).await;
 }
 
 async fn read_list(node: &Rc<Node>) -> Option<Vec<Listed>> {
@@ -559,6 +652,15 @@
         let (Some(mix), Some(m)) = (mix, m) else {
             continue;
         };
+        // A list may show a deleted machine for some time.
+        if m.gone
+            && desk
+                .released
+                .get(&h.name)
+                .is_some_and(|t| now.since(*t) < 30_000)
+        {
+            continue;
+        }
         let boot = view.rigs.get(&m.rig).map_or(60.0, |r| r.flavor.boot_s);
         let owner_here = node.rules.owns(&view, m.shard);
         let owner = view.live_owner(m.shard);
@@ -582,6 +684,7 @@
             dead.push((h.name.clone(), "silent"));
         } else if !placed.contains_key(&mix)
             && m.heard.is_some()
+            && !desk.needed.contains(&mix)
             && m.idle_since.is_some_and(|t| now.since(t) > idle_ms)
             && m.held.is_none_or(|(_, until)| now > until)
         {
@@ -767,7 +870,8 @@
         wanted(&view, &node.rules, &mut have, &blocked, now, wall_ms())
     };
     let mut list = Vec::new();
-    for (pool, count) in plan.into_iter().take(AT_ONCE) {
+    desk.needed = plan.needed;
+    for (pool, count) in plan.rent.into_iter().take(AT_ONCE) {
         desk.counter += 1;
         let view = node.view.borrow();
         let rec = BookingRecord {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -178,6 +178,10 @@
     pub idle_return_s: f64,
     /// Work for spot machines takes empty ordinary ones after this wait.
     pub spot_patience_s: f64,
+    /// Part of the spot work expected during a boot that has room kept for it.
+    pub headroom: f64,
+    /// The same for work that may not use spot machines.
+    pub headroom_ordinary: f64,
     /// Shards per zone.
     pub shards_per_zone: usize,
 }
@@ -191,6 +195,8 @@
             steal_after_s: 2.0,
             idle_return_s: 45.0,
             spot_patience_s: 45.0,
+            headroom: 1.0,
+            headroom_ordinary: 0.6,
             shards_per_zone: 2,
         }
     }
@@ -284,11 +290,13 @@
             o.steal_after_s,
             o.idle_return_s,
             o.spot_patience_s,
+            o.headroom,
+            o.headroom_ordinary,
         ];
         check(
             path,
             times.iter().all(|t| t.is_finite() && *t >= 0.0),
-            "times must not be negative",
+            "times and parts must not be negative",
         )?;
         Ok(o)
     }
