--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -1,6 +1,6 @@
 //! Membership: the node's leased key, and who owns which shard.
 
-use super::node::Node;
+use super::node::{Node, Outside};
 use super::plan::Rules;
 use super::store::{set, Outcome};
 use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
@@ -207,6 +207,7 @@
             }
         }
         note_owned(&node);
+        node.note_served(Outside::State, node.store_ok());
         crate::transport::pause(TICK_MS).await;
     }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -92,6 +92,8 @@
     pub fresh: Signal,
     /// Last time the state service served a request.
     pub store_served: Cell<Option<Ms>>,
+    /// Whether the state service and the cloud were last seen to serve, for the log.
+    pub served: [Cell<bool>; 2],
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
     /// Runs the routines.
@@ -99,6 +101,15 @@
     started: Instant,
 }
 
+/// A service outside, by its place in [`Node::served`].
+#[derive(Clone, Copy, Debug)]
+pub enum Outside {
+    /// The state service.
+    State,
+    /// The cloud.
+    Cloud,
+}
+
 /// Time of day, ms.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
@@ -121,6 +132,8 @@
             spot_patience_ms: ms_of(operator.spot_patience_s),
             headroom: operator.headroom,
             headroom_ordinary: operator.headroom_ordinary,
+            // Clocks differ by up to 0.05%; the rest is for delivery and for timers that fire late.
+            dead_ms: ms_of(s.workers.lease_s * 1.002) + 2000,
             txn_ops: s.state.txn_ops,
             value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
         };
@@ -143,6 +156,7 @@
             plan: Signal::default(),
             fresh: Signal::default(),
             store_served: Cell::new(None),
+            served: [Cell::new(false), Cell::new(false)],
             owned_since: RefCell::new(HashMap::new()),
             ex,
             started: Instant::now(),
@@ -196,6 +210,21 @@
         self.view.borrow().loaded && (self.store_ok() || !others())
     }
 
+    /// Logs when a service outside goes and comes back.
+    pub fn note_served(&self, who: Outside, served: bool) {
+        let name = match who {
+            Outside::State => "state service",
+            Outside::Cloud => "cloud",
+        };
+        if self.served[who as usize].replace(served) != served {
+            if served {
+                log::info!("the {name} serves");
+            } else {
+                log::warn!("the {name} does not serve");
+            }
+        }
+    }
+
     /// A peer by name.
     pub fn peer(&self, name: &str) -> Option<&Peer> {
         self.peers.iter().find(|p| p.name == name)
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -35,6 +35,8 @@
     pub headroom: f64,
     /// The same for other work.
     pub headroom_ordinary: f64,
+    /// Silence after which a worker that only this owner answered has killed its tasks, ms.
+    pub dead_ms: u64,
     /// Changes in a transaction.
     pub txn_ops: usize,
     /// Size of a record.
@@ -125,6 +127,15 @@
         && !may_start_late(m, token, a)
 }
 
+/// True if the worker's lease has run out under this owner.
+///
+/// It has accepted this owner's token, so no older owner's answer renews its lease, and a
+/// younger owner would make the transaction fail that rests on this. Its tasks are dead and
+/// whatever was sent to its session runs no more. For a new owner time alone proves nothing.
+pub fn lease_over(m: &Machine, token: u64, dead_ms: u64, now: Ms) -> bool {
+    token > 0 && m.token == token && m.heard.is_some_and(|h| now.since(h) > dead_ms)
+}
+
 /// True if a direct start that was not answered may still take effect.
 pub fn may_start_late(m: &Machine, token: u64, a: Attempt) -> bool {
     m.late_starts
@@ -133,7 +144,7 @@
 }
 
 /// Takes what reports and deletions prove into the draft.
-pub fn settle(view: &View, rules: &Rules, draft: &mut Draft) {
+pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
     for (ix, job) in view.active_jobs() {
         if view.suspects.contains(&ix) {
             // A write with an unknown outcome may still be applied: writing the
@@ -157,9 +168,9 @@
             }
             let token = view.shards[m.shard.at()].rec.token;
             let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
-            let lost = exit.is_none()
-                && proven_absent(m, token, a)
-                && (unwanted(job, m, a) || m.shown.contains(&a));
+            let absent =
+                proven_absent(m, token, a) && (unwanted(job, m, a) || m.shown.contains(&a));
+            let lost = exit.is_none() && (absent || lease_over(m, token, rules.dead_ms, now));
             if exit.is_none() && !lost {
                 continue;
             }
@@ -787,6 +798,117 @@
     out
 }
 
+/// Attempts to be stopped on machines of one shard, to make room for work of a higher
+/// priority that finds none anywhere.
+///
+/// The shards take turns, so that no two owners stop work for the same task.
+pub fn preempt(
+    view: &View,
+    rules: &Rules,
+    turn: ShardIx,
+    now: Ms,
+    wall_ms: u64,
+) -> Vec<(MachineIx, Attempt, f64)> {
+    let mut out = Vec::new();
+    if !rules.owns(view, turn) {
+        return out;
+    }
+    let mut free = free_room(view, &Draft::default());
+    for (mix, m) in view.all_machines() {
+        // What is being stopped is room already.
+        for a in m.stopping.keys() {
+            let spec = view.jobs[a.0.at()].spec.as_ref();
+            if let (Some(s), Some(f), Some(_)) = (spec, free.get_mut(&mix), m.seen(*a)) {
+                *f = f.plus(s.need);
+            }
+        }
+    }
+    for w in waiting_jobs(view, &Draft::default(), now) {
+        let job = &view.jobs[w.ix.at()];
+        let patience = match w.rank {
+            Rank::Production => 1500,
+            Rank::High => 4000,
+            _ => continue,
+        };
+        let limits = &view.team_limits[w.spec.team.at()];
+        let used = (0..view.shards.len())
+            .map(|s| view.paid(w.spec.team, ShardIx::new(s)))
+            .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        let fits_limit = limits.allows((used.0 + w.spec.need.cpu, used.1 + w.spec.need.gpu));
+        if wall_ms.saturating_sub(job.submitted) < patience || !fits_limit || out.len() >= 8 {
+            continue;
+        }
+        let good = |mix: MachineIx, m: &Machine| {
+            m.takes(now, rules.silent_ms) && allowed(view, job, w.ix, &w.spec, mix, m)
+        };
+        let room = view
+            .all_machines()
+            .find(|(mix, m)| good(*mix, m) && free.get(mix).is_some_and(|f| w.spec.need.fits(*f)));
+        if let Some((mix, _)) = room {
+            if let Some(f) = free.get_mut(&mix) {
+                *f = f.minus(w.spec.need);
+            }
+            continue;
+        }
+        let mut best: Option<(usize, MachineIx, Vec<Attempt>, Res)> = None;
+        for (mix, m) in view.all_machines() {
+            if m.shard != turn || !good(mix, m) {
+                continue;
+            }
+            let mut left = free.get(&mix).copied().unwrap_or_default();
+            let mut victims = Vec::new();
+            for t in victims_on(view, m, w.rank) {
+                if w.spec.need.fits(left) {
+                    break;
+                }
+                if let Some(s) = &view.jobs[t.0.at()].spec {
+                    left = left.plus(s.need);
+                    victims.push(t);
+                }
+            }
+            let better = best.as_ref().is_none_or(|(n, ..)| victims.len() < *n);
+            if w.spec.need.fits(left) && better {
+                best = Some((victims.len(), mix, victims, left));
+            }
+        }
+        if let Some((_, mix, victims, left)) = best {
+            free.insert(mix, left.minus(w.spec.need));
+            out.extend(victims.into_iter().map(|a| {
+                let grace = view.jobs[a.0.at()]
+                    .spec
+                    .as_ref()
+                    .map_or(0.0, |s| s.wire.save_s + 1.0);
+                (mix, a, grace)
+            }));
+        }
+    }
+    out
+}
+
+/// Tasks of a lower priority on a machine, the cheapest to stop first: those that still
+/// fetch, then those that save. Others lose their work and are left alone, but for replicas.
+fn victims_on(view: &View, m: &Machine, rank: Rank) -> Vec<Attempt> {
+    let mut out: Vec<(u8, Rank, Attempt)> = m
+        .tasks
+        .iter()
+        .filter_map(|t| {
+            let ix = t.job?;
+            let a = (ix, t.task, t.attempt);
+            let s = view.jobs[ix.at()].spec.as_ref()?;
+            let cost = match t.state {
+                TaskState::Fetching => 0,
+                TaskState::Running if s.wire.checkpoint_s > 0.0 => 1,
+                TaskState::Running if rank == Rank::Production => 2,
+                _ => return None,
+            };
+            let may = s.rank() > rank && !s.is_wide_gang() && !m.stopping.contains_key(&a);
+            may.then_some((cost, s.rank(), a))
+        })
+        .collect();
+    out.sort_by_key(|(cost, r, a)| (*cost, std::cmp::Reverse(*r), *a));
+    out.into_iter().map(|x| x.2).collect()
+}
+
 /// Orders for a machine in answer to its newest report. Notes the starts it sends.
 pub fn orders(view: &mut View, rules: &Rules, mix: MachineIx) -> Vec<Order> {
     let Some(m) = view.machine(mix) else {
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -3,7 +3,7 @@
 use super::node::{wall_ms, Node};
 use super::plan::{self, Draft, Push};
 use super::store::Outcome;
-use crate::bookkeeping::names::{Index, JobIx, MachineIx};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx};
 use crate::bookkeeping::units::Ms;
 use crate::protocol::peers::{Ask, Reply, TaskRef};
 use crate::protocol::workers::{Commands, Report};
@@ -34,7 +34,7 @@
             let draft = {
                 let view = node.view.borrow();
                 let mut d = Draft::default();
-                plan::settle(&view, &node.rules, &mut d);
+                plan::settle(&view, &node.rules, &mut d, now);
                 idle = plan::claim(&view, &node.rules, &mut d, now, wall_ms());
                 if now.since(lowered) > 2000 {
                     plan::lower_shares(&view, &node.rules, &mut d);
@@ -275,6 +275,27 @@
     }
 }
 
+/// Time a shard has for its turn at preemption.
+const TURN_MS: u64 = 2000;
+
+/// Marks work to be stopped for work of a higher priority.
+pub fn make_room(node: &Node) {
+    let (now, wall) = (node.now(), wall_ms());
+    let mut view = node.view.borrow_mut();
+    let turn = ShardIx::new((wall / TURN_MS) as usize % (view.shards.len() - 1));
+    for (mix, a, grace) in plan::preempt(&view, &node.rules, turn, now, wall) {
+        log::info!(
+            "{}/{} on {} makes room for work of a higher priority",
+            view.jobs[a.0.at()].id,
+            a.1,
+            view.machine_names.name(mix)
+        );
+        if let Some(m) = view.machine_mut(mix) {
+            m.stopping.insert(a, grace);
+        }
+    }
+}
+
 /// Drops queue entries that no longer wait.
 pub fn sweep_queues(node: &Node) {
     let mut view = node.view.borrow_mut();
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -1,6 +1,6 @@
 //! Renting and returning machines: one duty with one fenced owner.
 
-use super::node::{wall_ms, Node};
+use super::node::{wall_ms, Node, Outside};
 use super::plan::{self, Draft, Rules};
 use super::siblings;
 use super::store::{set, Outcome};
@@ -449,14 +449,18 @@
             Ok(f) if f.status == 200 => f,
             Ok(f) => {
                 log::debug!("machine list refused with {}", f.status);
+                // 429 is our own haste, not the cloud's trouble.
+                node.note_served(Outside::Cloud, f.status == 429);
                 return None;
             }
             Err(e) => {
                 log::debug!("machine list: {e}");
+                node.note_served(Outside::Cloud, false);
                 node.cloud.reset();
                 return None;
             }
         };
+        node.note_served(Outside::Cloud, true);
         let page: HostList = rmp_serde::from_slice(&f.body).ok()?;
         out.extend(page.hosts);
         match out.last() {
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -138,6 +138,13 @@
             m.heard = Some(now);
         }
         m.spot = r.spot;
+        if m.leaves.is_none() && r.notice_s.is_some() {
+            log::info!(
+                "machine {} is taken in {:.0} s",
+                m.name,
+                r.notice_s.unwrap_or(0.0)
+            );
+        }
         m.leaves = r.notice_s.map(|s| now.plus(ms_of(s)));
         m.tasks = tasks;
         let shown: Vec<Attempt> = m
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -16,6 +16,7 @@
         crate::transport::pause(NEWS_MS).await;
         planner::sweep_queues(&node);
         hold_for_gangs(&node);
+        planner::make_room(&node);
         let now = node.now();
         let machines: Vec<MachineNews> = {
             let view = node.view.borrow();
