--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -102,8 +102,6 @@
     pub failed_jobs: HashSet<JobIx>,
     /// Suspected to be faulty.
     pub sick: bool,
-    /// Images of tasks that were seen past their fetch here.
-    pub warm: HashSet<ImageIx>,
     /// Images last used, newest last.
     pub images: Vec<(ImageIx, f64)>,
     /// Since when nothing is placed on it.
@@ -146,7 +144,6 @@
             gone: false,
             failed_jobs: HashSet::new(),
             sick: false,
-            warm: HashSet::new(),
             images: Vec::new(),
             idle_since: None,
         }
@@ -182,8 +179,7 @@
         }
         self.images.push((image, gb));
         while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > cache_gb {
-            let (lost, _) = self.images.remove(0);
-            self.warm.remove(&lost);
+            self.images.remove(0);
         }
     }
 }
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -6,7 +6,7 @@
 
 use crate::bookkeeping::fleet::{Attempt, LateStart, Machine};
 use crate::bookkeeping::job::{Job, Placement, Spec};
-use crate::bookkeeping::names::{ImageIx, Index, JobIx, MachineIx, ShardIx, TeamIx, ZoneIx};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, TeamIx, ZoneIx};
 use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::{TeamRecord, View};
 use crate::protocol::users::{Rank, Shape};
@@ -371,17 +371,15 @@
 ///
 /// Fetching an image is time lost. Room that nothing else can use once the task is
 /// there is lost too, and spot machines are for the work that may run on them.
-pub fn misfit(view: &View, spec: &Spec, m: &Machine, free: Res, fetching_gb: f64) -> i64 {
+pub fn misfit(view: &View, spec: &Spec, m: &Machine, free: Res) -> i64 {
     let Some(rig) = view.rigs.get(&m.rig) else {
         return i64::MAX;
     };
-    // Fetches share the rate; an image that is on its way is half there on average.
-    let gb = if m.has_image(spec.image) {
-        fetching_gb * 0.5
+    let fetch = if m.has_image(spec.image) {
+        0.0
     } else {
-        spec.wire.image_gb + fetching_gb
+        spec.wire.image_gb / rig.flavor.fetch_gb_per_s.max(0.01)
     };
-    let fetch = gb / rig.flavor.fetch_gb_per_s.max(0.01);
     let whole = rig.room;
     let left = free.minus(spec.need);
     let part = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
@@ -403,39 +401,6 @@
     view.rigs.get(&m.rig).is_some_and(|r| r.room == free)
 }
 
-/// What machines are fetching now, in GB: images of tasks that do not run yet.
-fn fetches(view: &View, draft: &Draft) -> HashMap<MachineIx, Vec<(ImageIx, f64)>> {
-    let mut out: HashMap<MachineIx, Vec<(ImageIx, f64)>> = HashMap::new();
-    for (ix, _) in view.active_jobs() {
-        let job = draft.job(view, ix);
-        let Some(s) = &job.spec else { continue };
-        for p in &job.placements {
-            let Some(m) = view.machine(p.machine) else {
-                continue;
-            };
-            let seen = m.seen((ix, p.task, p.attempt));
-            // An image that was there before its task came is not fetched again.
-            let cached = seen.is_none() && m.warm.contains(&s.image);
-            if !cached && seen.is_none_or(|t| t.state == TaskState::Fetching) {
-                note_fetch(out.entry(p.machine).or_default(), s);
-            }
-        }
-    }
-    out
-}
-
-fn note_fetch(list: &mut Vec<(ImageIx, f64)>, s: &Spec) {
-    if !list.iter().any(|(i, _)| *i == s.image) {
-        list.push((s.image, s.wire.image_gb));
-    }
-}
-
-fn fetching_gb(fetches: &HashMap<MachineIx, Vec<(ImageIx, f64)>>, mix: MachineIx) -> f64 {
-    fetches
-        .get(&mix)
-        .map_or(0.0, |l| l.iter().map(|(_, gb)| gb).sum())
-}
-
 /// True if a task that may run on spot machines should leave this one alone for now: an
 /// empty ordinary machine is what work that may not use spot machines waits for.
 pub fn leaves_alone(rules: &Rules, spec: &Spec, waited_ms: u64, spot: bool, empty: bool) -> bool {
@@ -484,7 +449,6 @@
                 is_empty(view, m, room),
             )
     };
-    let mut fetching = fetches(view, draft);
     let mut pulled: HashSet<MachineIx> = HashSet::new();
     let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
     for rank in ranks {
@@ -521,13 +485,8 @@
                     .iter()
                     .filter_map(|(mix, m)| {
                         let room = *free.get(mix)?;
-                        fits(draft, room, w.ix, &w.spec, *mix, m).then(|| {
-                            (
-                                misfit(view, &w.spec, m, room, fetching_gb(&fetching, *mix)),
-                                *mix,
-                                *m,
-                            )
-                        })
+                        fits(draft, room, w.ix, &w.spec, *mix, m)
+                            .then(|| (misfit(view, &w.spec, m, room), *mix, *m))
                     })
                     .min_by_key(|(cost, mix, _)| (*cost, *mix));
                 let Some((_, mix, m)) = best else { break };
@@ -545,9 +504,6 @@
                 if let Some(f) = free.get_mut(&mix) {
                     *f = f.minus(w.spec.need);
                 }
-                if !m.has_image(w.spec.image) {
-                    note_fetch(fetching.entry(mix).or_default(), &w.spec);
-                }
                 pulled.insert(mix);
             }
         }
@@ -811,7 +767,6 @@
         }
     }
     let waited = wall_ms.saturating_sub(job.submitted);
-    let fetching = fetches(view, &Draft::default());
     let mut out = Vec::new();
     for task in job.waiting() {
         let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
@@ -821,12 +776,7 @@
                 let room = *free.get(mix)?;
                 let alone = leaves_alone(rules, &spec, waited, m.spot, is_empty(view, m, room));
                 let good = zone_ok(m) && spec.need.fits(room) && !alone;
-                good.then(|| {
-                    (
-                        misfit(view, &spec, m, room, fetching_gb(&fetching, *mix)),
-                        (*mix, *m),
-                    )
-                })
+                good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
             })
             .min_by_key(|(cost, (mix, _))| (*cost, *mix))
             .map(|(_, chosen)| chosen);
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -3,7 +3,7 @@
 use super::node::Node;
 use super::plan;
 use crate::bookkeeping::fleet::{Attempt, Seen};
-use crate::bookkeeping::names::{ImageIx, Index, JobIx, MachineIx};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
 use crate::protocol::workers::{split_task, Elsewhere, Report, ReportAnswer, TaskState, Why};
@@ -106,11 +106,6 @@
             })
         })
         .collect();
-    let warm: Vec<ImageIx> = tasks
-        .iter()
-        .filter(|t| matches!(t.state, TaskState::Running | TaskState::Waiting))
-        .filter_map(|t| Some(view.jobs[t.job?.at()].spec.as_ref()?.image))
-        .collect();
     let mut failed: Vec<JobIx> = Vec::new();
     {
         let Some(m) = view.machine_mut(mix) else {
@@ -157,7 +152,6 @@
             .iter()
             .filter_map(|s| Some((s.job?, s.task, s.attempt)))
             .collect();
-        m.warm.extend(warm);
         m.shown.extend(shown);
         let (token, session) = (r.token, r.session);
         m.late_starts
