--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -797,7 +797,7 @@
 }
 
 /// Everything rented, as supply for what waits.
-fn supply(view: &View, desk: &Desk, silent_ms: u64, now: Ms) -> Vec<Supply> {
+pub fn supply(view: &View, list: &HashMap<String, Listed>, silent_ms: u64, now: Ms) -> Vec<Supply> {
     let free = plan::free_room(view, &Draft::default());
     let booked: HashSet<&str> = view
         .bookings
@@ -807,7 +807,7 @@
     let mut out = Vec::new();
     for (mix, m) in view.all_machines() {
         let name = &*m.name;
-        let listed = desk.listed.get(name);
+        let listed = list.get(name);
         let up = m.takes(now, silent_ms);
         let coming = m.heard.is_none()
             && !m.gone
@@ -870,7 +870,7 @@
         .collect();
     let plan = {
         let view = node.view.borrow();
-        let mut have = supply(&view, desk, node.rules.silent_ms, now);
+        let mut have = supply(&view, &desk.listed, node.rules.silent_ms, now);
         wanted(&view, &node.rules, &mut have, &blocked, now, wall_ms())
     };
     let mut list = Vec::new();
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -2,7 +2,8 @@
 
 use super::node::Node;
 use super::plan::Draft;
-use crate::bookkeeping::names::Index;
+use crate::bookkeeping::job::Job;
+use crate::bookkeeping::names::{Index, JobIx};
 use crate::bookkeeping::view::{View, ROOT};
 use crate::protocol::state::{Changes, Committed, Condition, Page, Transaction, Write};
 use crate::transport::http::{jittered, Fetched};
@@ -71,62 +72,9 @@
 
     /// Commits a draft and takes it over into the view.
     pub async fn commit_draft(&self, draft: &Draft) -> Outcome {
-        let mut txn = Transaction::default();
-        {
-            let view = self.view.borrow();
-            let mut condition = |key: &str, version| {
-                txn.conditions.push(Condition {
-                    key: key.to_string(),
-                    version,
-                })
-            };
-            for ix in draft.jobs.keys() {
-                condition(
-                    &View::job_key(&view.jobs[ix.at()].id),
-                    view.jobs[ix.at()].version,
-                );
-            }
-            for s in &draft.shards {
-                condition(&view.shard_key(*s), view.shards[s.at()].version);
-            }
-            for t in draft.teams.keys() {
-                condition(&view.team_key(*t), view.teams[t.at()].version);
-            }
-            for job in draft.jobs.values() {
-                txn.writes
-                    .extend(set(View::job_key(&job.id), &view.record(job), None));
-            }
-            for (t, rec) in &draft.teams {
-                txn.writes.extend(set(view.team_key(*t), rec, None));
-            }
-        }
+        let txn = transaction(&self.view.borrow(), draft);
         let outcome = self.commit(&txn).await;
-        let mut view = self.view.borrow_mut();
-        match &outcome {
-            Outcome::Done(revision) => {
-                for job in draft.jobs.values() {
-                    let rec = view.record(job);
-                    view.put_job(&job.id, *revision, &rec);
-                }
-                for (t, rec) in &draft.teams {
-                    let slot = &mut view.teams[t.at()];
-                    if slot.version < *revision {
-                        slot.version = *revision;
-                        slot.rec = rec.clone();
-                    }
-                }
-            }
-            Outcome::Unknown => {
-                let changed: Vec<_> = draft
-                    .jobs
-                    .iter()
-                    .filter(|(ix, j)| view.jobs[ix.at()].version == j.version)
-                    .map(|(ix, _)| *ix)
-                    .collect();
-                view.suspects.extend(changed);
-            }
-            _ => {}
-        }
+        conclude(&mut self.view.borrow_mut(), draft, &outcome);
         outcome
     }
 
@@ -207,6 +155,61 @@
     }
 }
 
+/// The transaction of a draft: conditional on every record it changes or rests on.
+pub fn transaction(view: &View, draft: &Draft) -> Transaction {
+    let mut txn = Transaction::default();
+    let mut condition = |key: String, version| txn.conditions.push(Condition { key, version });
+    for ix in draft.jobs.keys() {
+        let job = &view.jobs[ix.at()];
+        condition(View::job_key(&job.id), job.version);
+    }
+    for s in &draft.shards {
+        condition(view.shard_key(*s), view.shards[s.at()].version);
+    }
+    for t in draft.teams.keys() {
+        condition(view.team_key(*t), view.teams[t.at()].version);
+    }
+    for job in draft.jobs.values() {
+        txn.writes
+            .extend(set(View::job_key(&job.id), &view.record(job), None));
+    }
+    for (t, rec) in &draft.teams {
+        txn.writes.extend(set(view.team_key(*t), rec, None));
+    }
+    txn
+}
+
+/// Takes the outcome of a draft over into the view.
+pub fn conclude(view: &mut View, draft: &Draft, outcome: &Outcome) {
+    match outcome {
+        Outcome::Done(revision) => {
+            for job in draft.jobs.values() {
+                let rec = view.record(job);
+                view.put_job(&job.id, *revision, &rec);
+            }
+            for (t, rec) in &draft.teams {
+                let slot = &mut view.teams[t.at()];
+                if slot.version < *revision {
+                    slot.version = *revision;
+                    slot.rec = rec.clone();
+                }
+            }
+        }
+        // It may still be applied, until the records have other versions.
+        Outcome::Unknown => {
+            let unchanged = |(ix, j): &(&JobIx, &Job)| view.jobs[ix.at()].version == j.version;
+            let doubtful: Vec<JobIx> = draft
+                .jobs
+                .iter()
+                .filter(unchanged)
+                .map(|(ix, _)| *ix)
+                .collect();
+            view.suspects.extend(doubtful);
+        }
+        Outcome::Conflict(_) | Outcome::Refused(_) => {}
+    }
+}
+
 /// A put, if the value can be stored.
 pub fn set<T: serde::Serialize>(key: String, value: &T, lease: Option<u64>) -> Option<Write> {
     // By way of bytes: the same named maps that the service reads back.
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -23,6 +23,8 @@
     pub method: Method,
     /// Path.
     pub path: String,
+    /// Query, without the question mark.
+    pub query: String,
     /// Body; `None` if it is too large or broken.
     pub body: Option<Vec<u8>>,
 }
@@ -138,6 +140,7 @@
                     let incoming = Incoming {
                         method: req.method(),
                         path: req.url().path().to_string(),
+                        query: req.url().query().unwrap_or("").to_string(),
                         body,
                     };
                     Ok(to_response(handler(incoming).await, close))
--- /dev/null
+++ b/tests/renting.rs
@@ -0,0 +1,154 @@
+//! What is rented, and what is not rented twice.
+
+mod support;
+
+use pointhook::bookkeeping::names::{Index, RigIx, ZoneIx};
+use pointhook::bookkeeping::units::{Ms, Res};
+use pointhook::bookkeeping::view::{BookingRecord, ROOT};
+use pointhook::coordination::renting::{supply, wanted, Pool, Supply, Wanted};
+use pointhook::coordination::store::{set, Outcome};
+use pointhook::protocol::state::Transaction;
+use pointhook::protocol::users::Shape;
+use std::collections::{HashMap, HashSet};
+use support::controller::Controller;
+use support::job;
+use support::store::Store;
+
+fn ready() -> (Store, Controller) {
+    let mut store = Store::default();
+    let mut c = Controller::start("n1", 1, &mut store, 0);
+    c.members(&mut store, 0);
+    (store, c)
+}
+
+fn oven(c: &Controller) -> RigIx {
+    c.view.rig_names.find("oven").unwrap()
+}
+
+fn empty(c: &Controller, zone: usize, spot: bool) -> Supply {
+    Supply {
+        pool: Pool {
+            rig: oven(c),
+            zone: ZoneIx::new(zone),
+            spot,
+        },
+        free: Res::new(16.0, 4.0, 64.0),
+        machine: None,
+    }
+}
+
+fn plan(c: &Controller, mut supply: Vec<Supply>, blocked: &[Pool]) -> Wanted {
+    let blocked: HashSet<Pool> = blocked.iter().copied().collect();
+    wanted(&c.view, &c.rules, &mut supply, &blocked, Ms(1000), 1000)
+}
+
+#[test]
+fn waiting_tasks_get_as_many_machines_as_they_fill() {
+    let (mut store, mut c) = ready();
+    c.submit(&mut store, job("job-1", 10), 0);
+    let w = plan(&c, Vec::new(), &[]);
+    assert_eq!(w.rent.values().sum::<u32>(), 3);
+    assert!(w.rent.keys().all(|p| p.spot));
+}
+
+#[test]
+fn machines_on_their_way_are_not_rented_again() {
+    let (mut store, mut c) = ready();
+    c.submit(&mut store, job("job-1", 4), 0);
+    let coming = vec![empty(&c, 0, true)];
+    assert!(plan(&c, coming, &[]).rent.is_empty());
+}
+
+#[test]
+fn what_may_not_use_spot_gets_ordinary_machines() {
+    let (mut store, mut c) = ready();
+    let mut spec = job("job-1", 1);
+    spec.spot = false;
+    c.submit(&mut store, spec, 0);
+    let w = plan(&c, vec![empty(&c, 0, true)], &[]);
+    assert_eq!(w.rent.len(), 1);
+    assert!(w.rent.keys().all(|p| !p.spot));
+}
+
+#[test]
+fn a_gang_of_one_zone_goes_where_it_can_be_complete() {
+    let (mut store, mut c) = ready();
+    let mut spec = job("job-1", 3);
+    spec.shape = Shape::Gang;
+    spec.one_zone = true;
+    spec.spot = false;
+    spec.vcpus = 16.0;
+    c.submit(&mut store, spec, 0);
+    // Two fit in the north, but nothing more is to be had there.
+    let none = Pool {
+        rig: oven(&c),
+        zone: ZoneIx(0),
+        spot: false,
+    };
+    let w = plan(&c, vec![empty(&c, 0, false), empty(&c, 0, false)], &[none]);
+    assert_eq!(w.rent.values().sum::<u32>(), 3);
+    assert!(w.rent.keys().all(|p| p.zone == ZoneIx(1)));
+}
+
+#[test]
+fn a_team_at_its_limit_rents_nothing_more() {
+    let (mut store, mut c) = ready();
+    let mut spec = job("job-1", 40);
+    spec.team = "mixers".into();
+    c.submit(&mut store, spec, 0);
+    let w = plan(&c, Vec::new(), &[]);
+    assert_eq!(w.rent.values().sum::<u32>(), 1);
+}
+
+#[test]
+fn replicas_are_spread_over_the_zones() {
+    let (mut store, mut c) = ready();
+    let mut spec = job("job-1", 2);
+    spec.shape = Shape::Service;
+    spec.spread = true;
+    spec.spot = false;
+    c.submit(&mut store, spec, 0);
+    let zones: HashSet<ZoneIx> = plan(&c, Vec::new(), &[])
+        .rent
+        .keys()
+        .map(|p| p.zone)
+        .collect();
+    assert_eq!(zones.len(), 2);
+}
+
+#[test]
+fn bookings_count_before_the_list_shows_their_machines() {
+    let (mut store, mut c) = ready();
+    c.submit(&mut store, job("job-1", 8), 0);
+    let mut rec = BookingRecord {
+        rig: "oven".into(),
+        zone: "north".into(),
+        spot: true,
+        count: 2,
+        hosts: Vec::new(),
+    };
+    let put = |c: &mut Controller, store: &mut Store, rec: &BookingRecord| {
+        let txn = Transaction {
+            conditions: Vec::new(),
+            writes: set(format!("{ROOT}book/b-1-1"), rec, None)
+                .into_iter()
+                .collect(),
+        };
+        assert!(matches!(Controller::send(store, &txn, 0), Outcome::Done(_)));
+        c.sync(store);
+    };
+    // Asked for, but not answered: it may have rented all it asks for.
+    put(&mut c, &mut store, &rec);
+    let list = HashMap::new();
+    let have = supply(&c.view, &list, 4000, Ms(1000));
+    assert_eq!(have.len(), 2);
+    assert!(plan(&c, have, &[]).rent.is_empty());
+    // Answered with one machine, which the list does not show yet.
+    rec.hosts = vec!["n-000007".into()];
+    put(&mut c, &mut store, &rec);
+    c.view
+        .learn_machine("n-000007", "oven", "north", true, Ms(1000));
+    let have = supply(&c.view, &list, 4000, Ms(1000));
+    assert_eq!(have.len(), 1);
+    assert_eq!(plan(&c, have, &[]).rent.values().sum::<u32>(), 1);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,786 @@
+//! What must never happen, against scripted peers and a clock that only the test moves.
+
+mod support;
+
+use pointhook::bookkeeping::job::JobState;
+use pointhook::bookkeeping::names::{Index, ShardIx, TeamIx, ZoneIx};
+use pointhook::bookkeeping::units::Ms;
+use pointhook::bookkeeping::view::{View, ROOT};
+use pointhook::coordination::plan::{self, Draft};
+use pointhook::coordination::reports;
+use pointhook::coordination::store::{conclude, transaction, Outcome};
+use pointhook::protocol::users::{Rank, Shape};
+use pointhook::protocol::workers::Order;
+use support::controller::{commands, Controller};
+use support::job;
+use support::store::Store;
+use support::worker::Worker;
+
+fn one() -> (Store, Controller) {
+    let mut store = Store::default();
+    let mut c = Controller::start("n1", 1, &mut store, 0);
+    assert_eq!(c.members(&mut store, 0), 3);
+    (store, c)
+}
+
+fn starts(orders: &[Order]) -> usize {
+    orders
+        .iter()
+        .filter(|o| matches!(o, Order::Start { .. }))
+        .count()
+}
+
+/// Lets workers report every half second.
+fn play(c: &mut Controller, store: &mut Store, workers: &mut [&mut Worker], from: u64, to: u64) {
+    for now in (from..to).step_by(500) {
+        for w in workers.iter_mut() {
+            c.visit(store, w, now);
+        }
+    }
+}
+
+#[test]
+fn an_array_runs_to_its_end_and_leaves_nothing_behind() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 6), 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 20_000);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+    assert!(c.job("job-1").settled());
+    assert_eq!(w.started.len(), 6);
+    assert!(w.report(20_000).tasks.is_empty());
+}
+
+#[test]
+fn a_transaction_of_a_deposed_owner_fails_after_the_take_over() {
+    let (mut store, mut old) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    old.visit(&mut store, &mut w, 0);
+    old.submit(&mut store, job("job-1", 1), 10);
+    let draft = old.draft(20);
+    assert_eq!(draft.claims, 1);
+    let late = transaction(&old.view, &draft);
+    // Its lease ends; another node takes the shards; then the packet arrives.
+    store.end_lease(old.lease);
+    let mut new = Controller::start("s1", 2, &mut store, 30);
+    assert_eq!(new.members(&mut store, 30), 3);
+    assert!(matches!(
+        Controller::send(&mut store, &late, 40),
+        Outcome::Conflict(_)
+    ));
+}
+
+#[test]
+fn a_restart_within_the_lease_inherits_nothing() {
+    let (mut store, mut old) = one();
+    let mut new = Controller::start("n1", 2, &mut store, 100);
+    assert!(!new.owns(0));
+    assert_eq!(new.members(&mut store, 100), 3);
+    assert!(new.owns(0));
+    assert_eq!(new.view.shards[0].rec.token, 2);
+    old.sync(&store);
+    assert!(!old.owns(0));
+}
+
+#[test]
+fn a_move_fails_if_the_target_has_restarted_since() {
+    let (mut store, c) = one();
+    let target = Controller::start("s1", 5, &mut store, 0);
+    let mut c = c;
+    c.sync(&store);
+    let m = pointhook::coordination::members::Move {
+        shard: ShardIx(1),
+        to: "s1".into(),
+    };
+    let (txn, _) = pointhook::coordination::members::move_transaction(&c.view, &m).unwrap();
+    store.end_lease(target.lease);
+    Controller::start("s1", 6, &mut store, 10);
+    assert!(matches!(
+        Controller::send(&mut store, &txn, 20),
+        Outcome::Conflict(_)
+    ));
+}
+
+#[test]
+fn two_nodes_that_accept_the_same_job_make_one() {
+    let (mut store, mut a) = one();
+    let mut b = Controller::start("s1", 2, &mut store, 0);
+    assert!(matches!(
+        a.submit(&mut store, job("job-1", 1), 1),
+        Outcome::Done(_)
+    ));
+    assert!(matches!(
+        b.submit(&mut store, job("job-1", 1), 2),
+        Outcome::Conflict(_)
+    ));
+    assert_eq!(b.job("job-1").version, a.job("job-1").version);
+}
+
+#[test]
+fn two_claims_of_one_task_make_one_placement() {
+    let (mut store, mut north) = one();
+    let mut south = Controller::start("s1", 2, &mut store, 0);
+    store.end_lease(north.lease);
+    south.sync(&store);
+    south.members(&mut store, 0);
+    // The old owner has not noticed yet and still claims.
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    let spec = job("job-1", 1);
+    assert!(matches!(
+        south.submit(&mut store, spec, 0),
+        Outcome::Done(_)
+    ));
+    south.visit(&mut store, &mut w2, 10);
+    north.visit(&mut store, &mut w1, 20);
+    assert_eq!(w1.started.len() + w2.started.len(), 1);
+}
+
+#[test]
+fn a_start_without_an_answer_holds_back_the_forget() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    c.visit(&mut store, &mut w, 500);
+    c.submit(&mut store, job("job-1", 1), 600);
+    c.plan(&mut store, 600);
+    let pushed = c.pushes(600);
+    assert_eq!(pushed.len(), 1);
+    // No answer comes. The next report's answer starts the task; it runs and ends.
+    play(&mut c, &mut store, &mut [&mut w], 1000, 12_000);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+    // The exited attempt must still be known to the worker when the late start arrives.
+    assert_eq!(w.command(&commands(&pushed[0]), 12_000), 200);
+    assert!(!w.has("job-1/0"));
+    assert_eq!(w.started.len(), 1);
+    // Raising the token shuts the late start out, and then the attempt may be forgotten.
+    assert_eq!(c.members(&mut store, 13_000), 1);
+    play(&mut c, &mut store, &mut [&mut w], 13_500, 16_000);
+    assert!(w.report(16_000).tasks.is_empty());
+    assert_eq!(w.command(&commands(&pushed[0]), 16_100), 409);
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn an_answer_to_commands_proves_no_absence() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    c.submit(&mut store, job("job-1", 1), 100);
+    // The start is in the answer to this report, which is still on its way.
+    let r = w.report(500);
+    let answer = c.report(&mut store, &r, 500).unwrap();
+    assert_eq!(starts(&answer.orders), 1);
+    c.cancel(&mut store, "job-1", 600);
+    // A newer message without the task, sent before the answer arrived.
+    let other = w.report(700);
+    let mix = c.machine("m1");
+    reports::take(&mut c.view, mix, &other, Ms(700), false);
+    c.plan(&mut store, 700);
+    assert_eq!(c.job("job-1").placements.len(), 1);
+    assert!(w.answered(&answer, r.session, 500, 800));
+    assert!(w.has("job-1/0"));
+    // Then a report shows it, and it is stopped.
+    play(&mut c, &mut store, &mut [&mut w], 1000, 2500);
+    assert!(!w.has("job-1/0"));
+    assert!(c.job("job-1").settled());
+}
+
+#[test]
+fn a_cancel_against_a_start_in_flight_ends_the_task() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    c.submit(&mut store, job("job-1", 2), 100);
+    let r = w.report(500);
+    let answer = c.report(&mut store, &r, 500).unwrap();
+    assert!(matches!(
+        c.cancel(&mut store, "job-1", 550),
+        Outcome::Done(_)
+    ));
+    w.answered(&answer, r.session, 500, 600);
+    assert!(w.has("job-1/1"));
+    play(&mut c, &mut store, &mut [&mut w], 1000, 3000);
+    assert!(!w.has("job-1/0") && !w.has("job-1/1"));
+    assert_eq!(c.job("job-1").state, JobState::Cancelled);
+}
+
+#[test]
+fn a_cancelled_job_stays_cancelled_when_its_tasks_complete() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 100;
+    w.fetch_ms = 0;
+    c.submit(&mut store, job("job-1", 1), 0);
+    c.visit(&mut store, &mut w, 0);
+    c.cancel(&mut store, "job-1", 50);
+    play(&mut c, &mut store, &mut [&mut w], 1000, 3000);
+    assert_eq!(c.job("job-1").state, JobState::Cancelled);
+}
+
+#[test]
+fn done_is_never_taken_back_after_a_crash_of_all() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 1), 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 9000);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+    let mut next = Controller::start("n1", 2, &mut store, 9000);
+    next.members(&mut store, 9000);
+    play(&mut next, &mut store, &mut [&mut w], 9500, 12_000);
+    assert_eq!(View::status(next.job("job-1")).0, "done");
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn an_unfinished_job_goes_on_after_a_crash_of_all() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 6), 0);
+    c.visit(&mut store, &mut w, 0);
+    let mut next = Controller::start("n1", 2, &mut store, 1000);
+    next.members(&mut store, 1000);
+    play(&mut next, &mut store, &mut [&mut w], 1500, 16_000);
+    assert_eq!(next.job("job-1").state, JobState::Done);
+    assert_eq!(w.started.len(), 6);
+}
+
+#[test]
+fn a_team_stays_within_its_limit_under_two_claimers() {
+    let (mut store, mut north) = one();
+    let mut south = Controller::start("s1", 2, &mut store, 0);
+    north.sync(&store);
+    // Settled for long: the south shard is handed over.
+    let m = pointhook::coordination::members::Move {
+        shard: ShardIx(1),
+        to: "s1".into(),
+    };
+    let (txn, _) = pointhook::coordination::members::move_transaction(&north.view, &m).unwrap();
+    assert!(matches!(
+        Controller::send(&mut store, &txn, 0),
+        Outcome::Done(_)
+    ));
+    north.sync(&store);
+    south.sync(&store);
+    let mut spec = job("job-1", 8);
+    spec.team = "mixers".into();
+    north.submit(&mut store, spec, 0);
+    south.sync(&store);
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    let r1 = w1.report(10);
+    let r2 = w2.report(10);
+    let (m1, m2) = (
+        north
+            .view
+            .learn_machine("m1", "oven", "north", true, Ms(10))
+            .unwrap(),
+        south
+            .view
+            .learn_machine("m2", "oven", "south", true, Ms(10))
+            .unwrap(),
+    );
+    reports::take(&mut north.view, m1, &r1, Ms(10), true);
+    reports::take(&mut south.view, m2, &r2, Ms(10), true);
+    // Both decide on the same view; only one of the raises can be applied.
+    let (a, b) = (north.draft(10), south.draft(10));
+    assert!(a.claims == 2 && b.claims == 2);
+    let (ta, tb) = (transaction(&north.view, &a), transaction(&south.view, &b));
+    assert!(matches!(
+        Controller::send(&mut store, &ta, 11),
+        Outcome::Done(_)
+    ));
+    assert!(matches!(
+        Controller::send(&mut store, &tb, 11),
+        Outcome::Conflict(_)
+    ));
+    south.sync(&store);
+    assert_eq!(south.draft(12).claims, 0);
+}
+
+#[test]
+fn unused_share_flows_back_and_used_share_does_not() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    let mut spec = job("job-1", 3);
+    spec.team = "mixers".into();
+    c.submit(&mut store, spec, 0);
+    c.visit(&mut store, &mut w, 0);
+    let team = TeamIx(1);
+    assert_eq!(c.view.teams[1].rec.share(ShardIx(0)), (8000, 2000));
+    let mut d = Draft::default();
+    plan::lower_shares(&c.view, &c.rules, &mut d);
+    assert!(d.teams.is_empty());
+    // Another shard's share that nothing uses goes, since a task waits.
+    let mut rec = c.view.teams[1].rec.clone();
+    rec.set(ShardIx(0), (8000, 2500));
+    c.view.teams[1].rec = rec;
+    plan::lower_shares(&c.view, &c.rules, &mut d);
+    assert_eq!(d.teams[&team].share(ShardIx(0)), (8000, 2000));
+}
+
+#[test]
+fn a_claim_of_unknown_outcome_blocks_its_team_until_it_is_shut_out() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    let mut spec = job("job-1", 2);
+    spec.team = "mixers".into();
+    c.submit(&mut store, spec.clone(), 0);
+    let first = c.draft(10);
+    assert_eq!(first.claims, 2);
+    let late = transaction(&c.view, &first);
+    conclude(&mut c.view, &first, &Outcome::Unknown);
+    spec.id = "job-2".into();
+    c.submit(&mut store, spec, 20);
+    let d = c.draft(30);
+    assert_eq!(d.claims, 0);
+    // The pass writes the doubtful record once more; then the late one can't be applied.
+    assert!(d.jobs.contains_key(&c.job_ix("job-1")));
+    c.plan(&mut store, 30);
+    assert!(matches!(
+        Controller::send(&mut store, &late, 40),
+        Outcome::Conflict(_)
+    ));
+    let placed: usize = ["job-1", "job-2"]
+        .iter()
+        .map(|j| c.job(j).placements.len())
+        .sum();
+    assert_eq!(placed, 2);
+}
+
+#[test]
+fn same_place_counts_an_old_attempt_until_it_is_gone() {
+    let (mut store, mut c) = one();
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    let mut spec = job("job-1", 5);
+    spec.one_zone = true;
+    c.submit(&mut store, spec, 0);
+    c.visit(&mut store, &mut w1, 0);
+    assert_eq!(w1.started.len(), 4);
+    c.visit(&mut store, &mut w2, 100);
+    assert_eq!(w2.started.len(), 0);
+    // The north machine stops talking; its tasks may still be there.
+    c.visit(&mut store, &mut w2, 5000);
+    assert_eq!(w2.started.len(), 0);
+}
+
+#[test]
+fn scatter_holds_with_old_attempts_present() {
+    let (mut store, mut c) = one();
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    let mut spec = job("job-1", 3);
+    spec.shape = Shape::Service;
+    spec.spread = true;
+    c.submit(&mut store, spec, 0);
+    c.visit(&mut store, &mut w1, 0);
+    assert_eq!(w1.started.len(), 2);
+    c.visit(&mut store, &mut w2, 100);
+    assert_eq!(w2.started.len(), 1);
+}
+
+#[test]
+fn a_task_of_a_silent_machine_waits_for_the_lease() {
+    let (mut store, mut c) = one();
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "north", 0));
+    w1.run_ms = 60_000;
+    c.visit(&mut store, &mut w1, 0);
+    c.submit(&mut store, job("job-1", 1), 100);
+    c.visit(&mut store, &mut w1, 500);
+    c.visit(&mut store, &mut w1, 1500);
+    assert!(w1.has("job-1/0"));
+    for now in (2000..13_000).step_by(500) {
+        c.visit(&mut store, &mut w2, now);
+        assert!(w2.started.is_empty(), "started elsewhere at {now}");
+    }
+    // Lease, drift and margin after the last answer.
+    play(&mut c, &mut store, &mut [&mut w2], 13_500, 16_000);
+    assert_eq!(w2.started.len(), 1);
+    w1.advance(13_500);
+    assert!(!w1.has("job-1/0"));
+}
+
+#[test]
+fn time_proves_nothing_to_a_new_owner() {
+    let (mut store, mut c) = one();
+    let mut w1 = Worker::new("m1", "north", 0);
+    w1.run_ms = 60_000;
+    c.visit(&mut store, &mut w1, 0);
+    c.submit(&mut store, job("job-1", 1), 100);
+    c.visit(&mut store, &mut w1, 500);
+    let mut next = Controller::start("n1", 2, &mut store, 1000);
+    next.members(&mut store, 1000);
+    let mut w2 = Worker::new("m2", "north", 0);
+    play(&mut next, &mut store, &mut [&mut w2], 1500, 60_000);
+    assert!(w2.started.is_empty());
+    // The cloud's word does.
+    let mix = next
+        .view
+        .learn_machine("m1", "oven", "north", true, Ms(60_000))
+        .unwrap();
+    next.view.machine_mut(mix).unwrap().gone = true;
+    play(&mut next, &mut store, &mut [&mut w2], 60_000, 62_000);
+    assert_eq!(w2.started.len(), 1);
+}
+
+#[test]
+fn a_new_session_starts_lost_tasks_again() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 3000;
+    c.submit(&mut store, job("job-1", 2), 0);
+    c.visit(&mut store, &mut w, 0);
+    c.visit(&mut store, &mut w, 1500);
+    w.advance(12_000);
+    assert_eq!(w.session, 2);
+    play(&mut c, &mut store, &mut [&mut w], 12_000, 22_000);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+    assert_eq!(w.started.len(), 4);
+}
+
+#[test]
+fn a_late_report_of_before_changes_nothing() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 1), 0);
+    let held = w.report(0);
+    c.visit(&mut store, &mut w, 100);
+    c.visit(&mut store, &mut w, 1000);
+    assert!(w.has("job-1/0"));
+    let before = c.job("job-1").clone();
+    let a = c.report(&mut store, &held, 8000).unwrap();
+    assert!(a.orders.is_empty());
+    assert_eq!(c.job("job-1").placements, before.placements);
+    let heard = c.view.machine(c.machine("m1")).unwrap().heard;
+    assert_eq!(heard, Some(Ms(1000)));
+}
+
+#[test]
+fn a_node_that_sees_a_higher_token_stands_down() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.token = 9;
+    assert!(!c.visit(&mut store, &mut w, 0));
+    assert_eq!(w.started.len(), 0);
+}
+
+#[test]
+fn in_an_outage_the_owner_answers_and_hands_over_nothing_new() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 1), 0);
+    c.visit(&mut store, &mut w, 0);
+    c.submit(&mut store, job("job-2", 1), 100);
+    store.down = true;
+    for now in (500..20_000).step_by(500) {
+        assert!(c.visit(&mut store, &mut w, now), "not answered at {now}");
+    }
+    assert_eq!(w.session, 1);
+    assert_eq!(w.started.len(), 1);
+    store.down = false;
+    play(&mut c, &mut store, &mut [&mut w], 20_000, 28_000);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+    assert_eq!(c.job("job-2").state, JobState::Done);
+}
+
+#[test]
+fn an_outage_with_a_restart_of_all_loses_no_job() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 2), 0);
+    c.visit(&mut store, &mut w, 0);
+    store.down = true;
+    assert!(!c.sync(&store));
+    for now in (500..7500).step_by(500) {
+        // No process answers while all restart; the worker's lease runs on.
+        w.advance(now);
+    }
+    store.down = false;
+    let mut next = Controller::start("n1", 2, &mut store, 8000);
+    next.members(&mut store, 8000);
+    play(&mut next, &mut store, &mut [&mut w], 8500, 20_000);
+    assert_eq!(next.job("job-1").state, JobState::Done);
+}
+
+#[test]
+fn a_gang_starts_with_one_attempt_on_all_machines_or_not_at_all() {
+    let (mut store, mut c) = one();
+    let mut spec = job("job-1", 2);
+    spec.shape = Shape::Gang;
+    spec.vcpus = 16.0;
+    c.submit(&mut store, spec, 0);
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    c.visit(&mut store, &mut w1, 0);
+    assert!(w1.started.is_empty());
+    c.visit(&mut store, &mut w2, 100);
+    c.visit(&mut store, &mut w1, 500);
+    assert_eq!(w1.started.len() + w2.started.len(), 2);
+    assert_eq!(w1.started[0].1, w2.started[0].1);
+}
+
+#[test]
+fn a_gang_that_lost_a_member_is_stopped_and_tried_anew() {
+    let (mut store, mut c) = one();
+    let mut spec = job("job-1", 2);
+    spec.shape = Shape::Gang;
+    spec.vcpus = 16.0;
+    c.submit(&mut store, spec, 0);
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "north", 0));
+    w1.run_ms = 100_000;
+    w2.run_ms = 100_000;
+    play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 3000);
+    assert_eq!(c.job("job-1").placements.len(), 2);
+    let mix = c.machine("m1");
+    c.view.machine_mut(mix).unwrap().gone = true;
+    play(&mut c, &mut store, &mut [&mut w2], 3000, 5000);
+    assert!(!w2.has("job-1/0") && !w2.has("job-1/1"));
+    assert!(c.job("job-1").placements.is_empty());
+    let mut w3 = Worker::new("m3", "north", 0);
+    play(&mut c, &mut store, &mut [&mut w2, &mut w3], 5000, 7000);
+    assert_eq!(c.job("job-1").placements.len(), 2);
+    assert!(c.job("job-1").placements.iter().all(|p| p.attempt == 2));
+}
+
+#[test]
+fn two_gangs_do_not_hold_halves_of_what_both_need() {
+    let (mut store, mut c) = one();
+    for (id, at) in [("job-1", 0), ("job-2", 1)] {
+        let mut spec = job(id, 2);
+        spec.shape = Shape::Gang;
+        spec.vcpus = 16.0;
+        c.submit(&mut store, spec, at);
+    }
+    let mut busy = job("job-3", 2);
+    busy.vcpus = 16.0;
+    busy.gpus = 0.5;
+    busy.priority = Rank::High;
+    c.submit(&mut store, busy, 2);
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 1000);
+    let holds = plan::gang_holds(&c.view, &c.rules, Ms(1000), 10_000);
+    assert_eq!(holds.len(), 1);
+    assert_eq!(holds[0].0, c.job_ix("job-1"));
+    assert_eq!(holds[0].1.len(), 2);
+}
+
+#[test]
+fn a_machine_kept_for_a_gang_takes_no_other_work() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    c.submit(&mut store, job("job-1", 1), 100);
+    let (ix, mix) = (c.job_ix("job-1"), c.machine("m1"));
+    c.view.machine_mut(mix).unwrap().held = Some((ix, Ms(5000)));
+    assert_eq!(c.draft(1000).claims, 0);
+    assert_eq!(c.draft(3900).claims, 0);
+    c.visit(&mut store, &mut w, 5000);
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn a_machine_that_fails_different_jobs_gets_nothing_more() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.sick = true;
+    w.run_ms = 100;
+    w.fetch_ms = 0;
+    for id in ["job-1", "job-2", "job-3"] {
+        let mut spec = job(id, 1);
+        spec.gpus = 4.0;
+        c.submit(&mut store, spec, 0);
+    }
+    play(&mut c, &mut store, &mut [&mut w], 0, 6000);
+    assert_eq!(w.started.len(), 2);
+    assert!(c.view.machine(c.machine("m1")).unwrap().sick);
+}
+
+#[test]
+fn a_job_that_fails_everywhere_is_backed_off() {
+    let (mut store, mut c) = one();
+    let mut workers: Vec<Worker> = (0..4)
+        .map(|i| Worker::new(&format!("m{i}"), "north", 0))
+        .collect();
+    for w in &mut workers {
+        w.sick = true;
+        w.run_ms = 100;
+        w.fetch_ms = 0;
+    }
+    let mut all: Vec<&mut Worker> = workers.iter_mut().collect();
+    c.submit(&mut store, job("job-1", 1), 0);
+    play(&mut c, &mut store, &mut all, 0, 5000);
+    let tries: usize = workers.iter().map(|w| w.started.len()).sum();
+    assert_eq!(tries, 3);
+    assert!(c.view.all_machines().all(|(_, m)| !m.sick));
+}
+
+#[test]
+fn prod_work_without_room_stops_the_cheapest_work_below_it() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 100_000;
+    let mut saving = job("job-1", 1);
+    saving.checkpoint_s = 5.0;
+    saving.save_s = 2.0;
+    saving.vcpus = 8.0;
+    let mut losing = job("job-2", 1);
+    losing.vcpus = 8.0;
+    c.submit(&mut store, saving, 0);
+    c.submit(&mut store, losing, 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 3000);
+    let mut prod = job("job-3", 1);
+    prod.priority = Rank::Production;
+    prod.vcpus = 8.0;
+    c.submit(&mut store, prod, 3000);
+    assert!(plan::preempt(&c.view, &c.rules, ShardIx(1), Ms(5000), 5000).is_empty());
+    let stops = plan::preempt(&c.view, &c.rules, ShardIx(0), Ms(5000), 5000);
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].1 .0, c.job_ix("job-1"));
+    assert!(stops[0].2 >= 2.0);
+    // Work of the same priority stops nothing.
+    let mut same = job("job-4", 1);
+    same.vcpus = 8.0;
+    c.cancel(&mut store, "job-3", 5000);
+    c.submit(&mut store, same, 5000);
+    assert!(plan::preempt(&c.view, &c.rules, ShardIx(0), Ms(6000), 9000).is_empty());
+}
+
+#[test]
+fn work_for_spot_machines_leaves_empty_ordinary_ones_alone_for_a_while() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.spot = false;
+    c.submit(&mut store, job("job-1", 1), 0);
+    c.visit(&mut store, &mut w, 500);
+    assert!(w.started.is_empty());
+    c.visit(&mut store, &mut w, 10_500);
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn work_that_may_not_use_spot_never_does() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    let mut spec = job("job-1", 1);
+    spec.spot = false;
+    c.submit(&mut store, spec, 0);
+    let mut typed = job("job-2", 1);
+    typed.types = Some(vec!["kiln".into()]);
+    c.submit(&mut store, typed, 0);
+    let mut zoned = job("job-3", 1);
+    zoned.zone = Some("south".into());
+    c.submit(&mut store, zoned, 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 30_000);
+    assert!(w.started.is_empty());
+}
+
+#[test]
+fn a_machine_under_notice_gets_nothing_and_saves_what_can_be_saved() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 100_000;
+    let mut spec = job("job-1", 1);
+    spec.checkpoint_s = 5.0;
+    spec.save_s = 2.0;
+    c.submit(&mut store, spec, 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 3000);
+    c.submit(&mut store, job("job-2", 1), 3000);
+    let mut r = w.report(3000);
+    r.notice_s = Some(12.0);
+    let a = c.report(&mut store, &r, 3000).unwrap();
+    assert_eq!(starts(&a.orders), 0);
+    assert!(matches!(a.orders[0], Order::Stop { grace_s, .. } if grace_s >= 2.0));
+}
+
+#[test]
+fn a_task_on_the_machine_without_a_placement_is_stopped() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    let stray = pointhook::protocol::workers::ReportAnswer {
+        token: 0,
+        orders: vec![Order::Start {
+            piece: "job-77/0".into(),
+            attempt: 4,
+        }],
+    };
+    w.answered(&stray, 1, 0, 0);
+    play(&mut c, &mut store, &mut [&mut w], 500, 2500);
+    assert!(w.report(2500).tasks.is_empty());
+}
+
+#[test]
+fn a_deleted_node_does_not_come_back_with_an_old_watch() {
+    let (mut store, mut c) = one();
+    let other = Controller::start("s1", 2, &mut store, 0);
+    let (_, old) = store.watch(ROOT, 0);
+    let old = old.unwrap();
+    store.end_lease(other.lease);
+    c.sync(&store);
+    assert!(!c.view.nodes.contains_key("s1"));
+    c.view.take_changes(0, old.revision, &old.events);
+    assert!(!c.view.nodes.contains_key("s1"));
+}
+
+#[test]
+fn a_watch_that_is_too_old_is_replaced_by_a_full_read() {
+    let (mut store, mut c) = one();
+    store.kept_changes = 2;
+    let mut b = Controller::start("s1", 2, &mut store, 0);
+    for i in 0..6 {
+        b.submit(&mut store, job(&format!("job-{i}"), 1), 0);
+    }
+    assert_eq!(store.watch(ROOT, c.view.revision).0, 410);
+    assert!(c.sync(&store));
+    assert_eq!(c.view.active.len(), 6);
+}
+
+#[test]
+fn a_wide_job_stays_within_the_size_of_a_record() {
+    let (mut store, mut c) = one();
+    let mut spec = job("job-1", 100_000);
+    spec.vcpus = 0.01;
+    spec.gpus = 0.001;
+    spec.mem_gb = 0.01;
+    c.submit(&mut store, spec, 0);
+    let mut w = Worker::new("m1", "north", 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 20_000);
+    assert!(c.job("job-1").done.count() > 200);
+    let e = store.entry(&View::job_key("job-1")).unwrap();
+    assert!(e.v.to_string().len() <= store.value_bytes);
+}
+
+#[test]
+fn a_node_returns_shards_to_the_zone_they_belong_to() {
+    let (mut store, mut north) = one();
+    Controller::start("s1", 2, &mut store, 0);
+    north.sync(&store);
+    let at = |ms| Ms(ms);
+    let seen = std::collections::HashMap::from([(("s1".to_string(), 2), at(0))]);
+    let moves = |now| {
+        pointhook::coordination::members::moves(
+            &north.view,
+            &north.rules,
+            &north.zones,
+            &seen,
+            false,
+            now,
+        )
+    };
+    assert!(moves(at(1000)).is_empty());
+    let m = moves(at(3000));
+    assert_eq!(m.len(), 1);
+    assert_eq!((m[0].shard, m[0].to.as_str()), (ShardIx(1), "s1"));
+    assert_eq!(north.view.shard_zone(ShardIx::new(1)), Some(ZoneIx(1)));
+}
+
+#[test]
+fn writes_above_the_limit_are_refused_and_change_nothing() {
+    let (mut store, mut c) = one();
+    store.writes_per_s = 1.0;
+    let first = c.submit(&mut store, job("job-1", 1), 1000);
+    let second = c.submit(&mut store, job("job-2", 1), 1000);
+    assert!(matches!(first, Outcome::Done(_)));
+    assert_eq!(second, Outcome::Refused(429));
+    assert!(c.view.job("job-2").is_none());
+    assert!(matches!(
+        c.submit(&mut store, job("job-2", 1), 2500),
+        Outcome::Done(_)
+    ));
+}
--- /dev/null
+++ b/tests/support/cloud.rs
@@ -0,0 +1,92 @@
+//! The cloud: machine types, bookings that can be repeated, a list.
+
+use pointhook::protocol::cloud::{Booking, Flavor, Flavors, HostList, Listed};
+use std::collections::BTreeMap;
+
+/// A cloud with as many machines as anyone asks for, up to a limit.
+pub struct Cloud {
+    pub flavors: Flavors,
+    pub capacity: u32,
+    pub machines: BTreeMap<String, (Listed, u64)>,
+    answered: BTreeMap<String, Vec<String>>,
+    next: u32,
+}
+
+pub fn flavor() -> Flavor {
+    Flavor {
+        name: "oven".into(),
+        vcpus: 16.0,
+        gpus: 4.0,
+        mem_gb: 64.0,
+        cache_gb: 100.0,
+        fetch_gb_per_s: 1.0,
+        price: 4.0,
+        spot_price: 2.0,
+        boot_s: 20.0,
+        zones: vec!["north".into(), "south".into()],
+    }
+}
+
+impl Default for Cloud {
+    fn default() -> Self {
+        Cloud {
+            flavors: Flavors {
+                types: vec![flavor()],
+            },
+            capacity: 8,
+            machines: BTreeMap::new(),
+            answered: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl Cloud {
+    /// Machines rented; `None` is 503. A repeated name that got machines gets the same.
+    pub fn book(&mut self, b: &Booking, now_ms: u64) -> Option<Vec<String>> {
+        if let Some(a) = self.answered.get(&b.request) {
+            return Some(a.clone());
+        }
+        let left = self.capacity.saturating_sub(self.machines.len() as u32);
+        let count = b.count.min(left);
+        if count == 0 {
+            return None;
+        }
+        let mut names = Vec::new();
+        for _ in 0..count {
+            let name = format!("n-{:06}", self.next);
+            self.next += 1;
+            let listed = Listed {
+                name: name.clone(),
+                addr: "127.0.0.1:1".into(),
+                rig: b.rig.clone(),
+                zone: b.zone.clone(),
+                spot: b.spot,
+                status: "running".into(),
+                age_s: 0.0,
+            };
+            self.machines.insert(name.clone(), (listed, now_ms));
+            names.push(name);
+        }
+        self.answered.insert(b.request.clone(), names.clone());
+        Some(names)
+    }
+
+    pub fn release(&mut self, names: &[String]) {
+        for n in names {
+            self.machines.remove(n);
+        }
+    }
+
+    pub fn list(&self, now_ms: u64) -> HostList {
+        let hosts = self.machines.values().map(|(l, at)| {
+            let mut l = l.clone();
+            l.age_s = (now_ms - at) as f64 / 1000.0;
+            l
+        });
+        HostList {
+            hosts: hosts.collect(),
+            more: false,
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/controller.rs
@@ -0,0 +1,254 @@
+//! A controller without sockets: the same decisions, committed to the store stand-in.
+
+use super::cloud::flavor;
+use super::store::Store;
+use super::worker::Worker;
+use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
+use pointhook::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
+use pointhook::bookkeeping::units::Ms;
+use pointhook::bookkeeping::view::{NodeRecord, View, ROOT};
+use pointhook::coordination::plan::{self, Draft, Push, Rules};
+use pointhook::coordination::store::{conclude, set, transaction, Outcome};
+use pointhook::coordination::{members, reports};
+use pointhook::protocol::cloud::Flavors;
+use pointhook::protocol::state::{Condition, Transaction};
+use pointhook::protocol::users::JobSpec;
+use pointhook::protocol::workers::{Commands, Report, ReportAnswer};
+use pointhook::settings::Team;
+use std::collections::{BTreeMap, HashMap};
+
+pub struct Controller {
+    pub view: View,
+    pub rules: Rules,
+    pub lease: u64,
+    pub zones: BTreeMap<String, ZoneIx>,
+}
+
+pub fn team(name: &str, gpus_max: f64) -> Team {
+    Team {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max,
+    }
+}
+
+impl Controller {
+    /// A controller that has its key and knows the records.
+    pub fn start(name: &str, incarnation: u64, store: &mut Store, now: u64) -> Controller {
+        let zones = ["north".to_string(), "south".to_string()];
+        let view = View::new(&zones, &[team("ovens", 0.0), team("mixers", 2.0)], 1);
+        let rules = Rules {
+            node: name.into(),
+            incarnation,
+            silent_ms: 4000,
+            queue_cap: 2,
+            steal_ms: 2000,
+            gang_hold_ms: 5000,
+            spot_patience_ms: 10_000,
+            headroom: 0.0,
+            headroom_ordinary: 0.0,
+            dead_ms: 12_020,
+            txn_ops: store.txn_ops,
+            value_bytes: store.value_bytes * 9 / 10,
+        };
+        let mut c = Controller {
+            zones: BTreeMap::from([("n1".to_string(), ZoneIx(0)), ("s1".to_string(), ZoneIx(1))]),
+            view,
+            rules,
+            lease: store.grant(4000, now),
+        };
+        c.view.set_flavors(&Flavors {
+            types: vec![flavor()],
+        });
+        let page = store.list(ROOT, "", 1000);
+        c.view.take_all(&page.entries, page.revision);
+        let key = format!("{ROOT}node/{name}");
+        let txn = Transaction {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version: store.version(&key),
+            }],
+            writes: set(key, &NodeRecord { incarnation }, Some(c.lease))
+                .into_iter()
+                .collect(),
+        };
+        assert_eq!(store.commit(&txn, now).0, 200);
+        c.sync(store);
+        c
+    }
+
+    /// Reads the newest changes; false while the store is down.
+    pub fn sync(&mut self, store: &Store) -> bool {
+        let from = self.view.revision;
+        match store.watch(ROOT, from) {
+            (200, Some(c)) => {
+                self.view.take_changes(from, c.revision, &c.events);
+                true
+            }
+            (410, _) => {
+                let page = store.list(ROOT, "", 1000);
+                self.view.take_all(&page.entries, page.revision);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub fn send(store: &mut Store, txn: &Transaction, now: u64) -> Outcome {
+        match store.commit(txn, now) {
+            (200, Some(c)) => Outcome::Done(c.revision),
+            (409, Some(c)) => Outcome::Conflict(c.failed),
+            (s, _) => Outcome::Refused(s),
+        }
+    }
+
+    /// Takes and hands over shards as membership wants; the moves that were committed.
+    pub fn members(&mut self, store: &mut Store, now: u64) -> usize {
+        let moves = members::moves(
+            &self.view,
+            &self.rules,
+            &self.zones,
+            &HashMap::new(),
+            true,
+            Ms(now),
+        );
+        let mut done = 0;
+        for m in moves {
+            let (txn, _) = members::move_transaction(&self.view, &m).expect("a live target");
+            if matches!(Self::send(store, &txn, now), Outcome::Done(_)) {
+                done += 1;
+            }
+        }
+        self.sync(store);
+        done
+    }
+
+    pub fn owns(&self, shard: usize) -> bool {
+        self.rules.owns(&self.view, ShardIx::new(shard))
+    }
+
+    pub fn submit(&mut self, store: &mut Store, spec: JobSpec, now: u64) -> Outcome {
+        let key = View::job_key(&spec.id);
+        let rec = JobRecord {
+            spec: Some(spec),
+            state: JobState::Open,
+            submitted: now,
+            done: Ranges::default(),
+            placements: Vec::new(),
+            next_attempt: 1,
+        };
+        let txn = Transaction {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version: 0,
+            }],
+            writes: set(key, &rec, None).into_iter().collect(),
+        };
+        let out = Self::send(store, &txn, now);
+        self.sync(store);
+        out
+    }
+
+    pub fn cancel(&mut self, store: &mut Store, id: &str, now: u64) -> Outcome {
+        let (ix, job) = self
+            .view
+            .job(id)
+            .map(|(ix, j)| (ix, j.clone()))
+            .expect("known job");
+        let mut draft = Draft::default();
+        draft.jobs.insert(
+            ix,
+            pointhook::bookkeeping::job::Job {
+                state: JobState::Cancelled,
+                ..job
+            },
+        );
+        let out = Self::send(store, &transaction(&self.view, &draft), now);
+        conclude(&mut self.view, &draft, &out);
+        out
+    }
+
+    /// What a pass would commit.
+    pub fn draft(&self, now: u64) -> Draft {
+        let mut d = Draft::default();
+        plan::settle(&self.view, &self.rules, &mut d, Ms(now));
+        plan::claim(&self.view, &self.rules, &mut d, Ms(now), now);
+        d
+    }
+
+    /// Passes until nothing changes any more.
+    pub fn plan(&mut self, store: &mut Store, now: u64) {
+        for _ in 0..20 {
+            let draft = self.draft(now);
+            if draft.is_empty() {
+                return;
+            }
+            let out = Self::send(store, &transaction(&self.view, &draft), now);
+            conclude(&mut self.view, &draft, &out);
+            if !matches!(out, Outcome::Done(_)) && !self.sync(store) {
+                return;
+            }
+        }
+        panic!("passes never end");
+    }
+
+    /// Takes a report and answers it; `None` is 421.
+    pub fn report(&mut self, store: &mut Store, r: &Report, now: u64) -> Option<ReportAnswer> {
+        let mix = self
+            .view
+            .learn_machine(&r.machine, &r.rig, &r.zone, r.spot, Ms(now))?;
+        let shard = self.view.machine(mix)?.shard;
+        let token = self.view.shards[shard.at()].rec.token;
+        if !self.rules.owns(&self.view, shard) || r.token > token {
+            return None;
+        }
+        reports::take(&mut self.view, mix, r, Ms(now), true);
+        self.plan(store, now);
+        if !self.rules.owns(&self.view, shard) {
+            return None;
+        }
+        let newest = self.view.machine(mix)?.stamp == (r.session, r.seq);
+        let orders = if newest {
+            plan::orders(&mut self.view, &self.rules, mix)
+        } else {
+            Vec::new()
+        };
+        Some(ReportAnswer { token, orders })
+    }
+
+    /// One report of a worker, answered and executed at once; false for 421.
+    pub fn visit(&mut self, store: &mut Store, w: &mut Worker, now: u64) -> bool {
+        let r = w.report(now);
+        match self.report(store, &r, now) {
+            Some(a) => w.answered(&a, r.session, now, now),
+            None => false,
+        }
+    }
+
+    pub fn pushes(&mut self, now: u64) -> Vec<Push> {
+        plan::pushes(&mut self.view, &self.rules, Ms(now))
+    }
+
+    pub fn machine(&self, name: &str) -> MachineIx {
+        self.view.machine_names.find(name).expect("known machine")
+    }
+
+    pub fn job_ix(&self, id: &str) -> JobIx {
+        self.view.job(id).expect("known job").0
+    }
+
+    pub fn job(&self, id: &str) -> &pointhook::bookkeeping::job::Job {
+        self.view.job(id).expect("known job").1
+    }
+}
+
+/// Direct commands of a push.
+pub fn commands(p: &Push) -> Commands {
+    Commands {
+        token: p.token,
+        session: p.session,
+        orders: p.orders.clone(),
+    }
+}
--- /dev/null
+++ b/tests/support/worker.rs
@@ -0,0 +1,167 @@
+//! A worker: tasks, token, session and lease.
+
+use pointhook::protocol::workers::{
+    Commands, Order, Report, ReportAnswer, TaskReport, TaskState, Why,
+};
+
+struct Task {
+    name: String,
+    attempt: u64,
+    state: TaskState,
+    why: Option<Why>,
+    until: u64,
+}
+
+/// A worker of a machine.
+pub struct Worker {
+    pub name: String,
+    pub rig: String,
+    pub zone: String,
+    pub spot: bool,
+    pub addr: String,
+    pub session: u64,
+    seq: u64,
+    pub token: u64,
+    tasks: Vec<Task>,
+    pub lease_ms: u64,
+    renewed: u64,
+    /// Time that tasks take to fetch and to run.
+    pub fetch_ms: u64,
+    pub run_ms: u64,
+    /// Every start, in order.
+    pub started: Vec<(String, u64)>,
+    /// Tasks fail instead of completing.
+    pub sick: bool,
+}
+
+impl Worker {
+    pub fn new(name: &str, zone: &str, now: u64) -> Worker {
+        Worker {
+            name: name.into(),
+            rig: "oven".into(),
+            zone: zone.into(),
+            spot: true,
+            addr: "127.0.0.1:1".into(),
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+            lease_ms: 10_000,
+            renewed: now,
+            fetch_ms: 1000,
+            run_ms: 5000,
+            started: Vec::new(),
+            sick: false,
+        }
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: u64) {
+        if now > self.renewed + self.lease_ms {
+            self.tasks.clear();
+            self.session += 1;
+            self.renewed = now;
+        }
+        for t in &mut self.tasks {
+            if t.state == TaskState::Fetching && now >= t.until {
+                t.state = TaskState::Running;
+                t.until += self.run_ms;
+            }
+            if t.state == TaskState::Running && now >= t.until {
+                t.state = TaskState::Exited;
+                t.why = Some(if self.sick { Why::Error } else { Why::Done });
+            }
+        }
+    }
+
+    pub fn report(&mut self, now: u64) -> Report {
+        self.advance(now);
+        self.seq += 1;
+        let tasks = self.tasks.iter().map(|t| TaskReport {
+            task: t.name.clone(),
+            attempt: t.attempt,
+            state: t.state,
+            why: t.why,
+            saved: None,
+        });
+        Report {
+            machine: self.name.clone(),
+            addr: self.addr.clone(),
+            rig: self.rig.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// Takes the answer to a report sent at `sent`; false if it had to be dropped.
+    pub fn answered(&mut self, a: &ReportAnswer, session: u64, sent: u64, now: u64) -> bool {
+        self.advance(now);
+        if a.token < self.token || session != self.session || now > sent + 4000 {
+            return false;
+        }
+        self.token = a.token;
+        self.renewed = sent;
+        self.execute(&a.orders, now);
+        true
+    }
+
+    /// Takes direct commands; the status.
+    pub fn command(&mut self, c: &Commands, now: u64) -> u16 {
+        self.advance(now);
+        if c.token < self.token || c.session != self.session {
+            return 409;
+        }
+        self.token = c.token;
+        self.execute(&c.orders, now);
+        200
+    }
+
+    fn execute(&mut self, orders: &[Order], now: u64) {
+        for o in orders {
+            match o {
+                Order::Start { piece, attempt } => {
+                    if self
+                        .tasks
+                        .iter()
+                        .any(|t| (&t.name, t.attempt) == (piece, *attempt))
+                    {
+                        continue;
+                    }
+                    self.started.push((piece.clone(), *attempt));
+                    self.tasks.push(Task {
+                        name: piece.clone(),
+                        attempt: *attempt,
+                        state: TaskState::Fetching,
+                        why: None,
+                        until: now + self.fetch_ms,
+                    });
+                }
+                Order::Stop { piece, attempt, .. } => {
+                    let found = self
+                        .tasks
+                        .iter_mut()
+                        .find(|t| (&t.name, t.attempt) == (piece, *attempt));
+                    if let Some(t) = found.filter(|t| t.state != TaskState::Exited) {
+                        t.state = TaskState::Exited;
+                        t.why = Some(Why::Stopped);
+                    }
+                }
+                Order::Forget { piece, attempt } => self.tasks.retain(|t| {
+                    (&t.name, t.attempt) != (piece, *attempt) || t.state != TaskState::Exited
+                }),
+            }
+        }
+    }
+
+    /// True if the task is here and has not exited.
+    pub fn has(&self, task: &str) -> bool {
+        self.tasks
+            .iter()
+            .any(|t| t.name == task && t.state != TaskState::Exited)
+    }
+}
