--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -134,6 +134,12 @@
             headroom_ordinary: operator.headroom_ordinary,
             // Clocks differ by up to 0.05%; the rest is for delivery and for timers that fire late.
             dead_ms: ms_of(s.workers.lease_s * 1.002) + 2000,
+            finish_within: s
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "finished")
+                .filter_map(|o| Some((o.class.clone()?, ms_of(o.within_s?))))
+                .collect(),
             txn_ops: s.state.txn_ops,
             value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
         };
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -6,8 +6,8 @@
 
 use crate::bookkeeping::fleet::{Attempt, LateStart, Machine};
 use crate::bookkeeping::job::{Job, Placement, Spec};
-use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, TeamIx, ZoneIx};
-use crate::bookkeeping::units::{Ms, Res};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
+use crate::bookkeeping::units::{ms_of, Ms, Res};
 use crate::bookkeeping::view::{TeamRecord, View};
 use crate::protocol::users::{Rank, Shape};
 use crate::protocol::workers::{Order, TaskState, Why};
@@ -37,6 +37,8 @@
     pub headroom_ordinary: f64,
     /// Silence after which a worker that only this owner answered has killed its tasks, ms.
     pub dead_ms: u64,
+    /// Time in which jobs of a class are expected to finish, ms.
+    pub finish_within: HashMap<String, u64>,
     /// Changes in a transaction.
     pub txn_ops: usize,
     /// Size of a record.
@@ -350,8 +352,22 @@
     spec: Rc<Spec>,
 }
 
-fn waiting_jobs(view: &View, draft: &Draft, now: Ms) -> Vec<Waiting> {
-    let mut out: Vec<(Rank, u64, Waiting)> = view
+/// True if a job has missed what is expected of it, or will whatever happens now.
+///
+/// It goes behind those of its priority that can still make it: when more is asked than can
+/// be done, someone is late, and it is better the same ones. Not for ever: after two and a
+/// half times the time allowed it is again just the oldest.
+pub fn too_late(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> bool {
+    let due = spec.wire.deadline_s.map(ms_of);
+    let Some(due) = due.or_else(|| rules.finish_within.get(&spec.wire.class).copied()) else {
+        return false;
+    };
+    let age = wall_ms.saturating_sub(job.submitted);
+    age + ms_of(spec.wire.estimate_s) > due && age < due * 5 / 2
+}
+
+fn waiting_jobs(view: &View, rules: &Rules, draft: &Draft, now: Ms, wall_ms: u64) -> Vec<Waiting> {
+    let mut out: Vec<(Rank, bool, u64, Waiting)> = view
         .active_jobs()
         .filter(|(ix, _)| !backed_off(view, *ix, now))
         .filter_map(|(ix, _)| {
@@ -359,12 +375,13 @@
             let spec = j.spec.clone()?;
             (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
                 let rank = spec.rank();
-                (rank, j.submitted, Waiting { ix, rank, spec })
+                let late = too_late(rules, j, &spec, wall_ms);
+                (rank, late, j.submitted, Waiting { ix, rank, spec })
             })
         })
         .collect();
-    out.sort_by_key(|(r, at, w)| (*r, *at, w.ix));
-    out.into_iter().map(|(_, _, w)| w).collect()
+    out.sort_by_key(|(r, late, at, w)| (*r, *late, *at, w.ix));
+    out.into_iter().map(|(.., w)| w).collect()
 }
 
 /// How well a machine suits a task; less is better, in seconds of waiting.
@@ -403,12 +420,27 @@
 
 /// True if a task that may run on spot machines should leave this one alone for now: an
 /// empty ordinary machine is what work that may not use spot machines waits for.
-pub fn leaves_alone(rules: &Rules, spec: &Spec, waited_ms: u64, spot: bool, empty: bool) -> bool {
-    spec.wire.spot
-        && !spot
-        && empty
-        && spec.rank() > Rank::High
-        && waited_ms < rules.spot_patience_ms
+///
+/// The dearer ordinary machines of that type are, the longer: at four times the spot price the
+/// whole of the operators' patience, at twice the price or less none.
+pub fn leaves_alone(
+    view: &View,
+    rules: &Rules,
+    spec: &Spec,
+    waited_ms: u64,
+    on: (RigIx, bool),
+    empty: bool,
+) -> bool {
+    let (rig, spot) = on;
+    if !spec.wire.spot || spot || !empty || spec.rank() <= Rank::High {
+        return false;
+    }
+    let ratio = view
+        .rigs
+        .get(&rig)
+        .map_or(4.0, |r| r.flavor.price / r.flavor.spot_price.max(0.001));
+    let part = ((ratio - 2.0) / 2.0).clamp(0.0, 1.0);
+    (waited_ms as f64) < rules.spot_patience_ms as f64 * part
 }
 
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
@@ -421,7 +453,7 @@
 ) -> Vec<MachineIx> {
     let mut free = free_room(view, draft);
     claim_gangs(view, rules, draft, &mut free, now);
-    let jobs = waiting_jobs(view, draft, now);
+    let jobs = waiting_jobs(view, rules, draft, now, wall_ms);
     let machines: Vec<(MachineIx, &Machine)> = view
         .all_machines()
         .filter(|(_, m)| rules.owns(view, m.shard) && m.takes(now, rules.silent_ms))
@@ -442,10 +474,11 @@
             && job.size() + 44 < rules.value_bytes
             && allowed(view, job, ix, s, mix, m)
             && !leaves_alone(
+                view,
                 rules,
                 s,
                 wall_ms.saturating_sub(job.submitted),
-                m.spot,
+                (m.rig, m.spot),
                 is_empty(view, m, room),
             )
     };
@@ -774,7 +807,14 @@
             .iter()
             .filter_map(|(mix, m)| {
                 let room = *free.get(mix)?;
-                let alone = leaves_alone(rules, &spec, waited, m.spot, is_empty(view, m, room));
+                let alone = leaves_alone(
+                    view,
+                    rules,
+                    &spec,
+                    waited,
+                    (m.rig, m.spot),
+                    is_empty(view, m, room),
+                );
                 let good = zone_ok(m) && spec.need.fits(room) && !alone;
                 good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
             })
@@ -823,7 +863,7 @@
             }
         }
     }
-    for w in waiting_jobs(view, &Draft::default(), now) {
+    for w in waiting_jobs(view, rules, &Draft::default(), now, wall_ms) {
         let job = &view.jobs[w.ix.at()];
         let patience = match w.rank {
             Rank::Production => 1500,
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -188,7 +188,9 @@
                 && (spec.wire.spot || !p.spot)
         };
         let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.submitted));
-        let alone = |spot: bool, empty: bool| plan::leaves_alone(rules, spec, waited, spot, empty);
+        let alone = |p: &Pool, empty: bool| {
+            plan::leaves_alone(view, rules, spec, waited, (p.rig, p.spot), empty)
+        };
         let zone_ok = |per: &HashMap<ZoneIx, u32>, z: ZoneIx| {
             per.get(&z).copied().unwrap_or(0) < cap && (!one_zone || per.keys().all(|k| *k == z))
         };
@@ -204,7 +206,7 @@
                 let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
                 ok(&s.pool, &per_zone)
                     && spec.need.fits(s.free)
-                    && !alone(s.pool.spot, whole(view, s))
+                    && !alone(&s.pool, whole(view, s))
                     && here
                         .zip(job)
                         .is_none_or(|((mix, m), (ix, j))| plan::allowed(view, j, ix, spec, mix, m))
@@ -218,7 +220,7 @@
             let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
                 // Room for what may come is rented only at the low price, if it may be.
                 let dear = job.is_none() && spec.wire.spot && !p.spot;
-                ok(p, &per_zone) && !blocked.contains(p) && !alone(p.spot, true) && !dear
+                ok(p, &per_zone) && !blocked.contains(p) && !alone(p, true) && !dear
             }) else {
                 break;
             };
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -50,6 +50,7 @@
             headroom: 0.0,
             headroom_ordinary: 0.0,
             dead_ms: 12_020,
+            finish_within: HashMap::new(),
             txn_ops: store.txn_ops,
             value_bytes: store.value_bytes * 9 / 10,
         };
