--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -191,6 +191,8 @@
         let alone = |p: &Pool, empty: bool| {
             plan::leaves_alone(view, rules, spec, waited, (p.rig, p.spot), empty)
         };
+        // Room for what may come is kept at the low price only, if it may be had there.
+        let dear = |p: &Pool| job.is_none() && spec.wire.spot && !p.spot;
         let zone_ok = |per: &HashMap<ZoneIx, u32>, z: ZoneIx| {
             per.get(&z).copied().unwrap_or(0) < cap && (!one_zone || per.keys().all(|k| *k == z))
         };
@@ -206,6 +208,7 @@
                 let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
                 ok(&s.pool, &per_zone)
                     && spec.need.fits(s.free)
+                    && !(dear(&s.pool) && whole(view, s))
                     && !alone(&s.pool, whole(view, s))
                     && here
                         .zip(job)
@@ -218,9 +221,7 @@
                 continue;
             }
             let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
-                // Room for what may come is rented only at the low price, if it may be.
-                let dear = job.is_none() && spec.wire.spot && !p.spot;
-                ok(p, &per_zone) && !blocked.contains(p) && !alone(p, true) && !dear
+                ok(p, &per_zone) && !blocked.contains(p) && !alone(p, true) && !dear(p)
             }) else {
                 break;
             };
