--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -263,6 +263,61 @@
             .is_some_and(|(_, until)| now < *until)
 }
 
+/// What placements of a team use, whoever pays.
+fn used_by_team(view: &View, draft: &Draft, team: TeamIx) -> (i64, i64) {
+    let mut used = (0, 0);
+    for (ix, _) in view.active_jobs() {
+        let job = draft.job(view, ix);
+        if let Some(s) = job.spec.as_ref().filter(|s| s.team == team) {
+            let n = job.placements.len() as i64;
+            used = (used.0 + n * s.need.cpu, used.1 + n * s.need.gpu);
+        }
+    }
+    used
+}
+
+/// A gang that has waited for its share of its team's limit.
+struct Claimant {
+    team: TeamIx,
+    order: (Rank, u64),
+    all: Res,
+}
+
+/// Gangs for whose sake younger work of their team takes no more of its limit.
+///
+/// Small tasks use every bit of a limit as it comes free, so a gang that needs much at once
+/// would wait for as long as any come.
+fn claimants(view: &View, rules: &Rules, now: Ms, wall_ms: u64) -> Vec<Claimant> {
+    let mut out: Vec<Claimant> = Vec::new();
+    for ix in waiting_gangs(view, now) {
+        let job = &view.jobs[ix.at()];
+        let Some(s) = &job.spec else { continue };
+        let first = out.iter().all(|c| c.team != s.team);
+        let waited = wall_ms.saturating_sub(job.submitted) >= rules.gang_hold_ms;
+        if first && waited && !view.team_limits[s.team.at()].unlimited() {
+            out.push(Claimant {
+                team: s.team,
+                order: (s.rank(), job.submitted),
+                all: s.need.times(s.tasks()),
+            });
+        }
+    }
+    out
+}
+
+/// True if a task would take what an older gang of its team waits for.
+fn crowds_out(view: &View, draft: &Draft, claimants: &[Claimant], job: &Job, s: &Spec) -> bool {
+    let Some(c) = claimants.iter().find(|c| c.team == s.team) else {
+        return false;
+    };
+    if (s.rank(), job.submitted) < c.order {
+        return false;
+    }
+    let used = used_by_team(view, draft, s.team);
+    let all = c.all.plus(s.need);
+    !view.team_limits[s.team.at()].allows((used.0 + all.cpu, used.1 + all.gpu))
+}
+
 /// Makes room in the payer's share of the team's limit, raising the share if the limit allows.
 fn pay(
     view: &View,
@@ -482,6 +537,7 @@
                 is_empty(view, m, room),
             )
     };
+    let claimants = claimants(view, rules, now, wall_ms);
     let mut pulled: HashSet<MachineIx> = HashSet::new();
     let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
     for rank in ranks {
@@ -495,6 +551,7 @@
                 let room = free.get(mix).copied().unwrap_or_default();
                 if !job.waits(*task)
                     || backed_off(view, *ix, now)
+                    || crowds_out(view, draft, &claimants, job, &s)
                     || !fits(draft, room, *ix, &s, *mix, m)
                 {
                     continue;
@@ -514,6 +571,9 @@
                 .take(machines.len() * 8)
                 .collect();
             for task in tasks {
+                if crowds_out(view, draft, &claimants, draft.job(view, w.ix), &w.spec) {
+                    break;
+                }
                 let best = machines
                     .iter()
                     .filter_map(|(mix, m)| {
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -89,6 +89,8 @@
             tasks += 1;
         }
         if s.is_wide_gang() && tasks < s.tasks() {
+            // It waits for its team's limit; younger work of the team does not overtake it.
+            *r = (0, 0);
             continue;
         }
         if tasks > 0 {
