--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -789,21 +789,23 @@
 fn younger_work_leaves_its_teams_limit_to_a_gang_that_waits() {
     let (mut store, mut c) = one();
     let mut w = Worker::new("m1", "north", 0);
-    w.run_ms = 3000;
     let mut first = job("job-1", 1);
     first.team = "mixers".into();
+    w.run_ms = 7000;
     c.submit(&mut store, first.clone(), 0);
+    c.visit(&mut store, &mut w, 0);
     let mut gang = job("job-2", 2);
     gang.team = "mixers".into();
     gang.shape = Shape::Gang;
     c.submit(&mut store, gang, 100);
-    play(&mut c, &mut store, &mut [&mut w], 500, 2000);
+    play(&mut c, &mut store, &mut [&mut w], 500, 6000);
     // The limit is two: one runs, the gang needs both.
     first.id = "job-3".into();
     first.tasks = 8;
-    c.submit(&mut store, first, 5200);
-    play(&mut c, &mut store, &mut [&mut w], 5500, 7000);
-    let gang_runs = c.job("job-2").placements.len() == 2;
-    assert!(gang_runs, "{:?}", w.started);
+    c.submit(&mut store, first, 6000);
+    play(&mut c, &mut store, &mut [&mut w], 6000, 8000);
+    assert!(c.job("job-3").placements.is_empty());
+    play(&mut c, &mut store, &mut [&mut w], 8000, 10_000);
+    assert_eq!(c.job("job-2").placements.len(), 2);
     assert!(c.job("job-3").placements.is_empty());
 }
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -20,7 +20,7 @@
         mem_gb: 64.0,
         cache_gb: 100.0,
         fetch_gb_per_s: 1.0,
-        price: 4.0,
+        price: 8.0,
         spot_price: 2.0,
         boot_s: 20.0,
         zones: vec!["north".into(), "south".into()],
