--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -176,6 +176,7 @@
         let mut d = Draft::default();
         plan::settle(&self.view, &self.rules, &mut d, Ms(now));
         plan::claim(&self.view, &self.rules, &mut d, Ms(now), now);
+        plan::lower_shares(&self.view, &self.rules, &mut d);
         d
     }
 
