--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -129,6 +129,22 @@
             if fresh_exit(m, s, Why::Error) {
                 failed.extend(s.job);
             }
+            let known = s
+                .job
+                .and_then(|j| m.seen((j, s.task, s.attempt)))
+                .map(|o| o.state);
+            if s.state == TaskState::Exited
+                && s.why != Some(Why::Done)
+                && known != Some(TaskState::Exited)
+            {
+                let why = s.why.unwrap_or(Why::Other);
+                log::debug!(
+                    "{} attempt {} exited on {}: {why:?}",
+                    s.name,
+                    s.attempt,
+                    m.name
+                );
+            }
         }
         m.addr.clone_from(&r.addr);
         m.stamp = (r.session, r.seq);
