--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -464,10 +464,8 @@
     let least = parts.iter().copied().fold(1.0, f64::min);
     let stranded = (most - least) * 20.0;
     let kind = if spec.wire.spot && !m.spot { 10.0 } else { 0.0 };
-    // The fuller one first, so that others stay empty for large tasks or go back. A replica
-    // stays for long, so for it that outweighs a fetch.
-    let stays = spec.wire.shape == Shape::Service;
-    let spare = least * if stays { 30.0 } else { 3.0 };
+    // The fuller one first, so that others stay empty for large tasks or go back.
+    let spare = least * 3.0;
     ((fetch + stranded + kind + spare) * 1000.0) as i64
 }
 
