Overdue boots are not counted on and go back sooner

Cause: a machine that never comes up counted as supply for four boot times and more, so what it was rented for waited. Excluded: list lag (bookings are counted until listed). Conclusion: kept as a guard, with a test.

--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -24,6 +24,10 @@
 const ARRIVALS_MS: u64 = 150_000;
 /// Jobs that came this soon after the first are the backlog of the opening.
 const BACKLOG_MS: u64 = 10_000;
+/// Boot times after which a machine is no longer counted on.
+const OVERDUE: f64 = 1.7;
+/// Boot times after which a machine that boots is returned.
+const STUCK: f64 = 2.5;
 /// Most requests side by side.
 const AT_ONCE: usize = 4;
 
@@ -685,7 +689,7 @@
         } else if m.sick {
             dead.push((h.name.clone(), "faulty"));
         } else if m.heard.is_none() && h.status == "booting" {
-            if h.age_s > boot * 4.0 + 20.0 {
+            if h.age_s > boot * STUCK + 10.0 {
                 dead.push((h.name.clone(), "did not come up"));
             }
         } else if told && silent > silent_limit && (m.heard.is_some() || silent > lease_ms + 20_000)
@@ -814,7 +818,13 @@
         let name = &*m.name;
         let listed = list.get(name);
         let up = m.takes(now, silent_ms);
+        // One that is long overdue may never come up: what waits is not to wait for it.
+        let boot_ms = view
+            .rigs
+            .get(&m.rig)
+            .map_or(0, |r| ms_of(r.flavor.boot_s * OVERDUE));
         let coming = m.heard.is_none()
+            && now.since(m.known) < boot_ms
             && !m.gone
             && !m.closed
             && (booked.contains(name) || listed.is_some_and(|h| h.status != "failed"));
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -7,6 +7,7 @@
 use pointhook::bookkeeping::view::{BookingRecord, ROOT};
 use pointhook::coordination::renting::{supply, wanted, Pool, Supply, Wanted};
 use pointhook::coordination::store::{set, Outcome};
+use pointhook::protocol::cloud::Listed;
 use pointhook::protocol::state::Transaction;
 use pointhook::protocol::users::Shape;
 use std::collections::{HashMap, HashSet};
@@ -152,3 +153,23 @@
     assert_eq!(have.len(), 1);
     assert_eq!(plan(&c, have, &[]).rent.values().sum::<u32>(), 1);
 }
+
+#[test]
+fn a_machine_that_is_long_overdue_is_not_waited_for() {
+    let (mut store, mut c) = ready();
+    c.submit(&mut store, job("job-1", 4), 0);
+    c.view
+        .learn_machine("n-000007", "oven", "north", true, Ms(0));
+    let listed = Listed {
+        name: "n-000007".into(),
+        addr: "127.0.0.1:1".into(),
+        rig: "oven".into(),
+        zone: "north".into(),
+        spot: true,
+        status: "booting".into(),
+        age_s: 0.0,
+    };
+    let list = HashMap::from([(listed.name.clone(), listed)]);
+    assert_eq!(supply(&c.view, &list, 4000, Ms(20_000)).len(), 1);
+    assert!(supply(&c.view, &list, 4000, Ms(60_000)).is_empty());
+}
