--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -10,12 +10,12 @@
 use crate::protocol::workers::{Commands, Report};
 use crate::transport::http::Client;
 use http_types::Method;
-use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 const TICK_MS: u64 = 300;
 const RENEW_MS: u64 = 1000;
+const POKE_MS: u64 = 2000;
 /// A node must have been there this long before it is handed shards of a living one.
 const SETTLED_MS: u64 = 2500;
 
@@ -220,18 +220,16 @@
     for s in (0..view.shards.len()).map(ShardIx::new) {
         if !node.rules.owns(&view, s) {
             since.remove(&s);
-        } else if since.insert(s, now).is_some_and(|old| {
-            since.insert(s, old);
-            true
-        }) {
             continue;
-        } else {
+        }
+        since.entry(s).or_insert_with(|| {
             log::info!(
                 "owns shard {} with token {}",
                 s.0,
                 view.shards[s.at()].rec.token
             );
-        }
+            now
+        });
     }
 }
 
@@ -300,14 +298,9 @@
 /// Without it they would stay with a node that lost its shards unnoticed, for example
 /// because the state service refuses that node alone.
 pub async fn poke(node: Rc<Node>) {
-    let last: Cell<Ms> = Cell::new(Ms(0));
     loop {
-        crate::transport::pause(700).await;
+        crate::transport::pause(POKE_MS).await;
         let now = node.now();
-        if now.since(last.get()) < 2000 {
-            continue;
-        }
-        last.set(now);
         let quiet = node.rules.silent_ms;
         let targets: Vec<(String, u64)> = {
             let view = node.view.borrow();
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -67,8 +67,8 @@
     pub shards: BTreeSet<ShardIx>,
     /// Teams' shares as they shall be.
     pub teams: BTreeMap<TeamIx, TeamRecord>,
-    /// New placements, for the log.
-    pub claims: usize,
+    /// New placements.
+    pub claims: Vec<(JobIx, Placement)>,
     bytes: usize,
 }
 
@@ -635,17 +635,17 @@
     };
     let attempt = job.next_attempt;
     job.next_attempt += 1;
-    for (task, machine, m) in on {
-        job.placements.push(Placement {
-            task: *task,
-            attempt,
-            machine: *machine,
-            shard: m.shard,
-            payer,
-        });
-    }
+    let placements = on.iter().map(|(task, machine, m)| Placement {
+        task: *task,
+        attempt,
+        machine: *machine,
+        shard: m.shard,
+        payer,
+    });
+    let placements: Vec<Placement> = placements.collect();
+    job.placements.extend(&placements);
     draft.shards.insert(payer);
-    draft.claims += on.len();
+    draft.claims.extend(placements.into_iter().map(|p| (ix, p)));
     true
 }
 
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -45,16 +45,15 @@
             if draft.is_empty() {
                 break;
             }
-            let before = node.view.borrow().revision;
             match node.commit_draft(&draft).await {
                 Outcome::Done(r) => {
                     log::debug!(
                         "committed at {r}: {} jobs, {} claims",
                         draft.jobs.len(),
-                        draft.claims
+                        draft.claims.len()
                     );
                     if log::log_enabled!(log::Level::Debug) {
-                        log_claims(&node, &draft, before);
+                        log_claims(&node, &draft);
                     }
                 }
                 Outcome::Conflict(keys) => {
@@ -85,26 +84,19 @@
 }
 
 /// Tells which tasks were claimed, for which machine and how long after their job came.
-fn log_claims(node: &Node, draft: &Draft, before: u64) {
+fn log_claims(node: &Node, draft: &Draft) {
     let view = node.view.borrow();
-    for (ix, job) in &draft.jobs {
-        let old = &view.jobs[ix.at()];
-        for p in job
-            .placements
-            .iter()
-            .filter(|p| p.attempt + 64 > old.next_attempt && old.version > before)
-        {
-            let m = view.machine(p.machine);
-            log::debug!(
-                "claim {}/{} attempt {} on {} (spot: {}) after {} ms",
-                job.id,
-                p.task,
-                p.attempt,
-                view.machine_names.name(p.machine),
-                m.is_some_and(|m| m.spot),
-                wall_ms().saturating_sub(job.submitted)
-            );
-        }
+    for (ix, p) in &draft.claims {
+        let job = &view.jobs[ix.at()];
+        log::debug!(
+            "claim {}/{} attempt {} on {} (spot: {}) after {} ms",
+            job.id,
+            p.task,
+            p.attempt,
+            view.machine_names.name(p.machine),
+            view.machine(p.machine).is_some_and(|m| m.spot),
+            wall_ms().saturating_sub(job.submitted)
+        );
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -58,7 +58,7 @@
     old.visit(&mut store, &mut w, 0);
     old.submit(&mut store, job("job-1", 1), 10);
     let draft = old.draft(20);
-    assert_eq!(draft.claims, 1);
+    assert_eq!(draft.claims.len(), 1);
     let late = transaction(&old.view, &draft);
     // Its lease ends; another node takes the shards; then the packet arrives.
     store.end_lease(old.lease);
@@ -282,7 +282,7 @@
     reports::take(&mut south.view, m2, &r2, Ms(10), true);
     // Both decide on the same view; only one of the raises can be applied.
     let (a, b) = (north.draft(10), south.draft(10));
-    assert!(a.claims == 2 && b.claims == 2);
+    assert!(a.claims.len() == 2 && b.claims.len() == 2);
     let (ta, tb) = (transaction(&north.view, &a), transaction(&south.view, &b));
     assert!(matches!(
         Controller::send(&mut store, &ta, 11),
@@ -293,7 +293,7 @@
         Outcome::Conflict(_)
     ));
     south.sync(&store);
-    assert_eq!(south.draft(12).claims, 0);
+    assert_eq!(south.draft(12).claims.len(), 0);
 }
 
 #[test]
@@ -326,13 +326,13 @@
     spec.team = "mixers".into();
     c.submit(&mut store, spec.clone(), 0);
     let first = c.draft(10);
-    assert_eq!(first.claims, 2);
+    assert_eq!(first.claims.len(), 2);
     let late = transaction(&c.view, &first);
     conclude(&mut c.view, &first, &Outcome::Unknown);
     spec.id = "job-2".into();
     c.submit(&mut store, spec, 20);
     let d = c.draft(30);
-    assert_eq!(d.claims, 0);
+    assert_eq!(d.claims.len(), 0);
     // The pass writes the doubtful record once more; then the late one can't be applied.
     assert!(d.jobs.contains_key(&c.job_ix("job-1")));
     c.plan(&mut store, 30);
@@ -569,8 +569,8 @@
     c.submit(&mut store, job("job-1", 1), 100);
     let (ix, mix) = (c.job_ix("job-1"), c.machine("m1"));
     c.view.machine_mut(mix).unwrap().held = Some((ix, Ms(5000)));
-    assert_eq!(c.draft(1000).claims, 0);
-    assert_eq!(c.draft(3900).claims, 0);
+    assert_eq!(c.draft(1000).claims.len(), 0);
+    assert_eq!(c.draft(3900).claims.len(), 0);
     c.visit(&mut store, &mut w, 5000);
     assert_eq!(w.started.len(), 1);
 }
