Return idle machines after 10 s

Cause: after a peak idle machines were paid for while nothing needed them; what expected work needs is kept apart from that.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -193,7 +193,7 @@
             queue_cap: 2,
             gang_hold_s: 10.0,
             steal_after_s: 2.0,
-            idle_return_s: 20.0,
+            idle_return_s: 10.0,
             spot_patience_s: 45.0,
             headroom: 1.0,
             headroom_ordinary: 0.6,
