One place counts what a team uses; arrivals keep only what is read

The sum of a team's placements stood three times: in the guard of its limit, in the demand for rentals and in preemption; now used_by_team serves all. A counter that was always above zero and a misleading comment went.

--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -264,7 +264,7 @@
 }
 
 /// What placements of a team use, whoever pays.
-fn used_by_team(view: &View, draft: &Draft, team: TeamIx) -> (i64, i64) {
+pub fn used_by_team(view: &View, draft: &Draft, team: TeamIx) -> (i64, i64) {
     let mut used = (0, 0);
     for (ix, _) in view.active_jobs() {
         let job = draft.job(view, ix);
@@ -931,9 +931,7 @@
             _ => continue,
         };
         let limits = &view.team_limits[w.spec.team.at()];
-        let used = (0..view.shards.len())
-            .map(|s| view.paid(w.spec.team, ShardIx::new(s)))
-            .fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        let used = used_by_team(view, &Draft::default(), w.spec.team);
         let fits_limit = limits.allows((used.0 + w.spec.need.cpu, used.1 + w.spec.need.gpu));
         if wall_ms.saturating_sub(job.submitted) < patience || !fits_limit || out.len() >= 8 {
             continue;
@@ -1159,7 +1157,7 @@
     out
 }
 
-/// True if a service replica or other work should leave because the machine goes.
+/// Attempts that should leave a machine that goes, with the time to save.
 pub fn on_notice(view: &View, mix: MachineIx) -> Vec<(Attempt, f64)> {
     let Some(m) = view.machine(mix).filter(|m| m.leaves.is_some()) else {
         return Vec::new();
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -6,7 +6,7 @@
 use super::store::{set, Outcome};
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::{Job, Spec};
-use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, ZoneIx};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, TeamIx, ZoneIx};
 use crate::bookkeeping::units::{ms_of, Ms, Res};
 use crate::bookkeeping::view::{BookingRecord, View, ROOT};
 use crate::protocol::cloud::{Booking, Flavors, HostList, Hosts, Listed};
@@ -64,13 +64,7 @@
 fn demands(view: &View, now: Ms) -> Vec<Demand> {
     let mut room: Vec<(i64, i64)> = Vec::new();
     for (t, l) in view.team_limits.iter().enumerate() {
-        let mut used = (0, 0);
-        for (_, j) in view.active_jobs() {
-            if let Some(s) = j.spec.as_ref().filter(|s| s.team.at() == t) {
-                let n = j.placements.len() as i64;
-                used = (used.0 + n * s.need.cpu, used.1 + n * s.need.gpu);
-            }
-        }
+        let used = plan::used_by_team(view, &Draft::default(), TeamIx::new(t));
         let left = |most: i64, used: i64| if most == 0 { i64::MAX } else { most - used };
         room.push((left(l.most.0, used.0), left(l.most.1, used.1)));
     }
@@ -110,21 +104,18 @@
 
 /// Room for jobs that are likely to come while a machine boots, by what came lately.
 fn expected(view: &View, rules: &Rules, wall_ms: u64) -> Vec<Demand> {
-    let mut classes: BTreeMap<&str, (u32, u32, Rc<Spec>)> = BTreeMap::new();
+    let mut classes: BTreeMap<&str, (u32, Rc<Spec>)> = BTreeMap::new();
     let Some(first) = view.opened else {
         return Vec::new();
     };
     // What is there when the service opens is a backlog, not a rate.
     let from = wall_ms.saturating_sub(ARRIVALS_MS).max(first + BACKLOG_MS);
     let span = wall_ms.saturating_sub(from).max(60_000);
-    for (at, spec) in view.arrivals.iter().filter(|(at, _)| *at >= from) {
-        let _ = at;
+    for (_, spec) in view.arrivals.iter().filter(|(at, _)| *at >= from) {
         let class = classes
             .entry(spec.wire.class.as_str())
-            .or_insert((0, 0, spec.clone()));
-        class.0 += 1;
-        class.1 += spec.tasks();
-        class.2 = spec.clone();
+            .or_insert((0, spec.clone()));
+        *class = (class.0 + spec.tasks(), spec.clone());
     }
     let boot_ms = view
         .rigs
@@ -133,7 +124,7 @@
         .max()
         .unwrap_or(0);
     let mut out = Vec::new();
-    for (jobs, tasks, spec) in classes.into_values() {
+    for (tasks, spec) in classes.into_values() {
         let part = if spec.wire.spot {
             rules.headroom
         } else {
@@ -141,7 +132,7 @@
         };
         let per_boot = f64::from(tasks) * boot_ms as f64 / span as f64;
         let tasks = (per_boot * part).round() as u32;
-        if jobs > 0 && tasks > 0 {
+        if tasks > 0 {
             out.push(Demand {
                 ix: None,
                 spec,
