Sums by machine and team are kept current instead of walked for

Cause: each report walked every placement (forgetting old attempts, missing starts), each pass rebuilt free room from all records.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -3,5 +3,6 @@
 pub mod fleet;
 pub mod job;
 pub mod names;
+pub mod tally;
 pub mod units;
 pub mod view;
--- /dev/null
+++ b/src/bookkeeping/tally.rs
@@ -0,0 +1,78 @@
+//! Sums over placements, kept current as records change, so that no pass walks them all.
+
+use super::fleet::Attempt;
+use super::job::Job;
+use super::names::{Index, JobIx, MachineIx, ShardIx, TeamIx};
+use super::units::Res;
+
+/// Processors and graphics processors, in thousandths.
+type Amount = (i64, i64);
+
+/// What placements use, by machine and by team.
+#[derive(Default, Debug)]
+pub struct Tally {
+    here: Vec<Vec<Attempt>>,
+    room: Vec<Option<Res>>,
+    paid: Vec<Vec<Amount>>,
+}
+
+fn slot<T: Default>(list: &mut Vec<T>, at: usize) -> &mut T {
+    if list.len() <= at {
+        list.resize_with(at + 1, T::default);
+    }
+    &mut list[at]
+}
+
+impl Tally {
+    /// Counts a job's placements.
+    pub fn add(&mut self, ix: JobIx, job: &Job) {
+        self.count(ix, job, 1);
+    }
+    /// Takes a job's placements out again.
+    pub fn remove(&mut self, ix: JobIx, job: &Job) {
+        self.count(ix, job, -1);
+    }
+
+    fn count(&mut self, ix: JobIx, job: &Job, sign: i64) {
+        for p in &job.placements {
+            let a = (ix, p.task, p.attempt);
+            let here = slot(&mut self.here, p.machine.at());
+            if sign > 0 {
+                here.push(a);
+            } else {
+                here.retain(|x| *x != a);
+            }
+            if let Some(s) = &job.spec {
+                let used = slot(slot(&mut self.paid, s.team.at()), p.payer.at());
+                used.0 += sign * s.need.cpu;
+                used.1 += sign * s.need.gpu;
+            }
+        }
+    }
+
+    /// Attempts placed on a machine.
+    pub fn placed_on(&self, m: MachineIx) -> &[Attempt] {
+        self.here.get(m.at()).map_or(&[], Vec::as_slice)
+    }
+    /// What the placements paid by a shard use.
+    pub fn paid(&self, team: TeamIx, payer: ShardIx) -> Amount {
+        let by_payer = self.paid.get(team.at());
+        by_payer
+            .and_then(|p| p.get(payer.at()))
+            .copied()
+            .unwrap_or_default()
+    }
+    /// What a team's placements use.
+    pub fn used(&self, team: TeamIx) -> Amount {
+        let by_payer = self.paid.get(team.at()).into_iter().flatten();
+        by_payer.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
+    }
+    /// Free room by machine; `None` where the machine or its type is unknown.
+    pub fn room(&self) -> &[Option<Res>] {
+        &self.room
+    }
+    /// Notes what is free on a machine.
+    pub fn set_room(&mut self, m: MachineIx, free: Option<Res>) {
+        *slot(&mut self.room, m.at()) = free;
+    }
+}
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -1,12 +1,14 @@
 //! The cached view: everything a controller knows. Pure, no I/O.
 
-use super::fleet::{Machine, Rig};
+use super::fleet::{Attempt, Machine, Rig};
 use super::job::{Job, JobRecord, JobState, Placement, Spec};
 use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
+use super::tally::Tally;
 use super::units::{Ms, Res};
 use crate::protocol::cloud::Flavors;
 use crate::protocol::state::{Entry, Event};
 use crate::protocol::users::{JobSpec, Shape};
+use crate::protocol::workers::TaskState;
 use rmpv::Value;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -169,6 +171,8 @@
     pub shards_per_zone: usize,
     /// This process' machine types were read from the state service.
     pub flavors_version: u64,
+    /// Sums over records and reports, kept current by every change of either.
+    tally: Tally,
     /// Bad records already complained about.
     bad: HashSet<String>,
 }
@@ -280,6 +284,7 @@
             let shard = self.shard_of(zone, name);
             let name = self.machine_names.name(ix).clone();
             self.machines[ix.at()] = Some(Machine::new(name, rig, zone, spot, shard, now));
+            self.recount(ix);
         }
         Some(ix)
     }
@@ -335,27 +340,42 @@
 
     /// What the placements paid by a shard use of a team's limit.
     pub fn paid(&self, team: TeamIx, payer: ShardIx) -> (i64, i64) {
-        let mut used = (0, 0);
-        for (_, j) in self.active_jobs() {
-            let Some(s) = j.spec.as_ref().filter(|s| s.team == team) else {
-                continue;
-            };
-            let n = j.placements.iter().filter(|p| p.payer == payer).count() as i64;
-            used.0 += n * s.need.cpu;
-            used.1 += n * s.need.gpu;
-        }
-        used
+        self.tally.paid(team, payer)
+    }
+    /// What a team's placements use, whoever pays.
+    pub fn used(&self, team: TeamIx) -> (i64, i64) {
+        self.tally.used(team)
+    }
+    /// Attempts placed on a machine.
+    pub fn placed_on(&self, m: MachineIx) -> &[Attempt] {
+        self.tally.placed_on(m)
+    }
+    /// Room by machine after placements and whatever else was reported.
+    pub fn room(&self) -> &[Option<Res>] {
+        self.tally.room()
     }
 
-    /// Placements by machine.
-    pub fn placed(&self) -> HashMap<MachineIx, Vec<(JobIx, Placement)>> {
-        let mut out: HashMap<MachineIx, Vec<(JobIx, Placement)>> = HashMap::new();
-        for (ix, j) in self.active_jobs() {
-            for p in &j.placements {
-                out.entry(p.machine).or_default().push((ix, *p));
+    /// Counts anew what is free on a machine: after each change of its tasks or placements.
+    pub fn recount(&mut self, mix: MachineIx) {
+        let free = self.machine(mix).and_then(|m| {
+            let mut free = self.rigs.get(&m.rig)?.room;
+            let placed = self.placed_on(mix);
+            let need = |ix: JobIx| {
+                let job = self.jobs.get(ix.at()).filter(|j| !j.settled())?;
+                Some(job.spec.as_ref()?.need)
+            };
+            for n in placed.iter().filter_map(|a| need(a.0)) {
+                free = free.minus(n);
             }
-        }
-        out
+            for t in m.tasks.iter().filter(|t| t.state != TaskState::Exited) {
+                let extra = t.job.filter(|j| !placed.contains(&(*j, t.task, t.attempt)));
+                if let Some(n) = extra.and_then(need) {
+                    free = free.minus(n);
+                }
+            }
+            Some(free)
+        });
+        self.tally.set_room(mix, free);
     }
 
     /// Takes over a list of machine types.
@@ -368,6 +388,9 @@
             };
             self.rigs.insert(ix, rig);
         }
+        for i in 0..self.machines.len() {
+            self.recount(MachineIx::new(i));
+        }
     }
 
     /// A job's record, to be stored.
@@ -468,11 +491,22 @@
             self.active.insert(ix.0, ());
         }
         self.suspects.remove(&ix);
+        let mut touched: Vec<MachineIx> = job.placements.iter().map(|p| p.machine).collect();
+        if let Some(old) = self.jobs.get(ix.at()) {
+            touched.extend(old.placements.iter().map(|p| p.machine));
+            self.tally.remove(ix, old);
+        }
+        self.tally.add(ix, &job);
         if ix.at() == self.jobs.len() {
             self.jobs.push(job);
         } else if let Some(slot) = self.jobs.get_mut(ix.at()) {
             *slot = job;
         }
+        touched.sort_unstable();
+        touched.dedup();
+        for m in touched {
+            self.recount(m);
+        }
     }
 
     /// Takes one put key.
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -188,37 +188,45 @@
     }
 }
 
-/// Free room of machines, after placements and whatever else was reported.
-pub fn free_room(view: &View, draft: &Draft) -> HashMap<MachineIx, Res> {
-    let mut free: HashMap<MachineIx, Res> = view
-        .all_machines()
-        .filter_map(|(ix, m)| Some((ix, view.rigs.get(&m.rig)?.room)))
-        .collect();
-    let mut take = |m: MachineIx, need: Res| {
-        if let Some(f) = free.get_mut(&m) {
-            *f = f.minus(need);
+/// Free room by machine, drafted changes included.
+#[derive(Clone, Debug)]
+pub struct Room(Vec<Option<Res>>);
+
+impl Room {
+    /// What is free on a machine.
+    pub fn get(&self, m: MachineIx) -> Option<Res> {
+        self.0.get(m.at()).copied().flatten()
+    }
+    /// Takes some of it; parts may become negative.
+    pub fn take(&mut self, m: MachineIx, need: Res) {
+        self.change(m, |f| f.minus(need));
+    }
+    /// Gives some back.
+    pub fn give(&mut self, m: MachineIx, need: Res) {
+        self.change(m, |f| f.plus(need));
+    }
+    fn change(&mut self, m: MachineIx, by: impl FnOnce(Res) -> Res) {
+        if let Some(Some(f)) = self.0.get_mut(m.at()) {
+            *f = by(*f);
         }
-    };
-    let active: BTreeSet<JobIx> = view.active_jobs().map(|(ix, _)| ix).collect();
-    for ix in &active {
-        let job = draft.job(view, *ix);
+    }
+}
+
+/// Free room of machines, after placements and whatever else was reported.
+pub fn free_room(view: &View, draft: &Draft) -> Room {
+    let mut free = Room(view.room().to_vec());
+    for (ix, job) in &draft.jobs {
+        let old = &view.jobs[ix.at()];
         let Some(s) = &job.spec else { continue };
-        for p in &job.placements {
-            take(p.machine, s.need);
+        for p in job.placements.iter().filter(|p| !old.placements.contains(p)) {
+            free.take(p.machine, s.need);
         }
-    }
-    for (ix, m) in view.all_machines() {
-        for t in m.tasks.iter().filter(|t| t.state != TaskState::Exited) {
-            let Some(j) = t.job.filter(|j| active.contains(j)) else {
-                continue;
-            };
-            let job = draft.job(view, j);
-            let placed = job
-                .placements
-                .iter()
-                .any(|p| (p.task, p.attempt, p.machine) == (t.task, t.attempt, ix));
-            if let (false, Some(s)) = (placed, &job.spec) {
-                take(ix, s.need);
+        for p in old.placements.iter().filter(|p| !job.placements.contains(p)) {
+            // What a report still shows takes its room until it has exited.
+            let a = (*ix, p.task, p.attempt);
+            let there = view.machine(p.machine).and_then(|m| m.seen(a));
+            if there.is_none_or(|t| t.state == TaskState::Exited) {
+                free.give(p.machine, s.need);
             }
         }
     }
@@ -265,11 +273,10 @@
 
 /// What placements of a team use, whoever pays.
 pub fn used_by_team(view: &View, draft: &Draft, team: TeamIx) -> (i64, i64) {
-    let mut used = (0, 0);
-    for (ix, _) in view.active_jobs() {
-        let job = draft.job(view, ix);
+    let mut used = view.used(team);
+    for (ix, job) in &draft.jobs {
         if let Some(s) = job.spec.as_ref().filter(|s| s.team == team) {
-            let n = job.placements.len() as i64;
+            let n = job.placements.len() as i64 - view.jobs[ix.at()].placements.len() as i64;
             used = (used.0 + n * s.need.cpu, used.1 + n * s.need.gpu);
         }
     }
@@ -498,6 +505,11 @@
     (waited_ms as f64) < rules.spot_patience_ms as f64 * part
 }
 
+/// True if a machine with this much room may still have a use.
+fn has_any(free: Res) -> bool {
+    free.cpu > 0 && free.mem > 0
+}
+
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
 pub fn claim(
     view: &View,
@@ -509,9 +521,14 @@
     let mut free = free_room(view, draft);
     claim_gangs(view, rules, draft, &mut free, now);
     let jobs = waiting_jobs(view, rules, draft, now, wall_ms);
+    // Full machines are most of a busy fleet, and nothing can be claimed for them.
     let machines: Vec<(MachineIx, &Machine)> = view
         .all_machines()
-        .filter(|(_, m)| rules.owns(view, m.shard) && m.takes(now, rules.silent_ms))
+        .filter(|(mix, m)| {
+            free.get(*mix).is_some_and(has_any)
+                && rules.owns(view, m.shard)
+                && m.takes(now, rules.silent_ms)
+        })
         .collect();
     if jobs.is_empty() || machines.is_empty() {
         return Vec::new();
@@ -548,7 +565,7 @@
                 let Some(s) = job.spec.clone().filter(|s| s.rank() == rank) else {
                     continue;
                 };
-                let room = free.get(mix).copied().unwrap_or_default();
+                let room = free.get(*mix).unwrap_or_default();
                 if !job.waits(*task)
                     || backed_off(view, *ix, now)
                     || crowds_out(view, draft, &claimants, job, &s)
@@ -557,7 +574,7 @@
                     continue;
                 }
                 if place(view, rules, draft, *ix, &s, &[(*task, *mix, m)], m.shard) {
-                    free.insert(*mix, room.minus(s.need));
+                    free.take(*mix, s.need);
                     pulled.insert(*mix);
                 }
             }
@@ -577,7 +594,7 @@
                 let best = machines
                     .iter()
                     .filter_map(|(mix, m)| {
-                        let room = *free.get(mix)?;
+                        let room = free.get(*mix)?;
                         fits(draft, room, w.ix, &w.spec, *mix, m)
                             .then(|| (misfit(view, &w.spec, m, room), *mix, *m))
                     })
@@ -594,14 +611,12 @@
                 ) {
                     break;
                 }
-                if let Some(f) = free.get_mut(&mix) {
-                    *f = f.minus(w.spec.need);
-                }
+                free.take(mix, w.spec.need);
                 pulled.insert(mix);
             }
         }
     }
-    let has_room = |mix: &MachineIx| free.get(mix).is_some_and(|f| f.cpu > 0 && f.gpu > 0);
+    let has_room = |mix: &MachineIx| free.get(*mix).is_some_and(has_any);
     machines
         .iter()
         .map(|(mix, _)| *mix)
@@ -669,12 +684,13 @@
     ix: JobIx,
     job: &Job,
     spec: &Spec,
-    free: &HashMap<MachineIx, Res>,
+    free: &Room,
     usable: impl Fn(&Machine) -> bool,
 ) -> Option<Vec<(MachineIx, &'a Machine)>> {
     let mut zones: BTreeMap<ZoneIx, Vec<(MachineIx, &Machine)>> = BTreeMap::new();
     for (mix, m) in view.all_machines() {
-        if !usable(m) || !allowed(view, job, ix, spec, mix, m) {
+        let mut room = free.get(mix).unwrap_or_default();
+        if !spec.need.fits(room) || !usable(m) || !allowed(view, job, ix, spec, mix, m) {
             continue;
         }
         let zone = if spec.wire.one_zone {
@@ -682,7 +698,6 @@
         } else {
             ZoneIx(0)
         };
-        let mut room = free.get(&mix).copied().unwrap_or_default();
         let slots = zones.entry(zone).or_default();
         while spec.need.fits(room) {
             slots.push((mix, m));
@@ -725,7 +740,7 @@
     view: &View,
     rules: &Rules,
     draft: &mut Draft,
-    free: &mut HashMap<MachineIx, Res>,
+    free: &mut Room,
     now: Ms,
 ) {
     for ix in waiting_gangs(view, now) {
@@ -751,9 +766,7 @@
             .collect();
         if place(view, rules, draft, ix, &spec, &on, payer) {
             for (mix, _) in slots {
-                if let Some(f) = free.get_mut(&mix) {
-                    *f = f.minus(spec.need);
-                }
+                free.take(mix, spec.need);
             }
         }
     }
@@ -771,10 +784,7 @@
 ) -> Vec<(JobIx, Vec<MachineIx>)> {
     let mut taken: HashSet<MachineIx> = HashSet::new();
     let mut out = Vec::new();
-    let full: HashMap<MachineIx, Res> = view
-        .all_machines()
-        .filter_map(|(ix, m)| Some((ix, view.rigs.get(&m.rig)?.room)))
-        .collect();
+    let full = |m: &Machine| view.rigs.get(&m.rig).map(|r| r.room);
     let free = free_room(view, &Draft::default());
     for ix in waiting_gangs(view, now) {
         let job = &view.jobs[ix.at()];
@@ -794,11 +804,11 @@
                         && !taken.contains(mix)
                         && m.takes(now, rules.silent_ms)
                         && allowed(view, job, ix, spec, *mix, m)
-                        && full.get(mix).is_some_and(|r| spec.need.fits(*r))
                 })
-                .map(|(mix, _)| {
-                    let load = full[&mix].minus(free.get(&mix).copied().unwrap_or_default());
-                    (load.gpu + load.cpu, mix)
+                .filter_map(|(mix, m)| {
+                    let whole = full(m).filter(|r| spec.need.fits(*r))?;
+                    let load = whole.minus(free.get(mix).unwrap_or_default());
+                    Some((load.gpu + load.cpu, mix))
                 })
                 .collect();
             c.sort();
@@ -833,8 +843,8 @@
     for (mix, m) in view.all_machines() {
         for (j, t, _) in &m.queue {
             let q = &view.jobs[j.at()];
-            if let (true, Some(s), Some(f)) = (q.waits(*t), &q.spec, free.get_mut(&mix)) {
-                *f = f.minus(s.need);
+            if let (true, Some(s)) = (q.waits(*t), &q.spec) {
+                free.take(mix, s.need);
             }
         }
     }
@@ -866,7 +876,7 @@
         let fitting = machines
             .iter()
             .filter_map(|(mix, m)| {
-                let room = *free.get(mix)?;
+                let room = free.get(*mix)?;
                 let alone = leaves_alone(
                     view,
                     rules,
@@ -888,9 +898,7 @@
                 .min_by_key(|(mix, _)| queued[mix])
         });
         let Some((mix, m)) = chosen else { break };
-        if let Some(f) = free.get_mut(&mix) {
-            *f = f.minus(spec.need);
-        }
+        free.take(mix, spec.need);
         *queued.entry(mix).or_default() += 1;
         *per_zone.entry(m.zone).or_default() += 1;
         out.push((task, mix));
@@ -918,8 +926,8 @@
         // What is being stopped is room already.
         for a in m.stopping.keys() {
             let spec = view.jobs[a.0.at()].spec.as_ref();
-            if let (Some(s), Some(f), Some(_)) = (spec, free.get_mut(&mix), m.seen(*a)) {
-                *f = f.plus(s.need);
+            if let (Some(s), Some(_)) = (spec, m.seen(*a)) {
+                free.give(mix, s.need);
             }
         }
     }
@@ -941,19 +949,17 @@
         };
         let room = view
             .all_machines()
-            .find(|(mix, m)| good(*mix, m) && free.get(mix).is_some_and(|f| w.spec.need.fits(*f)));
+            .find(|(mix, m)| free.get(*mix).is_some_and(|f| w.spec.need.fits(f)) && good(*mix, m));
         if let Some((mix, _)) = room {
-            if let Some(f) = free.get_mut(&mix) {
-                *f = f.minus(w.spec.need);
-            }
+            free.take(mix, w.spec.need);
             continue;
         }
-        let mut best: Option<(usize, MachineIx, Vec<Attempt>, Res)> = None;
+        let mut best: Option<(usize, MachineIx, Vec<(Attempt, Res)>)> = None;
         for (mix, m) in view.all_machines() {
             if m.shard != turn || !good(mix, m) {
                 continue;
             }
-            let mut left = free.get(&mix).copied().unwrap_or_default();
+            let mut left = free.get(mix).unwrap_or_default();
             let mut victims = Vec::new();
             for t in victims_on(view, m, w.rank) {
                 if w.spec.need.fits(left) {
@@ -961,17 +967,20 @@
                 }
                 if let Some(s) = &view.jobs[t.0.at()].spec {
                     left = left.plus(s.need);
-                    victims.push(t);
+                    victims.push((t, s.need));
                 }
             }
             let better = best.as_ref().is_none_or(|(n, ..)| victims.len() < *n);
             if w.spec.need.fits(left) && better {
-                best = Some((victims.len(), mix, victims, left));
+                best = Some((victims.len(), mix, victims));
             }
         }
-        if let Some((_, mix, victims, left)) = best {
-            free.insert(mix, left.minus(w.spec.need));
-            out.extend(victims.into_iter().map(|a| {
+        if let Some((_, mix, victims)) = best {
+            free.take(mix, w.spec.need);
+            for (_, need) in &victims {
+                free.give(mix, *need);
+            }
+            out.extend(victims.into_iter().map(|(a, _)| {
                 let grace = view.jobs[a.0.at()]
                     .spec
                     .as_ref()
@@ -1020,11 +1029,8 @@
     for s in &m.tasks {
         let (piece, attempt) = (s.name.to_string(), s.attempt);
         let known = s.job.map(|j| (j, &view.jobs[j.at()]));
-        let placed = known.is_some_and(|(_, j)| {
-            j.placements
-                .iter()
-                .any(|p| (p.task, p.attempt, p.machine) == (s.task, attempt, mix))
-        });
+        let here = view.placed_on(mix);
+        let placed = s.job.is_some_and(|j| here.contains(&(j, s.task, attempt)));
         match (s.state, placed) {
             // An exit is forgotten only after the record has it: the worker keeps it until then.
             (TaskState::Exited, false) => {
@@ -1082,16 +1088,12 @@
 
 /// Placements on a machine whose start it has not shown yet.
 fn missing_starts(view: &View, mix: MachineIx, m: &Machine) -> Vec<Attempt> {
-    let mut out = Vec::new();
-    for (ix, job) in view.active_jobs() {
-        for p in job.placements.iter().filter(|p| p.machine == mix) {
-            let a = (ix, p.task, p.attempt);
-            if m.seen(a).is_none() && !unwanted(job, m, a) && !m.shown.contains(&a) {
-                out.push(a);
-            }
-        }
-    }
-    out
+    let here = view.placed_on(mix).iter().copied();
+    here.filter(|a| {
+        let job = &view.jobs[a.0.at()];
+        m.seen(*a).is_none() && !unwanted(job, m, *a) && !m.shown.contains(a)
+    })
+    .collect()
 }
 
 /// Direct starts for a machine, whose next report may be seconds away.
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -218,9 +218,7 @@
     let found = {
         let view = node.view.borrow();
         let m = view.machine(idle)?;
-        let room = plan::free_room(&view, &Draft::default())
-            .get(&idle)
-            .copied()?;
+        let room = view.room().get(idle.at()).copied().flatten()?;
         let queue = &view.machine(other)?.queue;
         queue.iter().position(|(ix, task, _)| {
             let j = &view.jobs[ix.at()];
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -637,7 +637,6 @@
 fn to_release(node: &Node, desk: &Desk, now: Ms) -> (Vec<(String, &'static str)>, Vec<String>) {
     let s = &node.platform.settings;
     let view = node.view.borrow();
-    let placed = view.placed();
     let lease_ms = ms_of(s.workers.lease_s);
     let silent_limit = ms_of(s.workers.report_s * 4.0) + 4000;
     let idle_ms = ms_of(node.operator.idle_return_s);
@@ -686,7 +685,7 @@
         } else if told && silent > silent_limit && (m.heard.is_some() || silent > lease_ms + 20_000)
         {
             dead.push((h.name.clone(), "silent"));
-        } else if !placed.contains_key(&mix)
+        } else if view.placed_on(mix).is_empty()
             && m.heard.is_some()
             && !desk.needed.contains(&mix)
             && m.idle_since.is_some_and(|t| now.since(t) > idle_ms)
@@ -702,10 +701,12 @@
 
 fn note_idle(node: &Node, now: Ms) {
     let mut view = node.view.borrow_mut();
-    let placed = view.placed();
-    for (i, m) in view.machines.iter_mut().enumerate() {
-        let Some(m) = m else { continue };
-        let busy = placed.contains_key(&MachineIx(i as u32))
+    for mix in (0..view.machines.len()).map(MachineIx::new) {
+        let placed = !view.placed_on(mix).is_empty();
+        let Some(m) = view.machine_mut(mix) else {
+            continue;
+        };
+        let busy = placed
             || !m.queue.is_empty()
             || m.queued_elsewhere > 0;
         m.idle_since = match (busy, m.heard) {
@@ -822,14 +823,14 @@
         if !up && !coming {
             continue;
         }
-        if let Some(f) = free.get(&mix) {
+        if let Some(free) = free.get(mix) {
             out.push(Supply {
                 pool: Pool {
                     rig: m.rig,
                     zone: m.zone,
                     spot: m.spot,
                 },
-                free: *f,
+                free,
                 machine: Some(mix),
             });
         }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -202,18 +202,13 @@
         }
     }
     prune(view, mix);
+    view.recount(mix);
     true
 }
 
 /// Drops what is remembered of attempts that have no placement here any more.
 fn prune(view: &mut View, mix: MachineIx) {
-    let placed: Vec<Attempt> = view
-        .active_jobs()
-        .flat_map(|(ix, j)| {
-            let here = j.placements.iter().filter(move |p| p.machine == mix);
-            here.map(move |p| (ix, p.task, p.attempt))
-        })
-        .collect();
+    let placed = view.placed_on(mix).to_vec();
     if let Some(m) = view.machine_mut(mix) {
         // Late starts stay: they outlive their placement.
         m.start_sent.retain(|a, _| placed.contains(a));
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -185,13 +185,12 @@
 /// Closes owned machines without placements; returns those that are closed now.
 pub fn close(node: &Node, machines: &[String]) -> Vec<String> {
     let mut view = node.view.borrow_mut();
-    let placed = view.placed();
     let mut out = Vec::new();
     for name in machines {
         let Some(mix) = view.machine_names.find(name) else {
             continue;
         };
-        if placed.contains_key(&mix) {
+        if !view.placed_on(mix).is_empty() {
             continue;
         }
         let rules = &node.rules;
@@ -217,6 +216,7 @@
             m.tasks.clear();
             m.queue.clear();
         }
+        view.recount(mix);
     }
     node.plan.ring();
 }
