Gang tasks wait again in place; late copies and unreached machines are told apart

Now such a task is forgotten and started again in place under the same attempt, three times at most, and gangs are gathered by the time of their last fetch instead of by cold or warm. Reports that show nothing new are answered without waiting for the planner. Excluded: lost members (the log shows no silent machine on those gangs).

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -35,6 +35,14 @@
     pub why: Option<Why>,
 }
 
+impl Seen {
+    /// True if both show the same attempt in the same state.
+    pub fn same(&self, o: &Seen) -> bool {
+        (self.job, self.task, self.attempt, self.state, self.why)
+            == (o.job, o.task, o.attempt, o.state, o.why)
+    }
+}
+
 /// The newest of a machine's reports, by (session, number).
 pub type Stamp = (u64, u64);
 
@@ -66,7 +74,9 @@
     pub shard: ShardIx,
     /// First time it was known here.
     pub known: Ms,
-    /// Newest sign of life, by report or by a peer's news.
+    /// Newest sign of life: a report that shows the owner's token, or a peer's news.
+    ///
+    /// A report under an older token may be a late copy and proves no life.
     pub heard: Option<Ms>,
     /// Newest message with a task list taken here, be it a report or an answer.
     pub stamp: Stamp,
@@ -86,6 +96,8 @@
     pub late_starts: HashMap<Attempt, LateStart>,
     /// Attempts that were seen here in a report.
     pub shown: HashSet<Attempt>,
+    /// Gang tasks whose wait ran out here before the others had come, and how often.
+    pub alone: HashMap<Attempt, u8>,
     /// Attempts to be stopped, with the time to save.
     pub stopping: HashMap<Attempt, f64>,
     /// Waiting tasks: job, task, since.
@@ -102,6 +114,12 @@
     pub failed_jobs: HashSet<JobIx>,
     /// Suspected to be faulty.
     pub sick: bool,
+    /// Reports in a row that show nothing of a start that an earlier answer held.
+    pub misses: u8,
+    /// Since when its reports have been answered here without a gap.
+    pub answered_since: Option<Ms>,
+    /// Since when its reports arrive here but nothing seems to reach it.
+    pub deaf: Option<Ms>,
     /// Images last used, newest last.
     pub images: Vec<(ImageIx, f64)>,
     /// Since when nothing is placed on it.
@@ -136,6 +154,7 @@
             start_sent: HashMap::new(),
             late_starts: HashMap::new(),
             shown: HashSet::new(),
+            alone: HashMap::new(),
             stopping: HashMap::new(),
             queue: VecDeque::new(),
             queued_elsewhere: 0,
@@ -144,6 +163,9 @@
             gone: false,
             failed_jobs: HashSet::new(),
             sick: false,
+            misses: 0,
+            answered_since: None,
+            deaf: None,
             images: Vec::new(),
             idle_since: None,
         }
@@ -161,10 +183,18 @@
         !self.gone
             && !self.closed
             && !self.sick
+            && self.deaf.is_none()
             && self.leaves.is_none()
             && self.heard.is_some_and(|h| now.since(h) <= silent_ms)
     }
 
+    /// Notes that the worker can be reached after all.
+    pub fn reached(&mut self, now: Ms) {
+        self.deaf = None;
+        self.misses = 0;
+        self.answered_since = Some(now);
+    }
+
     /// True if it is the machine's image or on its way there.
     pub fn has_image(&self, image: ImageIx) -> bool {
         self.images.iter().any(|(i, _)| *i == image)
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -3,8 +3,8 @@
 use super::node::{Node, Outside};
 use super::plan::Rules;
 use super::store::{set, Outcome};
-use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
-use crate::bookkeeping::units::Ms;
+use crate::bookkeeping::names::{Index, MachineIx, ShardIx, ZoneIx};
+use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
 use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
 use crate::protocol::workers::{Commands, Report};
@@ -322,6 +322,44 @@
         for (addr, token) in targets {
             node.ex.spawn(raise_token(addr, token)).detach();
         }
+        let lease_ms = ms_of(node.platform.settings.workers.lease_s);
+        for (mix, addr) in unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now) {
+            node.ex.spawn(probe(node.clone(), mix, addr)).detach();
+        }
+    }
+}
+
+/// Owned machines that seem to hear nothing, to be asked whether they do after all. One that
+/// stays so for a lease counts as faulty, and so is returned.
+pub fn unheard(view: &mut View, rules: &Rules, lease_ms: u64, now: Ms) -> Vec<(MachineIx, String)> {
+    let mut out = Vec::new();
+    for mix in (0..view.machines.len()).map(MachineIx::new) {
+        let owned = view.machine(mix).is_some_and(|m| rules.owns(view, m.shard));
+        let Some(m) = view.machine_mut(mix).filter(|m| owned && !m.gone) else {
+            continue;
+        };
+        let Some(since) = m.deaf else { continue };
+        if now.since(since) > lease_ms && !m.sick {
+            log::warn!("machine {} hears nothing, it is to be returned", m.name);
+            m.sick = true;
+        }
+        if !m.sick {
+            out.push((mix, m.addr.clone()));
+        }
+    }
+    out
+}
+
+async fn probe(node: Rc<Node>, mix: MachineIx, addr: String) {
+    let Ok(addr) = addr.parse() else { return };
+    let client = Client::new(addr);
+    let answer = client.call(Method::Get, "/status", Vec::new(), 1500).await;
+    if !answer.is_ok_and(|f| f.status == 200) {
+        return;
+    }
+    if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
+        log::info!("machine {} is reached again", m.name);
+        m.reached(node.now());
     }
 }
 
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -129,6 +129,25 @@
         && !may_start_late(m, token, a)
 }
 
+/// True if an attempt that is not there should not be started there any more: it was there
+/// and is lost, or nothing reaches the machine.
+fn given_up(m: &Machine, a: Attempt) -> bool {
+    m.shown.contains(&a) || m.deaf.is_some()
+}
+
+/// How often a gang's task whose wait ran out is started again in its place.
+const WAITS: u8 = 3;
+
+/// True if a gang's task that gave up waiting should wait once more, under the same attempt.
+///
+/// Its mates may still fetch an image for longer than the workers' wait. A whole new attempt
+/// would fetch it anew elsewhere and run out of time there in the same way, for ever.
+pub fn waits_again(job: &Job, m: &Machine, a: Attempt) -> bool {
+    let alone = m.seen(a).is_some_and(|s| s.why == Some(Why::Alone));
+    let often = m.alone.get(&a).copied().unwrap_or(0);
+    alone && often <= WAITS && m.leaves.is_none() && !unwanted(job, m, a)
+}
+
 /// True if the worker's lease has run out under this owner.
 ///
 /// It has accepted this owner's token, so no older owner's answer renews its lease, and a
@@ -170,8 +189,8 @@
             }
             let token = view.shards[m.shard.at()].rec.token;
             let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
-            let absent =
-                proven_absent(m, token, a) && (unwanted(job, m, a) || m.shown.contains(&a));
+            let exit = exit.filter(|_| !waits_again(job, m, a));
+            let absent = proven_absent(m, token, a) && (unwanted(job, m, a) || given_up(m, a));
             let lost = exit.is_none() && (absent || lease_over(m, token, rules.dead_ms, now));
             if exit.is_none() && !lost {
                 continue;
@@ -218,10 +237,18 @@
     for (ix, job) in &draft.jobs {
         let old = &view.jobs[ix.at()];
         let Some(s) = &job.spec else { continue };
-        for p in job.placements.iter().filter(|p| !old.placements.contains(p)) {
+        for p in job
+            .placements
+            .iter()
+            .filter(|p| !old.placements.contains(p))
+        {
             free.take(p.machine, s.need);
         }
-        for p in old.placements.iter().filter(|p| !job.placements.contains(p)) {
+        for p in old
+            .placements
+            .iter()
+            .filter(|p| !job.placements.contains(p))
+        {
             // What a report still shows takes its room until it has exited.
             let a = (*ix, p.task, p.attempt);
             let there = view.machine(p.machine).and_then(|m| m.seen(a));
@@ -446,6 +473,15 @@
     out.into_iter().map(|(.., w)| w).collect()
 }
 
+/// Time a machine needs for a task's image.
+fn fetch_ms(view: &View, spec: &Spec, m: &Machine) -> u64 {
+    if m.has_image(spec.image) {
+        return 0;
+    }
+    let rate = view.rigs.get(&m.rig).map(|r| r.flavor.fetch_gb_per_s);
+    ms_of(spec.wire.image_gb / rate.unwrap_or(0.0).max(0.01))
+}
+
 /// How well a machine suits a task; less is better, in seconds of waiting.
 ///
 /// Fetching an image is time lost. Room that nothing else can use once the task is
@@ -454,11 +490,7 @@
     let Some(rig) = view.rigs.get(&m.rig) else {
         return i64::MAX;
     };
-    let fetch = if m.has_image(spec.image) {
-        0.0
-    } else {
-        spec.wire.image_gb / rig.flavor.fetch_gb_per_s.max(0.01)
-    };
+    let fetch = fetch_ms(view, spec, m) as f64 / 1000.0;
     let whole = rig.room;
     let left = free.minus(spec.need);
     let part = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
@@ -708,9 +740,10 @@
         }
     }
     let n = spec.tasks() as usize;
-    let mut best: Option<(usize, Vec<(MachineIx, &Machine)>)> = None;
+    let mut best: Option<(u64, Vec<(MachineIx, &Machine)>)> = None;
     for mut slots in zones.into_values() {
-        slots.sort_by_key(|(mix, m)| (!m.has_image(spec.image), !m.spot, *mix));
+        // A gang begins with the last of its fetches.
+        slots.sort_by_key(|(mix, m)| (fetch_ms(view, spec, m), !m.spot, *mix));
         if spec.wire.spread {
             let cap = spec.zone_cap();
             let mut per: HashMap<ZoneIx, u32> = HashMap::new();
@@ -724,25 +757,17 @@
             continue;
         }
         slots.truncate(n);
-        let cold = slots
-            .iter()
-            .filter(|(_, m)| !m.has_image(spec.image))
-            .count();
-        if best.as_ref().is_none_or(|(c, _)| cold < *c) {
-            best = Some((cold, slots));
+        let last = slots.iter().map(|(_, m)| fetch_ms(view, spec, m)).max();
+        let last = last.unwrap_or(0);
+        if best.as_ref().is_none_or(|(l, _)| last < *l) {
+            best = Some((last, slots));
         }
     }
     best.map(|(_, s)| s)
 }
 
 /// Places gangs whose shard this node owns, all tasks in one claim.
-fn claim_gangs(
-    view: &View,
-    rules: &Rules,
-    draft: &mut Draft,
-    free: &mut Room,
-    now: Ms,
-) {
+fn claim_gangs(view: &View, rules: &Rules, draft: &mut Draft, free: &mut Room, now: Ms) {
     for ix in waiting_gangs(view, now) {
         let job = view.jobs[ix.at()].clone();
         let Some(spec) = job.spec.clone() else {
@@ -954,7 +979,7 @@
             free.take(mix, w.spec.need);
             continue;
         }
-        let mut best: Option<(usize, MachineIx, Vec<(Attempt, Res)>)> = None;
+        let mut best: Option<(usize, MachineIx, Vec<Victim>)> = None;
         for (mix, m) in view.all_machines() {
             if m.shard != turn || !good(mix, m) {
                 continue;
@@ -992,6 +1017,9 @@
     out
 }
 
+/// An attempt to be stopped and the room that it gives.
+type Victim = (Attempt, Res);
+
 /// Tasks of a lower priority on a machine, the cheapest to stop first: those that still
 /// fetch, then those that save. Others lose their work and are left alone, but for replicas.
 fn victims_on(view: &View, m: &Machine, rank: Rank) -> Vec<Attempt> {
@@ -1026,6 +1054,7 @@
     }
     let token = view.shards[m.shard.at()].rec.token;
     let mut out = Vec::new();
+    let mut again = Vec::new();
     for s in &m.tasks {
         let (piece, attempt) = (s.name.to_string(), s.attempt);
         let known = s.job.map(|j| (j, &view.jobs[j.at()]));
@@ -1042,7 +1071,15 @@
                     out.push(Order::Forget { piece, attempt });
                 }
             }
-            (TaskState::Exited, true) => {}
+            (TaskState::Exited, true) => {
+                let Some((ix, job)) = known else { continue };
+                let a = (ix, s.task, attempt);
+                if waits_again(job, m, a) && !may_start_late(m, token, a) {
+                    out.push(Order::Forget { piece, attempt });
+                    out.push(start(view, a));
+                    again.push(a);
+                }
+            }
             (_, false) => out.push(Order::Stop {
                 piece,
                 attempt,
@@ -1070,8 +1107,9 @@
         }
     }
     let reported = m.reported;
-    for a in missing_starts(view, mix, m) {
-        out.push(start(view, a));
+    let missing = missing_starts(view, mix, m);
+    out.extend(missing.iter().map(|a| start(view, *a)));
+    for a in missing.into_iter().chain(again) {
         if let Some(m) = view.machine_mut(mix) {
             m.start_sent.insert(a, reported);
         }
@@ -1091,7 +1129,7 @@
     let here = view.placed_on(mix).iter().copied();
     here.filter(|a| {
         let job = &view.jobs[a.0.at()];
-        m.seen(*a).is_none() && !unwanted(job, m, *a) && !m.shown.contains(a)
+        m.seen(*a).is_none() && !unwanted(job, m, *a) && !given_up(m, *a)
     })
     .collect()
 }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -3,6 +3,7 @@
 use super::node::{wall_ms, Node};
 use super::plan::{self, Draft, Push};
 use super::store::Outcome;
+use crate::bookkeeping::job::Placement;
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx};
 use crate::bookkeeping::units::Ms;
 use crate::protocol::peers::{Ask, Reply, TaskRef};
@@ -45,6 +46,7 @@
             if draft.is_empty() {
                 break;
             }
+            let told = claims_told(&node, &draft);
             match node.commit_draft(&draft).await {
                 Outcome::Done(r) => {
                     log::debug!(
@@ -52,8 +54,8 @@
                         draft.jobs.len(),
                         draft.claims.len()
                     );
-                    if log::log_enabled!(log::Level::Debug) {
-                        log_claims(&node, &draft);
+                    for line in told {
+                        log::debug!("{line}");
                     }
                 }
                 Outcome::Conflict(keys) => {
@@ -83,21 +85,30 @@
     }
 }
 
-/// Tells which tasks were claimed, for which machine and how long after their job came.
-fn log_claims(node: &Node, draft: &Draft) {
+/// Which tasks a draft claims, for which machine, and how long after their job came.
+fn claims_told(node: &Node, draft: &Draft) -> Vec<String> {
+    if !log::log_enabled!(log::Level::Debug) {
+        return Vec::new();
+    }
     let view = node.view.borrow();
-    for (ix, p) in &draft.claims {
+    let line = |(ix, p): &(JobIx, Placement)| {
         let job = &view.jobs[ix.at()];
-        log::debug!(
-            "claim {}/{} attempt {} on {} (spot: {}) after {} ms",
+        let (spec, m) = (job.spec.as_ref()?, view.machine(p.machine)?);
+        Some(format!(
+            "claim {}/{} attempt {} ({}, {} tasks) on {} ({}, spot: {}, image there: {}) after {} ms",
             job.id,
             p.task,
             p.attempt,
-            view.machine_names.name(p.machine),
-            view.machine(p.machine).is_some_and(|m| m.spot),
+            spec.wire.class,
+            spec.tasks(),
+            m.name,
+            view.rig_names.name(m.rig),
+            m.spot,
+            m.has_image(spec.image),
             wall_ms().saturating_sub(job.submitted)
-        );
-    }
+        ))
+    };
+    draft.claims.iter().filter_map(line).collect()
 }
 
 /// Sends starts that can't wait for the next report.
@@ -139,7 +150,7 @@
     }
     let report = answer.and_then(|f| rmp_serde::from_slice::<Report>(&f.body).ok());
     if let Some(r) = report {
-        super::reports::take(view, p.machine, &r, node.now(), false);
+        super::reports::take(view, p.machine, &r, node.now(), None);
     }
 }
 
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -706,9 +706,7 @@
         let Some(m) = view.machine_mut(mix) else {
             continue;
         };
-        let busy = placed
-            || !m.queue.is_empty()
-            || m.queued_elsewhere > 0;
+        let busy = placed || !m.queue.is_empty() || m.queued_elsewhere > 0;
         m.idle_since = match (busy, m.heard) {
             (false, Some(_)) => m.idle_since.or(Some(now)),
             _ => None,
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -2,7 +2,7 @@
 
 use super::node::Node;
 use super::plan;
-use crate::bookkeeping::fleet::{Attempt, Seen};
+use crate::bookkeeping::fleet::{Attempt, Machine, Seen, Stamp};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
@@ -32,7 +32,7 @@
         return Answer::later(1);
     }
     let now = node.now();
-    let (mix, token, changed) = {
+    let (mix, token, taken) = {
         let mut view = node.view.borrow_mut();
         let view = &mut *view;
         let learnt =
@@ -57,9 +57,23 @@
             );
             return elsewhere(None);
         }
-        (mix, token, take(view, mix, &report, now, true))
+        if view.machine(mix).is_some_and(|m| m.gone) {
+            // A late copy: what the cloud has deleted does not come back.
+            return elsewhere(None);
+        }
+        let lease_ms = ms_of(node.platform.settings.workers.lease_s);
+        (
+            mix,
+            token,
+            take(view, mix, &report, now, Some((token, lease_ms))),
+        )
     };
-    if changed {
+    if taken == Taken::Old {
+        // A late copy is not what its worker waits for: nothing in this answer arrives.
+        let orders = Vec::new();
+        return Answer::of(200, &ReportAnswer { token, orders });
+    }
+    if taken == Taken::News {
         let answering = |by: i32| {
             if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
                 m.answering = m.answering.saturating_add_signed(by);
@@ -88,9 +102,27 @@
     Answer::of(200, &ReportAnswer { token, orders })
 }
 
-/// Takes a report, or the same in a worker's answer to direct commands, into the view;
-/// true if the planner should look at it before the answer.
-pub fn take(view: &mut View, mix: MachineIx, r: &Report, now: Ms, is_report: bool) -> bool {
+/// What a report brought.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Taken {
+    /// It is no newer than what is known: a late copy, or overtaken.
+    Old,
+    /// It is newer, and shows what was known.
+    Same,
+    /// It shows something that the planner should look at before the answer.
+    News,
+}
+
+/// Takes a report, or the same in a worker's answer to direct commands, into the view.
+///
+/// `under`: for a report, the owner's token and the workers' lease.
+pub fn take(
+    view: &mut View,
+    mix: MachineIx,
+    r: &Report,
+    now: Ms,
+    under: Option<(u64, u64)>,
+) -> Taken {
     let tasks: Vec<Seen> = r
         .tasks
         .iter()
@@ -107,14 +139,24 @@
         })
         .collect();
     let mut failed: Vec<JobIx> = Vec::new();
+    let news;
+    let placed = &view.placed_on(mix).to_vec();
     {
         let Some(m) = view.machine_mut(mix) else {
-            return false;
+            return Taken::Old;
         };
         if (r.session, r.seq) <= m.stamp {
-            return false;
+            return Taken::Old;
+        }
+        news = m.stamp.0 != r.session
+            || m.token != r.token
+            || m.leaves.is_some() != r.notice_s.is_some()
+            || m.tasks.len() != tasks.len()
+            || tasks.iter().zip(&m.tasks).any(|(a, b)| !a.same(b));
+        if let Some((token, lease_ms)) = under {
+            listen(m, r, &tasks, placed, now, token, lease_ms);
         }
-        let fresh_exit = |m: &crate::bookkeeping::fleet::Machine, s: &Seen, why: Why| {
+        let fresh_exit = |m: &Machine, s: &Seen, why: Why| {
             s.state == TaskState::Exited
                 && s.why == Some(why)
                 && s.job.is_some_and(|j| {
@@ -122,6 +164,7 @@
                         .is_none_or(|o| o.state != TaskState::Exited)
                 })
         };
+        let mut alone: Vec<Attempt> = Vec::new();
         for s in &tasks {
             if fresh_exit(m, s, Why::Done) {
                 m.failed_jobs.clear();
@@ -129,6 +172,10 @@
             if fresh_exit(m, s, Why::Error) {
                 failed.extend(s.job);
             }
+            if fresh_exit(m, s, Why::Alone) {
+                let a = s.job.map(|j| (j, s.task, s.attempt));
+                alone.extend(a);
+            }
             let known = s
                 .job
                 .and_then(|j| m.seen((j, s.task, s.attempt)))
@@ -146,12 +193,17 @@
                 );
             }
         }
+        for a in alone {
+            *m.alone.entry(a).or_default() += 1;
+        }
         m.addr.clone_from(&r.addr);
         m.stamp = (r.session, r.seq);
-        if is_report {
+        if let Some((token, _)) = under {
             m.reported = m.stamp;
             m.token = r.token;
-            m.heard = Some(now);
+            if r.token == token {
+                m.heard = Some(now);
+            }
         }
         m.spot = r.spot;
         if m.leaves.is_none() && r.notice_s.is_some() {
@@ -203,7 +255,64 @@
     }
     prune(view, mix);
     view.recount(mix);
-    true
+    if news {
+        Taken::News
+    } else {
+        Taken::Same
+    }
+}
+
+/// Reports in a row without a start that an answer held, after which nothing reaches a machine.
+const MISSES: u8 = 3;
+
+/// Judges whether what this owner answers reaches the worker.
+///
+/// Two signs that it does not: a session that ended although its reports were answered all
+/// along, and starts in answers that later reports do not show. Such a machine is no room,
+/// and its tasks would wait there for ever. One that shows an order's effect is reached again.
+fn listen(
+    m: &mut Machine,
+    r: &Report,
+    tasks: &[Seen],
+    placed: &[Attempt],
+    now: Ms,
+    token: u64,
+    lease_ms: u64,
+) {
+    let answered = m.token == token && m.heard.is_some_and(|h| now.since(h) < lease_ms / 2);
+    let stamp = (r.session, r.seq);
+    if r.session > m.stamp.0 && m.stamp.0 > 0 {
+        m.misses = 0;
+        if answered && m.answered_since.is_some_and(|s| now.since(s) > lease_ms) {
+            log::warn!(
+                "machine {}: its session ended while it was answered",
+                m.name
+            );
+            m.deaf = m.deaf.or(Some(now));
+        }
+        m.answered_since = Some(now);
+        return;
+    }
+    if !answered {
+        m.answered_since = Some(now);
+    }
+    let shows = |a: &Attempt| {
+        let it = |s: &Seen| s.job == Some(a.0) && (s.task, s.attempt) == (a.1, a.2);
+        tasks.iter().any(it)
+    };
+    let waited = |(a, sent): (&Attempt, &Stamp)| *sent < stamp && placed.contains(a);
+    let mut pending = m.start_sent.iter().filter(|x| waited(*x)).peekable();
+    if pending.peek().is_none() {
+        m.misses = 0;
+    } else if pending.any(|(a, _)| shows(a)) {
+        m.reached(now);
+    } else {
+        m.misses = m.misses.saturating_add(1);
+        if m.misses >= MISSES && m.deaf.is_none() {
+            log::warn!("machine {} shows nothing of {} starts", m.name, m.misses);
+            m.deaf = Some(now);
+        }
+    }
 }
 
 /// Drops what is remembered of attempts that have no placement here any more.
@@ -213,6 +322,7 @@
         // Late starts stay: they outlive their placement.
         m.start_sent.retain(|a, _| placed.contains(a));
         m.shown.retain(|a| placed.contains(a));
+        m.alone.retain(|a, _| placed.contains(a));
         m.stopping.retain(|a, _| placed.contains(a));
     }
 }
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -32,7 +32,7 @@
                     silent_ms: silence(m.heard, m.known, since.get(&m.shard).copied(), now),
                     heard: m.heard.is_some(),
                     queued: m.queue.len().min(255) as u8,
-                    closed: m.closed || m.leaves.is_some(),
+                    closed: m.closed || m.leaves.is_some() || m.deaf.is_some(),
                     sick: m.sick,
                 })
                 .collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -11,18 +11,10 @@
 use pointhook::coordination::store::{conclude, transaction, Outcome};
 use pointhook::protocol::users::{Rank, Shape};
 use pointhook::protocol::workers::Order;
-use support::controller::{commands, Controller};
+use support::controller::{commands, one, play, Controller};
 use support::job;
-use support::store::Store;
 use support::worker::Worker;
 
-fn one() -> (Store, Controller) {
-    let mut store = Store::default();
-    let mut c = Controller::start("n1", 1, &mut store, 0);
-    assert_eq!(c.members(&mut store, 0), 3);
-    (store, c)
-}
-
 fn starts(orders: &[Order]) -> usize {
     orders
         .iter()
@@ -30,15 +22,6 @@
         .count()
 }
 
-/// Lets workers report every half second.
-fn play(c: &mut Controller, store: &mut Store, workers: &mut [&mut Worker], from: u64, to: u64) {
-    for now in (from..to).step_by(500) {
-        for w in workers.iter_mut() {
-            c.visit(store, w, now);
-        }
-    }
-}
-
 #[test]
 fn an_array_runs_to_its_end_and_leaves_nothing_behind() {
     let (mut store, mut c) = one();
@@ -174,7 +157,7 @@
     // A newer message without the task, sent before the answer arrived.
     let other = w.report(700);
     let mix = c.machine("m1");
-    reports::take(&mut c.view, mix, &other, Ms(700), false);
+    reports::take(&mut c.view, mix, &other, Ms(700), None);
     c.plan(&mut store, 700);
     assert_eq!(c.job("job-1").placements.len(), 1);
     assert!(w.answered(&answer, r.session, 500, 800));
@@ -266,6 +249,9 @@
     north.submit(&mut store, spec, 0);
     south.sync(&store);
     let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
+    let tokens = (0..2).map(|s| north.view.shards[s].rec.token);
+    let tokens: Vec<u64> = tokens.collect();
+    (w1.token, w2.token) = (tokens[0], tokens[1]);
     let r1 = w1.report(10);
     let r2 = w2.report(10);
     let (m1, m2) = (
@@ -278,8 +264,8 @@
             .learn_machine("m2", "oven", "south", true, Ms(10))
             .unwrap(),
     );
-    reports::take(&mut north.view, m1, &r1, Ms(10), true);
-    reports::take(&mut south.view, m2, &r2, Ms(10), true);
+    reports::take(&mut north.view, m1, &r1, Ms(10), Some((tokens[0], 10_000)));
+    reports::take(&mut south.view, m2, &r2, Ms(10), Some((tokens[1], 10_000)));
     // Both decide on the same view; only one of the raises can be applied.
     let (a, b) = (north.draft(10), south.draft(10));
     assert!(a.claims.len() == 2 && b.claims.len() == 2);
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -34,6 +34,29 @@
     }
 }
 
+/// A store and one controller that owns all shards.
+pub fn one() -> (Store, Controller) {
+    let mut store = Store::default();
+    let mut c = Controller::start("n1", 1, &mut store, 0);
+    assert_eq!(c.members(&mut store, 0), 3);
+    (store, c)
+}
+
+/// Lets workers report every half second.
+pub fn play(
+    c: &mut Controller,
+    store: &mut Store,
+    workers: &mut [&mut Worker],
+    from: u64,
+    to: u64,
+) {
+    for now in (from..to).step_by(500) {
+        for w in workers.iter_mut() {
+            c.visit(store, w, now);
+        }
+    }
+}
+
 impl Controller {
     /// A controller that has its key and knows the records.
     pub fn start(name: &str, incarnation: u64, store: &mut Store, now: u64) -> Controller {
@@ -196,6 +219,12 @@
         panic!("passes never end");
     }
 
+    /// The same as [`Controller::report`] while the state service is out of this node's reach.
+    pub fn report_without_store(&mut self, r: &Report, now: u64) -> Option<ReportAnswer> {
+        let mut nothing = Store::unreachable();
+        self.report(&mut nothing, r, now)
+    }
+
     /// Takes a report and answers it; `None` is 421.
     pub fn report(&mut self, store: &mut Store, r: &Report, now: u64) -> Option<ReportAnswer> {
         let mix = self
@@ -206,7 +235,14 @@
         if !self.rules.owns(&self.view, shard) || r.token > token {
             return None;
         }
-        reports::take(&mut self.view, mix, r, Ms(now), true);
+        if self.view.machine(mix)?.gone {
+            return None;
+        }
+        let under = Some((token, 10_000));
+        if reports::take(&mut self.view, mix, r, Ms(now), under) == reports::Taken::Old {
+            let orders = Vec::new();
+            return Some(ReportAnswer { token, orders });
+        }
         self.plan(store, now);
         if !self.rules.owns(&self.view, shard) {
             return None;
@@ -220,8 +256,18 @@
         Some(ReportAnswer { token, orders })
     }
 
-    /// One report of a worker, answered and executed at once; false for 421.
+    /// One report of a worker, answered and executed at once; false for 421. A worker that
+    /// learns a higher token reports once more.
     pub fn visit(&mut self, store: &mut Store, w: &mut Worker, now: u64) -> bool {
+        let before = w.token;
+        let took = self.visit_once(store, w, now);
+        if took && w.token > before {
+            return self.visit_once(store, w, now);
+        }
+        took
+    }
+
+    fn visit_once(&mut self, store: &mut Store, w: &mut Worker, now: u64) -> bool {
         let r = w.report(now);
         match self.report(store, &r, now) {
             Some(a) => w.answered(&a, r.session, now, now),
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -48,6 +48,14 @@
 }
 
 impl Store {
+    /// A store that answers nobody.
+    pub fn unreachable() -> Store {
+        Store {
+            down: true,
+            ..Store::default()
+        }
+    }
+
     pub fn version(&self, key: &str) -> u64 {
         self.keys.get(key).map_or(0, |k| k.version)
     }
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -121,6 +121,14 @@
         200
     }
 
+    /// Its waiting tasks have waited too long for the others of their gang.
+    pub fn give_up_waiting(&mut self) {
+        for t in self.tasks.iter_mut() {
+            t.state = TaskState::Exited;
+            t.why = Some(Why::Alone);
+        }
+    }
+
     fn execute(&mut self, orders: &[Order], now: u64) {
         for o in orders {
             match o {
--- /dev/null
+++ b/tests/troubles.rs
@@ -0,0 +1,280 @@
+//! Troubles that the protocol names: late copies, machines that hear nothing, nodes that are cut
+//! off from the state service alone, restarts within a fraction of a second.
+
+mod support;
+
+use pointhook::bookkeeping::job::JobState;
+use pointhook::bookkeeping::units::Ms;
+use pointhook::coordination::{members, plan};
+use pointhook::protocol::users::Shape;
+use pointhook::protocol::workers::Order;
+use support::controller::{one, play, Controller};
+use support::job;
+use support::worker::Worker;
+
+fn gang(id: &str, tasks: u32) -> pointhook::protocol::users::JobSpec {
+    let mut spec = job(id, tasks);
+    spec.shape = Shape::Gang;
+    spec.vcpus = 16.0;
+    spec
+}
+
+#[test]
+fn a_late_copy_proves_nothing_and_gets_no_orders() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 60_000;
+    c.visit(&mut store, &mut w, 0);
+    let empty = w.report(100);
+    c.report(&mut store, &empty, 100).unwrap();
+    c.submit(&mut store, job("job-1", 1), 200);
+    c.visit(&mut store, &mut w, 1000);
+    c.visit(&mut store, &mut w, 2000);
+    assert!(w.has("job-1/0"));
+    // A copy of the report from before the start, well over a lease later.
+    let heard = c.view.machine(c.machine("m1")).unwrap().heard;
+    let answer = c.report(&mut store, &empty, 30_000).unwrap();
+    assert!(answer.orders.is_empty());
+    assert_eq!(c.view.machine(c.machine("m1")).unwrap().heard, heard);
+    assert_eq!(c.job("job-1").placements.len(), 1);
+}
+
+#[test]
+fn a_copy_of_the_newest_report_takes_no_start_for_delivered() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    let r = w.report(500);
+    c.report(&mut store, &r, 500).unwrap();
+    c.submit(&mut store, job("job-1", 1), 600);
+    // The copy comes first after the claim: its answer goes nowhere.
+    let answer = c.report(&mut store, &r, 700).unwrap();
+    assert!(answer.orders.is_empty());
+    assert!(c
+        .view
+        .machine(c.machine("m1"))
+        .unwrap()
+        .start_sent
+        .is_empty());
+    c.visit(&mut store, &mut w, 1000);
+    assert_eq!(w.started.len(), 1);
+}
+
+#[test]
+fn a_late_copy_after_a_take_over_is_no_sign_of_life() {
+    let (mut store, old) = one();
+    let mut old = old;
+    let mut w = Worker::new("m1", "north", 0);
+    old.visit(&mut store, &mut w, 0);
+    let copy = w.report(100);
+    store.end_lease(old.lease);
+    let mut new = Controller::start("s1", 2, &mut store, 200);
+    new.members(&mut store, 200);
+    new.submit(&mut store, job("job-1", 1), 300);
+    // The machine is long gone; only copies of its reports still come.
+    new.report(&mut store, &copy, 40_000).unwrap();
+    let mix = new.machine("m1");
+    assert_eq!(new.view.machine(mix).unwrap().heard, None);
+    assert!(new.draft(40_000).claims.is_empty());
+    // The machine itself, once it has the new token, is heard and gets the work.
+    let mut alive = Worker::new("m2", "north", 40_000);
+    new.visit(&mut store, &mut alive, 40_000);
+    assert_eq!(alive.started.len(), 1);
+}
+
+#[test]
+fn a_late_copy_brings_no_deleted_machine_back() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    let copy = w.report(100);
+    let mix = c.machine("m1");
+    c.view.machine_mut(mix).unwrap().gone = true;
+    c.submit(&mut store, job("job-1", 1), 200);
+    assert!(c.report(&mut store, &copy, 20_000).is_none());
+    assert!(c.draft(20_000).claims.is_empty());
+}
+
+#[test]
+fn a_machine_that_hears_nothing_gets_no_work_and_its_tasks_go_elsewhere() {
+    let (mut store, mut c) = one();
+    let mut deaf = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut deaf, 0);
+    c.submit(&mut store, job("job-1", 1), 100);
+    // Its reports arrive, the answers do not.
+    for now in (500..4000).step_by(500) {
+        let r = deaf.report(now);
+        c.report(&mut store, &r, now).unwrap();
+    }
+    assert!(c.view.machine(c.machine("m1")).unwrap().deaf.is_some());
+    assert!(c.job("job-1").placements.is_empty());
+    let mut other = Worker::new("m2", "north", 4000);
+    c.visit(&mut store, &mut other, 4000);
+    assert_eq!(other.started.len(), 1);
+    assert!(deaf.started.is_empty());
+}
+
+#[test]
+fn a_machine_that_hears_nothing_is_returned_unless_it_is_reached_again() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    let mix = c.machine("m1");
+    c.view.machine_mut(mix).unwrap().deaf = Some(Ms(1000));
+    let asked = members::unheard(&mut c.view, &c.rules, 10_000, Ms(5000));
+    assert_eq!(asked.len(), 1);
+    assert!(!c.view.machine(mix).unwrap().sick);
+    let mut reached = c.view.machine(mix).unwrap().clone();
+    reached.reached(Ms(5000));
+    assert!(reached.takes(Ms(500), 4000));
+    members::unheard(&mut c.view, &c.rules, 10_000, Ms(11_500));
+    assert!(c.view.machine(mix).unwrap().sick);
+}
+
+#[test]
+fn a_session_that_ends_under_steady_answers_tells_that_they_do_not_arrive() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    for now in (500..12_000).step_by(500) {
+        let r = w.report(now);
+        c.report(&mut store, &r, now).unwrap();
+    }
+    assert!(w.session > 1);
+    let m = c.view.machine(c.machine("m1")).unwrap();
+    assert!(m.deaf.is_some() && !m.takes(Ms(12_000), 4000));
+}
+
+#[test]
+fn a_session_that_ends_while_nobody_answers_tells_nothing() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 12_000);
+    // No node answers for longer than its lease; then all is as before.
+    w.advance(30_000);
+    play(&mut c, &mut store, &mut [&mut w], 30_000, 31_000);
+    assert!(w.session > 1);
+    assert!(c.view.machine(c.machine("m1")).unwrap().deaf.is_none());
+}
+
+#[test]
+fn a_gang_task_whose_wait_ran_out_waits_again_under_the_same_attempt() {
+    let (mut store, mut c) = one();
+    c.submit(&mut store, gang("job-1", 2), 0);
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "north", 0));
+    w1.run_ms = 1_000_000;
+    // The second machine fetches for longer than the first one waits.
+    w2.fetch_ms = 1_000_000;
+    play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 2000);
+    w1.give_up_waiting();
+    play(&mut c, &mut store, &mut [&mut w1, &mut w2], 2000, 3000);
+    assert!(c.job("job-1").placements.iter().all(|p| p.attempt == 1));
+    assert_eq!(w1.started.len(), 2);
+    assert_eq!(w1.started[0], w1.started[1]);
+    assert_eq!(w2.started.len(), 1);
+}
+
+#[test]
+fn a_gang_that_never_gets_complete_is_tried_anew_after_a_few_waits() {
+    let (mut store, mut c) = one();
+    c.submit(&mut store, gang("job-1", 2), 0);
+    let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "north", 0));
+    w2.fetch_ms = 1_000_000;
+    w1.run_ms = 1_000_000;
+    play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 2000);
+    for i in 0..6 {
+        w1.give_up_waiting();
+        let from = 2000 + i * 2000;
+        play(
+            &mut c,
+            &mut store,
+            &mut [&mut w1, &mut w2],
+            from,
+            from + 2000,
+        );
+    }
+    assert!(c.job("job-1").next_attempt > 2);
+}
+
+#[test]
+fn a_node_cut_from_the_store_starts_nothing_and_stands_down_at_the_higher_token() {
+    let (mut store, mut old) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 60_000;
+    old.submit(&mut store, job("job-1", 1), 0);
+    old.visit(&mut store, &mut w, 0);
+    old.visit(&mut store, &mut w, 1000);
+    assert!(w.has("job-1/0"));
+    // It loses the store and its peers; its key ends and another takes its shards.
+    store.end_lease(old.lease);
+    let mut new = Controller::start("s1", 2, &mut store, 5000);
+    new.members(&mut store, 5000);
+    new.submit(&mut store, job("job-2", 1), 5100);
+    // It goes on answering its worker, which keeps its task and gets nothing new.
+    let r = w.report(6000);
+    let a = old.report_without_store(&r, 6000).unwrap();
+    assert!(!a.orders.iter().any(|o| matches!(o, Order::Start { .. })));
+    assert!(w.answered(&a, r.session, 6000, 6000));
+    // The new owner shows its token; the worker reports it, and the old one stands down.
+    w.token = new.view.shards[0].rec.token;
+    let r = w.report(7000);
+    assert!(old.report_without_store(&r, 7000).is_none());
+    // The task stays where it is, once: its placement is as good as before.
+    new.visit(&mut store, &mut w, 7500);
+    assert_eq!(w.started.iter().filter(|s| s.0 == "job-1/0").count(), 1);
+    assert_eq!(new.job("job-1").placements.len(), 1);
+    old.sync(&store);
+    assert!(!old.owns(0) && new.owns(0));
+}
+
+#[test]
+fn a_node_back_amid_a_hand_over_inherits_nothing_and_no_shard_is_left() {
+    let (mut store, old) = one();
+    let target = Controller::start("s1", 2, &mut store, 0);
+    let mut old = old;
+    old.sync(&store);
+    // The hand-over of a shard to s1 is on its way when s1 is killed and back at once.
+    let m = pointhook::coordination::members::Move {
+        shard: pointhook::bookkeeping::names::ShardIx(1),
+        to: "s1".into(),
+    };
+    let (txn, _) = pointhook::coordination::members::move_transaction(&old.view, &m).unwrap();
+    Controller::send(&mut store, &txn, 100);
+    let mut back = Controller::start("s1", 3, &mut store, 200);
+    assert!(!back.owns(1));
+    back.members(&mut store, 300);
+    assert!(back.owns(1) && back.view.shards[1].rec.token >= 3);
+    old.sync(&store);
+    assert!(!old.owns(1));
+    // The old incarnation's key ends later: that must not take the new one's along.
+    store.end_lease(target.lease);
+    back.sync(&store);
+    assert!(back
+        .view
+        .live_owner(pointhook::bookkeeping::names::ShardIx(1))
+        .is_some());
+}
+
+#[test]
+fn repeats_of_requests_that_were_carried_out_change_nothing() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 1), 0);
+    c.visit(&mut store, &mut w, 0);
+    let draft = c.draft(10);
+    assert!(draft.is_empty());
+    let accepted = c.job("job-1").version;
+    assert!(!matches!(
+        c.submit(&mut store, job("job-1", 1), 20),
+        pointhook::coordination::store::Outcome::Done(_)
+    ));
+    assert_eq!(c.job("job-1").version, accepted);
+    play(&mut c, &mut store, &mut [&mut w], 500, 12_000);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+    // A repeated start after the end of a job has no placement to rest on.
+    let mix = c.machine("m1");
+    assert!(plan::orders(&mut c.view, &c.rules, mix)
+        .iter()
+        .all(|o| !matches!(o, Order::Start { .. })));
+    assert_eq!(w.started.len(), 1);
+}
