News counts from owners only, releases are read-fenced, lost machines get deleted

Now news is taken only from the shard's owner, a release goes out only after a fresh read that shows the duty still ours, and machines with placements that are unlisted and silent are deleted by name, which is proof.

--- a/src/bookkeeping/tally.rs
+++ b/src/bookkeeping/tally.rs
@@ -54,6 +54,12 @@
     pub fn placed_on(&self, m: MachineIx) -> &[Attempt] {
         self.here.get(m.at()).map_or(&[], Vec::as_slice)
     }
+    /// Machines with placements.
+    pub fn occupied(&self) -> impl Iterator<Item = MachineIx> + '_ {
+        let here = self.here.iter().enumerate();
+        here.filter(|(_, a)| !a.is_empty())
+            .map(|(i, _)| MachineIx::new(i))
+    }
     /// What the placements paid by a shard use.
     pub fn paid(&self, team: TeamIx, payer: ShardIx) -> Amount {
         let by_payer = self.paid.get(team.at());
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -171,6 +171,8 @@
     pub shards_per_zone: usize,
     /// This process' machine types were read from the state service.
     pub flavors_version: u64,
+    /// Machines that the cloud has deleted.
+    gone: HashSet<MachineIx>,
     /// Sums over records and reports, kept current by every change of either.
     tally: Tally,
     /// Bad records already complained about.
@@ -350,6 +352,24 @@
     pub fn placed_on(&self, m: MachineIx) -> &[Attempt] {
         self.tally.placed_on(m)
     }
+    /// Machines with placements, known or not.
+    pub fn occupied(&self) -> impl Iterator<Item = MachineIx> + '_ {
+        self.tally.occupied()
+    }
+    /// True if the cloud has deleted the machine.
+    pub fn is_gone(&self, m: MachineIx) -> bool {
+        self.gone.contains(&m)
+    }
+    /// Notes that the cloud has deleted a machine, which may be known by name only.
+    pub fn set_gone(&mut self, mix: MachineIx) {
+        self.gone.insert(mix);
+        if let Some(m) = self.machine_mut(mix) {
+            m.gone = true;
+            m.tasks.clear();
+            m.queue.clear();
+        }
+        self.recount(mix);
+    }
     /// Room by machine after placements and whatever else was reported.
     pub fn room(&self) -> &[Option<Res>] {
         self.tally.room()
--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -173,20 +173,18 @@
             let _ = draft.edit(view, rules, ix);
         }
         for p in &job.placements {
-            let Some(m) = view.machine(p.machine) else {
-                continue;
-            };
-            let a = (ix, p.task, p.attempt);
-            if m.gone {
+            if view.is_gone(p.machine) {
                 // Deletion is proof for everyone, whoever owns the shard.
                 if let Some(j) = draft.edit(view, rules, ix) {
                     j.remove(p.task, p.attempt);
                 }
                 continue;
             }
-            if !rules.owns(view, m.shard) {
+            let owned = |m: &&Machine| rules.owns(view, m.shard);
+            let Some(m) = view.machine(p.machine).filter(owned) else {
                 continue;
-            }
+            };
+            let a = (ix, p.task, p.attempt);
             let token = view.shards[m.shard.at()].rec.token;
             let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
             let exit = exit.filter(|_| !waits_again(job, m, a));
@@ -482,11 +480,77 @@
     ms_of(spec.wire.image_gb / rate.unwrap_or(0.0).max(0.01))
 }
 
+/// Types that some waiting work can hardly do without: elsewhere it would leave much unused.
+#[derive(Default, Debug)]
+pub struct Lanes(Vec<RigIx>);
+
+/// How much dearer a task may be on a type before the type does not suit it.
+const SUITS: f64 = 1.2;
+/// How much dearer it must be on others to have a lane of its own.
+const PICKY: f64 = 1.5;
+/// What taking another's lane counts, in seconds of waiting.
+const LANE_S: f64 = 0.0;
+
+/// Price of a machine by how many of these tasks it holds, for each allowed type that fits.
+fn prices(view: &View, spec: &Spec) -> Vec<(RigIx, f64)> {
+    let open = |rig: &RigIx| spec.rigs.as_ref().is_none_or(|r| r.contains(rig));
+    let rigs = view.rigs.iter().filter(|(ix, _)| open(ix));
+    rigs.filter_map(|(ix, rig)| {
+        let n = spec.need.times_in(rig.room);
+        (n > 0).then(|| (*ix, rig.flavor.price / f64::from(n)))
+    })
+    .collect()
+}
+
+/// The lanes of all work that waits.
+pub fn lanes(view: &View) -> Lanes {
+    let mut out = Lanes::default();
+    if view.rigs.len() < 2 {
+        return out;
+    }
+    let mut seen: Vec<&str> = Vec::new();
+    for (_, job) in view.active_jobs() {
+        let Some(s) = job.spec.as_ref().filter(|_| job.waiting_count() > 0) else {
+            continue;
+        };
+        if seen.contains(&s.wire.class.as_str()) {
+            continue;
+        }
+        seen.push(&s.wire.class);
+        let prices = prices(view, s);
+        let least = prices.iter().map(|p| p.1).fold(f64::MAX, f64::min);
+        let picky = prices.iter().any(|p| p.1 > least * PICKY);
+        let suits = prices.iter().filter(|p| p.1 <= least * SUITS);
+        if picky {
+            out.0.extend(suits.map(|p| p.0));
+        }
+    }
+    out
+}
+
+impl Lanes {
+    /// Types on which a task would take room of another's lane although a type beside it
+    /// suits it as well.
+    fn astray(&self, view: &View, spec: &Spec) -> Vec<RigIx> {
+        if self.0.is_empty() {
+            return Vec::new();
+        }
+        let prices = prices(view, spec);
+        let least = prices.iter().map(|p| p.1).fold(f64::MAX, f64::min);
+        let suits = |p: &(RigIx, f64)| p.1 <= least * SUITS && !self.0.contains(&p.0);
+        if prices.iter().any(suits) {
+            self.0.clone()
+        } else {
+            Vec::new()
+        }
+    }
+}
+
 /// How well a machine suits a task; less is better, in seconds of waiting.
 ///
 /// Fetching an image is time lost. Room that nothing else can use once the task is
 /// there is lost too, and spot machines are for the work that may run on them.
-pub fn misfit(view: &View, spec: &Spec, m: &Machine, free: Res) -> i64 {
+pub fn misfit(view: &View, astray: &[RigIx], spec: &Spec, m: &Machine, free: Res) -> i64 {
     let Some(rig) = view.rigs.get(&m.rig) else {
         return i64::MAX;
     };
@@ -503,9 +567,10 @@
     let least = parts.iter().copied().fold(1.0, f64::min);
     let stranded = (most - least) * 20.0;
     let kind = if spec.wire.spot && !m.spot { 10.0 } else { 0.0 };
+    let lane = if astray.contains(&m.rig) { LANE_S } else { 0.0 };
     // The fuller one first, so that others stay empty for large tasks or go back.
     let spare = least * 3.0;
-    ((fetch + stranded + kind + spare) * 1000.0) as i64
+    ((fetch + stranded + kind + lane + spare) * 1000.0) as i64
 }
 
 fn is_empty(view: &View, m: &Machine, free: Res) -> bool {
@@ -551,7 +616,8 @@
     wall_ms: u64,
 ) -> Vec<MachineIx> {
     let mut free = free_room(view, draft);
-    claim_gangs(view, rules, draft, &mut free, now);
+    let lanes = lanes(view);
+    claim_gangs(view, rules, draft, &mut free, &lanes, now);
     let jobs = waiting_jobs(view, rules, draft, now, wall_ms);
     // Full machines are most of a busy fleet, and nothing can be claimed for them.
     let machines: Vec<(MachineIx, &Machine)> = view
@@ -619,6 +685,7 @@
                 .filter(|t| !bound.contains(&(w.ix, *t)))
                 .take(machines.len() * 8)
                 .collect();
+            let astray = lanes.astray(view, &w.spec);
             for task in tasks {
                 if crowds_out(view, draft, &claimants, draft.job(view, w.ix), &w.spec) {
                     break;
@@ -628,7 +695,7 @@
                     .filter_map(|(mix, m)| {
                         let room = free.get(*mix)?;
                         fits(draft, room, w.ix, &w.spec, *mix, m)
-                            .then(|| (misfit(view, &w.spec, m, room), *mix, *m))
+                            .then(|| (misfit(view, &astray, &w.spec, m, room), *mix, *m))
                     })
                     .min_by_key(|(cost, mix, _)| (*cost, *mix));
                 let Some((_, mix, m)) = best else { break };
@@ -717,6 +784,7 @@
     job: &Job,
     spec: &Spec,
     free: &Room,
+    lanes: &Lanes,
     usable: impl Fn(&Machine) -> bool,
 ) -> Option<Vec<(MachineIx, &'a Machine)>> {
     let mut zones: BTreeMap<ZoneIx, Vec<(MachineIx, &Machine)>> = BTreeMap::new();
@@ -740,10 +808,18 @@
         }
     }
     let n = spec.tasks() as usize;
+    let astray = lanes.astray(view, spec);
     let mut best: Option<(u64, Vec<(MachineIx, &Machine)>)> = None;
     for mut slots in zones.into_values() {
         // A gang begins with the last of its fetches.
-        slots.sort_by_key(|(mix, m)| (fetch_ms(view, spec, m), !m.spot, *mix));
+        let lane_ms = |m: &Machine| {
+            if astray.contains(&m.rig) {
+                ms_of(LANE_S)
+            } else {
+                0
+            }
+        };
+        slots.sort_by_key(|(mix, m)| (fetch_ms(view, spec, m) + lane_ms(m), !m.spot, *mix));
         if spec.wire.spread {
             let cap = spec.zone_cap();
             let mut per: HashMap<ZoneIx, u32> = HashMap::new();
@@ -767,7 +843,14 @@
 }
 
 /// Places gangs whose shard this node owns, all tasks in one claim.
-fn claim_gangs(view: &View, rules: &Rules, draft: &mut Draft, free: &mut Room, now: Ms) {
+fn claim_gangs(
+    view: &View,
+    rules: &Rules,
+    draft: &mut Draft,
+    free: &mut Room,
+    lanes: &Lanes,
+    now: Ms,
+) {
     for ix in waiting_gangs(view, now) {
         let job = view.jobs[ix.at()].clone();
         let Some(spec) = job.spec.clone() else {
@@ -782,7 +865,7 @@
             let others = m.held.is_some_and(|(j, until)| j != ix && now < until);
             m.takes(now, rules.silent_ms) && !others
         };
-        let Some(slots) = gather(view, ix, &job, &spec, free, usable) else {
+        let Some(slots) = gather(view, ix, &job, &spec, free, lanes, usable) else {
             continue;
         };
         let on: Vec<_> = (0..spec.tasks())
@@ -895,6 +978,7 @@
         }
     }
     let waited = wall_ms.saturating_sub(job.submitted);
+    let astray = lanes(view).astray(view, &spec);
     let mut out = Vec::new();
     for task in job.waiting() {
         let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
@@ -911,7 +995,7 @@
                     is_empty(view, m, room),
                 );
                 let good = zone_ok(m) && spec.need.fits(room) && !alone;
-                good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
+                good.then(|| (misfit(view, &astray, &spec, m, room), (*mix, *m)))
             })
             .min_by_key(|(cost, (mix, _))| (*cost, *mix))
             .map(|(_, chosen)| chosen);
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -694,11 +694,43 @@
             idle.push(h.name.clone());
         }
     }
+    let limit = lease_ms + 20_000;
+    let silent = |mix: MachineIx| match view.machine(mix) {
+        Some(m) => {
+            let owner_here = node.rules.owns(&view, m.shard);
+            let peer = view.live_owner(m.shard).and_then(|o| node.peer(o));
+            let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
+            let since = node.owned_since.borrow().get(&m.shard).copied();
+            let base = if owner_here { since } else { desk.owner_since };
+            (owner_here || told) && siblings::silence(m.heard, m.known, base, now) > limit
+        }
+        // Nobody has told of it since this duty began here.
+        None => desk.owner_since.is_some_and(|t| now.since(t) > limit),
+    };
+    let asked = |n: &str| desk.released.get(n).is_some_and(|t| now.since(*t) < 5000);
+    let lost = lost(&view, &desk.listed, silent);
+    dead.extend(lost.into_iter().filter(|n| !asked(n)).map(|n| (n, "lost")));
     dead.sort();
     idle.sort();
     (dead, idle)
 }
 
+/// Machines with placements that are not in the list and silent.
+///
+/// The cloud took them while no owner lived that had heard them: nothing else proves their
+/// tasks gone, and their jobs would wait for ever. Deleting an unknown name is answered too.
+pub fn lost(
+    view: &View,
+    listed: &HashMap<String, Listed>,
+    silent: impl Fn(MachineIx) -> bool,
+) -> Vec<String> {
+    let names = &view.machine_names;
+    view.occupied()
+        .filter(|m| !view.is_gone(*m) && !listed.contains_key(&**names.name(*m)) && silent(*m))
+        .map(|m| names.name(m).to_string())
+        .collect()
+}
+
 fn note_idle(node: &Node, now: Ms) {
     let mut view = node.view.borrow_mut();
     for mix in (0..view.machines.len()).map(MachineIx::new) {
@@ -738,6 +770,19 @@
         return;
     }
     names.truncate(100);
+    // Nothing fences a release but this: an owner that was cut off from the state service
+    // would go on returning machines that others have long put to use.
+    let still = node.refreshed(1500).await && {
+        let view = node.view.borrow();
+        node.rules.owns(&view, view.renting())
+    };
+    if !still {
+        log::info!(
+            "{} machines are not returned: not surely in charge",
+            names.len()
+        );
+        return;
+    }
     let Ok(body) = rmp_serde::to_vec_named(&Hosts {
         hosts: names.clone(),
     }) else {
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -1,8 +1,11 @@
 //! What controllers tell each other.
 
 use super::node::Node;
+use super::plan::Rules;
 use super::{plan, planner};
+use crate::bookkeeping::names::Index;
 use crate::bookkeeping::units::Ms;
+use crate::bookkeeping::view::View;
 use crate::protocol::peers::{Ask, MachineNews, Reply};
 use std::rc::Rc;
 
@@ -106,6 +109,33 @@
     }
 }
 
+/// Takes what a peer tells of its machines.
+///
+/// Only a shard's owner knows them: one that lost its shards unnoticed goes on telling of
+/// machines that have long been silent to it alone, and they would be returned for that.
+pub fn take_news(view: &mut View, rules: &Rules, from: &str, machines: Vec<MachineNews>, now: Ms) {
+    for n in machines {
+        let Some(mix) = view.learn_machine(&n.name, &n.rig, &n.zone, n.spot, now) else {
+            continue;
+        };
+        let told_by_owner = view.machine(mix).is_some_and(|m| {
+            let owner = &view.shards[m.shard.at()].rec.owner;
+            owner == from && !rules.owns(view, m.shard)
+        });
+        let Some(m) = view.machine_mut(mix).filter(|_| told_by_owner) else {
+            continue;
+        };
+        m.addr = n.addr;
+        // A machine that still boots has not been heard, only waited for.
+        if n.heard {
+            m.heard = Some(Ms(now.0.saturating_sub(n.silent_ms)));
+        }
+        m.queued_elsewhere = n.queued;
+        m.closed = n.closed;
+        m.sick = n.sick;
+    }
+}
+
 /// Answers a peer. Everything in here is a hint; nothing starts or ends by it.
 pub fn handle(node: &Rc<Node>, ask: Ask) -> Reply {
     let now = node.now();
@@ -119,29 +149,13 @@
                 p.heard.set(Some(now));
                 p.store_ok.set(store_ok);
             }
-            let mut view = node.view.borrow_mut();
-            let view = &mut *view;
-            for n in machines {
-                let Some(mix) = view.learn_machine(&n.name, &n.rig, &n.zone, n.spot, now) else {
-                    continue;
-                };
-                let owned = view
-                    .machine(mix)
-                    .is_some_and(|m| node.rules.owns(view, m.shard));
-                if owned {
-                    continue;
-                }
-                if let Some(m) = view.machine_mut(mix) {
-                    m.addr = n.addr;
-                    // A machine that still boots has not been heard, only waited for.
-                    if n.heard {
-                        m.heard = Some(Ms(now.0.saturating_sub(n.silent_ms)));
-                    }
-                    m.queued_elsewhere = n.queued;
-                    m.closed = n.closed;
-                    m.sick = n.sick;
-                }
-            }
+            take_news(
+                &mut node.view.borrow_mut(),
+                &node.rules,
+                &from,
+                machines,
+                now,
+            );
             Reply::Noted
         }
         Ask::Bind { tasks } => {
@@ -211,12 +225,7 @@
     let mut view = node.view.borrow_mut();
     for name in machines {
         let mix = view.intern_machine(name);
-        if let Some(m) = view.machine_mut(mix) {
-            m.gone = true;
-            m.tasks.clear();
-            m.queue.clear();
-        }
-        view.recount(mix);
+        view.set_gone(mix);
     }
     node.plan.ring();
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -402,7 +402,7 @@
         .view
         .learn_machine("m1", "oven", "north", true, Ms(60_000))
         .unwrap();
-    next.view.machine_mut(mix).unwrap().gone = true;
+    next.view.set_gone(mix);
     play(&mut next, &mut store, &mut [&mut w2], 60_000, 62_000);
     assert_eq!(w2.started.len(), 1);
 }
@@ -515,7 +515,7 @@
     play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 3000);
     assert_eq!(c.job("job-1").placements.len(), 2);
     let mix = c.machine("m1");
-    c.view.machine_mut(mix).unwrap().gone = true;
+    c.view.set_gone(mix);
     play(&mut c, &mut store, &mut [&mut w2], 3000, 5000);
     assert!(!w2.has("job-1/0") && !w2.has("job-1/1"));
     assert!(c.job("job-1").placements.is_empty());
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -5,9 +5,11 @@
 
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::units::Ms;
-use pointhook::coordination::{members, plan};
+use pointhook::coordination::{members, plan, renting, siblings};
+use pointhook::protocol::peers::MachineNews;
 use pointhook::protocol::users::Shape;
 use pointhook::protocol::workers::Order;
+use std::collections::HashMap;
 use support::controller::{one, play, Controller};
 use support::job;
 use support::worker::Worker;
@@ -89,7 +91,7 @@
     c.visit(&mut store, &mut w, 0);
     let copy = w.report(100);
     let mix = c.machine("m1");
-    c.view.machine_mut(mix).unwrap().gone = true;
+    c.view.set_gone(mix);
     c.submit(&mut store, job("job-1", 1), 200);
     assert!(c.report(&mut store, &copy, 20_000).is_none());
     assert!(c.draft(20_000).claims.is_empty());
@@ -227,6 +229,75 @@
     assert!(!old.owns(0) && new.owns(0));
 }
 
+#[test]
+fn a_machine_that_went_while_all_nodes_were_down_does_not_hold_its_tasks_for_ever() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.submit(&mut store, job("job-1", 1), 0);
+    c.visit(&mut store, &mut w, 0);
+    assert_eq!(c.job("job-1").placements.len(), 1);
+    // All nodes restart, and the cloud takes the machine before any of them hears it.
+    store.end_lease(c.lease);
+    let mut new = Controller::start("n1", 2, &mut store, 5000);
+    new.members(&mut store, 5000);
+    new.plan(&mut store, 200_000);
+    assert_eq!(new.job("job-1").placements.len(), 1);
+    // It is in no list and nobody hears it: it is deleted by name, which proves it gone.
+    let names = renting::lost(&new.view, &HashMap::new(), |_| true);
+    assert_eq!(names, ["m1"]);
+    assert!(renting::lost(&new.view, &HashMap::new(), |_| false).is_empty());
+    let mix = new.machine("m1");
+    new.view.set_gone(mix);
+    new.plan(&mut store, 200_000);
+    assert!(new.job("job-1").placements.is_empty());
+    assert!(renting::lost(&new.view, &HashMap::new(), |_| true).is_empty());
+}
+
+fn news(name: &str, silent_ms: u64) -> MachineNews {
+    MachineNews {
+        name: name.into(),
+        addr: "127.0.0.1:1".into(),
+        rig: "oven".into(),
+        zone: "north".into(),
+        spot: true,
+        silent_ms,
+        heard: true,
+        queued: 0,
+        closed: false,
+        sick: false,
+    }
+}
+
+#[test]
+fn news_of_machines_counts_only_from_their_owner() {
+    let (mut store, old) = one();
+    store.end_lease(old.lease);
+    let mut new = Controller::start("s1", 2, &mut store, 5000);
+    let mut third = Controller::start("s2", 3, &mut store, 5000);
+    new.members(&mut store, 5000);
+    third.sync(&store);
+    let mix = third
+        .view
+        .learn_machine("m1", "oven", "north", true, Ms(0))
+        .unwrap();
+    siblings::take_news(
+        &mut third.view,
+        &third.rules,
+        "s1",
+        vec![news("m1", 0)],
+        Ms(30_000),
+    );
+    // The deposed owner has not heard the machine for a long time and does not know why.
+    siblings::take_news(
+        &mut third.view,
+        &third.rules,
+        "n1",
+        vec![news("m1", 25_000)],
+        Ms(30_100),
+    );
+    assert_eq!(third.view.machine(mix).unwrap().heard, Some(Ms(30_000)));
+}
+
 #[test]
 fn a_node_back_amid_a_hand_over_inherits_nothing_and_no_shard_is_left() {
     let (mut store, old) = one();
