--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -489,7 +489,7 @@
 /// How much dearer it must be on others to have a lane of its own.
 const PICKY: f64 = 1.5;
 /// What taking another's lane counts, in seconds of waiting.
-const LANE_S: f64 = 0.0;
+const LANE_S: f64 = 12.0;
 
 /// Price of a machine by how many of these tasks it holds, for each allowed type that fits.
 fn prices(view: &View, spec: &Spec) -> Vec<(RigIx, f64)> {
@@ -956,17 +956,19 @@
             }
         }
     }
-    let mut machines: Vec<(MachineIx, &Machine)> = view
-        .all_machines()
-        .filter(|(mix, m)| {
-            m.takes(now, rules.silent_ms)
-                && m.held.is_none()
-                && allowed(view, job, ix, &spec, *mix, m)
-        })
-        .collect();
-    while machines.len() > SAMPLE {
-        machines.swap_remove(fastrand::usize(..machines.len()));
+    let candidates = view.all_machines().filter(|(mix, m)| {
+        m.takes(now, rules.silent_ms) && m.held.is_none() && allowed(view, job, ix, &spec, *mix, m)
+    });
+    // Machines with room and the image are few: a sample of hundreds misses most of them.
+    let (mut machines, mut others): (Vec<_>, Vec<_>) = candidates.partition(|(mix, m)| {
+        m.has_image(spec.image) && free.get(*mix).is_some_and(|f| spec.need.fits(f))
+    });
+    for list in [&mut machines, &mut others] {
+        while list.len() > SAMPLE {
+            list.swap_remove(fastrand::usize(..list.len()));
+        }
     }
+    machines.extend(others);
     let mut queued: HashMap<MachineIx, usize> = machines
         .iter()
         .map(|(mix, m)| (*mix, m.queue.len().max(m.queued_elsewhere.into())))
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -197,20 +197,30 @@
         let only = (one_zone && spec.is_wide_gang())
             .then(|| gang_zone(view, supply, spec, |p| kind_ok(p) && !blocked.contains(p)))
             .flatten();
+        let mut next = 0;
         for _ in 0..d.tasks {
             let ok = |p: &Pool, per: &HashMap<ZoneIx, u32>| {
                 kind_ok(p) && zone_ok(per, p.zone) && only.is_none_or(|z| z == p.zone)
             };
-            let found = supply.iter_mut().find(|s| {
+            // Room, zones and kinds only get fewer while one job's tasks are placed: what
+            // did not suit one task suits none of the next.
+            let found = loop {
+                let Some(s) = supply.get(next) else {
+                    break None;
+                };
                 let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
-                ok(&s.pool, &per_zone)
-                    && spec.need.fits(s.free)
+                let good = spec.need.fits(s.free)
+                    && ok(&s.pool, &per_zone)
                     && !(dear(&s.pool) && whole(view, s))
                     && !alone(&s.pool, whole(view, s))
                     && here
                         .zip(job)
-                        .is_none_or(|((mix, m), (ix, j))| plan::allowed(view, j, ix, spec, mix, m))
-            });
+                        .is_none_or(|((mix, m), (ix, j))| plan::allowed(view, j, ix, spec, mix, m));
+                if good {
+                    break supply.get_mut(next);
+                }
+                next += 1;
+            };
             if let Some(s) = found {
                 s.free = s.free.minus(spec.need);
                 *per_zone.entry(s.pool.zone).or_default() += 1;
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -4,9 +4,10 @@
 use super::plan::Rules;
 use super::{plan, planner};
 use crate::bookkeeping::names::Index;
-use crate::bookkeeping::units::Ms;
+use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::View;
 use crate::protocol::peers::{Ask, MachineNews, Reply};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 const NEWS_MS: u64 = 1000;
@@ -15,8 +16,11 @@
 
 /// Duty: tells the others about the own machines, and holds machines for gangs.
 pub async fn news(node: Rc<Node>) {
-    loop {
+    for turn in 0u64.. {
         crate::transport::pause(NEWS_MS).await;
+        if turn % SURVEY_TURNS == 0 {
+            survey(&node);
+        }
         planner::sweep_queues(&node);
         hold_for_gangs(&node);
         planner::make_room(&node);
@@ -57,6 +61,54 @@
     }
 }
 
+/// Turns between two surveys in the log.
+const SURVEY_TURNS: u64 = 15;
+
+/// Tells how full the own machines are, by type, and what waits.
+fn survey(node: &Node) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let view = node.view.borrow();
+    for (rig, r) in &view.rigs {
+        let mut sum = (0, 0, Res::default(), 0);
+        for (mix, m) in view.all_machines() {
+            let own = m.rig == *rig && node.rules.owns(&view, m.shard);
+            if !own || !m.takes(node.now(), node.rules.silent_ms) {
+                continue;
+            }
+            let free = view.room().get(mix.at()).copied().flatten();
+            let free = free.unwrap_or_default();
+            let empty = u32::from(free == r.room);
+            let tasks = view.placed_on(mix).len();
+            sum = (sum.0 + 1, sum.1 + tasks, sum.2.plus(free), sum.3 + empty);
+        }
+        log::debug!(
+            "{}: {} up, {} of them empty, {} tasks, free: {} cpus, {} gpus, {} GB",
+            r.flavor.name,
+            sum.0,
+            sum.3,
+            sum.1,
+            sum.2.cpu / 1000,
+            sum.2.gpu / 1000,
+            sum.2.mem / 1000
+        );
+    }
+    let mut waiting: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+    for (_, j) in view.active_jobs() {
+        let (n, Some(s)) = (j.waiting_count(), &j.spec) else {
+            continue;
+        };
+        if n > 0 {
+            let w = waiting.entry(&s.wire.class).or_default();
+            *w = (w.0 + 1, w.1 + n);
+        }
+    }
+    for (class, (jobs, tasks)) in waiting {
+        log::debug!("{class}: {tasks} tasks of {jobs} jobs wait");
+    }
+}
+
 /// How long an owner has waited for a machine in vain.
 pub fn silence(heard: Option<Ms>, known: Ms, owned: Option<Ms>, now: Ms) -> u64 {
     let since = heard.unwrap_or(known).max(owned.unwrap_or(known));
