Late work is bounded by its first task and one second of five, not by its age

Late jobs went behind those that can make it, but after two and a half times the time allowed came back in front as the oldest. With more asked than can be done, every fresh job then waited for a backlog of 900 tasks and became late itself. Now late work stays behind; against starving, its first task goes first after that age (two minutes at most), and in one second of five all late work goes first, the oldest first. Excluded: processor time, the store's writes (refusals 1%), claims of fresh jobs taken by queues.

--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -439,22 +439,40 @@
     spec: Rc<Spec>,
 }
 
-/// True if a job has missed what is expected of it, or will whatever happens now.
+/// One in so many seconds belongs to what is late.
+const LATE_TURNS: u64 = 5;
+
+/// How far the order of service puts a job back within its priority.
 ///
-/// It goes behind those of its priority that can still make it: when more is asked than can
-/// be done, someone is late, and it is better the same ones. Not for ever: after two and a
-/// half times the time allowed it is again just the oldest.
-pub fn too_late(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> bool {
+/// One that has missed what is expected of it, or will whatever happens now, goes behind those
+/// that can still make it: when more is asked than can be done, someone is late, and it is
+/// better the same ones. Two bounds keep that from starving it, whatever younger work comes:
+/// once it has waited two and a half times the time allowed its first task goes before all,
+/// and in one second of five all late work does, the oldest first.
+pub fn put_back(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> u8 {
     let due = spec.wire.deadline_s.map(ms_of);
     let Some(due) = due.or_else(|| rules.finish_within.get(&spec.wire.class).copied()) else {
-        return false;
+        return 1;
     };
     let age = wall_ms.saturating_sub(job.submitted);
-    age + ms_of(spec.wire.estimate_s) > due && age < due * 5 / 2
+    if age + ms_of(spec.wire.estimate_s) <= due {
+        return 1;
+    }
+    let begun = !job.placements.is_empty() || job.done.count() > 0;
+    let aged = age >= due * 5 / 2 || age >= BEGIN_MS;
+    let turn = (wall_ms / 1000) % LATE_TURNS == 0;
+    if turn || aged && !begun {
+        0
+    } else {
+        2
+    }
 }
 
+/// Age at which any job's first task goes before others of its priority.
+const BEGIN_MS: u64 = 120_000;
+
 fn waiting_jobs(view: &View, rules: &Rules, draft: &Draft, now: Ms, wall_ms: u64) -> Vec<Waiting> {
-    let mut out: Vec<(Rank, bool, u64, Waiting)> = view
+    let mut out: Vec<(Rank, u8, u64, Waiting)> = view
         .active_jobs()
         .filter(|(ix, _)| !backed_off(view, *ix, now))
         .filter_map(|(ix, _)| {
@@ -462,12 +480,12 @@
             let spec = j.spec.clone()?;
             (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
                 let rank = spec.rank();
-                let late = too_late(rules, j, &spec, wall_ms);
-                (rank, late, j.submitted, Waiting { ix, rank, spec })
+                let back = put_back(rules, j, &spec, wall_ms);
+                (rank, back, j.submitted, Waiting { ix, rank, spec })
             })
         })
         .collect();
-    out.sort_by_key(|(r, late, at, w)| (*r, *late, *at, w.ix));
+    out.sort_by_key(|(r, back, at, w)| (*r, *back, *at, w.ix));
     out.into_iter().map(|(.., w)| w).collect()
 }
 
