Smaller jobs first among those in time; stale queue entries follow the order of service

Entries that had waited in a machine's queue for longer than `steal_after_s` still went before the order of service. Queue entries past that time count as unbound.

--- a/src/coordination/plan.rs
+++ b/src/coordination/plan.rs
@@ -433,8 +433,9 @@
 }
 
 /// A waiting job, in the order of service.
-struct Waiting {
-    ix: JobIx,
+pub struct Waiting {
+    /// Job.
+    pub ix: JobIx,
     rank: Rank,
     spec: Rc<Spec>,
 }
@@ -471,8 +472,26 @@
 /// Age at which any job's first task goes before others of its priority.
 const BEGIN_MS: u64 = 120_000;
 
-fn waiting_jobs(view: &View, rules: &Rules, draft: &Draft, now: Ms, wall_ms: u64) -> Vec<Waiting> {
-    let mut out: Vec<(Rank, u8, u64, Waiting)> = view
+/// Among work that can still make what is expected of it, the smaller goes first, in steps of
+/// two: when not all can be in time, more jobs are.
+fn size_step(rules: &Rules, job: &Job, spec: &Spec, back: u8) -> u32 {
+    let within = rules.finish_within.contains_key(&spec.wire.class);
+    let expected = spec.wire.deadline_s.is_some() || within;
+    if back != 1 || !expected {
+        return 0;
+    }
+    job.waiting_count().max(1).ilog2()
+}
+
+/// Jobs with waiting tasks in the order of service, wide gangs apart.
+pub fn waiting_jobs(
+    view: &View,
+    rules: &Rules,
+    draft: &Draft,
+    now: Ms,
+    wall_ms: u64,
+) -> Vec<Waiting> {
+    let mut out: Vec<(Rank, u8, u32, u64, Waiting)> = view
         .active_jobs()
         .filter(|(ix, _)| !backed_off(view, *ix, now))
         .filter_map(|(ix, _)| {
@@ -481,11 +500,12 @@
             (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
                 let rank = spec.rank();
                 let back = put_back(rules, j, &spec, wall_ms);
-                (rank, back, j.submitted, Waiting { ix, rank, spec })
+                let size = size_step(rules, j, &spec, back);
+                (rank, back, size, j.submitted, Waiting { ix, rank, spec })
             })
         })
         .collect();
-    out.sort_by_key(|(r, back, at, w)| (*r, *back, *at, w.ix));
+    out.sort_by_key(|(r, back, size, at, w)| (*r, *back, *size, *at, w.ix));
     out.into_iter().map(|(.., w)| w).collect()
 }
 
@@ -498,77 +518,11 @@
     ms_of(spec.wire.image_gb / rate.unwrap_or(0.0).max(0.01))
 }
 
-/// Types that some waiting work can hardly do without: elsewhere it would leave much unused.
-#[derive(Default, Debug)]
-pub struct Lanes(Vec<RigIx>);
-
-/// How much dearer a task may be on a type before the type does not suit it.
-const SUITS: f64 = 1.2;
-/// How much dearer it must be on others to have a lane of its own.
-const PICKY: f64 = 1.5;
-/// What taking another's lane counts, in seconds of waiting.
-const LANE_S: f64 = 12.0;
-
-/// Price of a machine by how many of these tasks it holds, for each allowed type that fits.
-fn prices(view: &View, spec: &Spec) -> Vec<(RigIx, f64)> {
-    let open = |rig: &RigIx| spec.rigs.as_ref().is_none_or(|r| r.contains(rig));
-    let rigs = view.rigs.iter().filter(|(ix, _)| open(ix));
-    rigs.filter_map(|(ix, rig)| {
-        let n = spec.need.times_in(rig.room);
-        (n > 0).then(|| (*ix, rig.flavor.price / f64::from(n)))
-    })
-    .collect()
-}
-
-/// The lanes of all work that waits.
-pub fn lanes(view: &View) -> Lanes {
-    let mut out = Lanes::default();
-    if view.rigs.len() < 2 {
-        return out;
-    }
-    let mut seen: Vec<&str> = Vec::new();
-    for (_, job) in view.active_jobs() {
-        let Some(s) = job.spec.as_ref().filter(|_| job.waiting_count() > 0) else {
-            continue;
-        };
-        if seen.contains(&s.wire.class.as_str()) {
-            continue;
-        }
-        seen.push(&s.wire.class);
-        let prices = prices(view, s);
-        let least = prices.iter().map(|p| p.1).fold(f64::MAX, f64::min);
-        let picky = prices.iter().any(|p| p.1 > least * PICKY);
-        let suits = prices.iter().filter(|p| p.1 <= least * SUITS);
-        if picky {
-            out.0.extend(suits.map(|p| p.0));
-        }
-    }
-    out
-}
-
-impl Lanes {
-    /// Types on which a task would take room of another's lane although a type beside it
-    /// suits it as well.
-    fn astray(&self, view: &View, spec: &Spec) -> Vec<RigIx> {
-        if self.0.is_empty() {
-            return Vec::new();
-        }
-        let prices = prices(view, spec);
-        let least = prices.iter().map(|p| p.1).fold(f64::MAX, f64::min);
-        let suits = |p: &(RigIx, f64)| p.1 <= least * SUITS && !self.0.contains(&p.0);
-        if prices.iter().any(suits) {
-            self.0.clone()
-        } else {
-            Vec::new()
-        }
-    }
-}
-
 /// How well a machine suits a task; less is better, in seconds of waiting.
 ///
 /// Fetching an image is time lost. Room that nothing else can use once the task is
 /// there is lost too, and spot machines are for the work that may run on them.
-pub fn misfit(view: &View, astray: &[RigIx], spec: &Spec, m: &Machine, free: Res) -> i64 {
+pub fn misfit(view: &View, spec: &Spec, m: &Machine, free: Res) -> i64 {
     let Some(rig) = view.rigs.get(&m.rig) else {
         return i64::MAX;
     };
@@ -585,10 +539,9 @@
     let least = parts.iter().copied().fold(1.0, f64::min);
     let stranded = (most - least) * 20.0;
     let kind = if spec.wire.spot && !m.spot { 10.0 } else { 0.0 };
-    let lane = if astray.contains(&m.rig) { LANE_S } else { 0.0 };
     // The fuller one first, so that others stay empty for large tasks or go back.
     let spare = least * 3.0;
-    ((fetch + stranded + kind + lane + spare) * 1000.0) as i64
+    ((fetch + stranded + kind + spare) * 1000.0) as i64
 }
 
 fn is_empty(view: &View, m: &Machine, free: Res) -> bool {
@@ -634,8 +587,7 @@
     wall_ms: u64,
 ) -> Vec<MachineIx> {
     let mut free = free_room(view, draft);
-    let lanes = lanes(view);
-    claim_gangs(view, rules, draft, &mut free, &lanes, now);
+    claim_gangs(view, rules, draft, &mut free, now);
     let jobs = waiting_jobs(view, rules, draft, now, wall_ms);
     // Full machines are most of a busy fleet, and nothing can be claimed for them.
     let machines: Vec<(MachineIx, &Machine)> = view
@@ -676,7 +628,11 @@
     for rank in ranks {
         // Each machine's own queue, first in first out among those of one priority.
         for (mix, m) in &machines {
-            for (ix, task, _) in &m.queue {
+            for (ix, task, since) in &m.queue {
+                // What has waited here for long is unbound again, and served in that order.
+                if now.since(*since) >= rules.steal_ms {
+                    continue;
+                }
                 let job = draft.job(view, *ix);
                 let Some(s) = job.spec.clone().filter(|s| s.rank() == rank) else {
                     continue;
@@ -703,7 +659,6 @@
                 .filter(|t| !bound.contains(&(w.ix, *t)))
                 .take(machines.len() * 8)
                 .collect();
-            let astray = lanes.astray(view, &w.spec);
             for task in tasks {
                 if crowds_out(view, draft, &claimants, draft.job(view, w.ix), &w.spec) {
                     break;
@@ -713,7 +668,7 @@
                     .filter_map(|(mix, m)| {
                         let room = free.get(*mix)?;
                         fits(draft, room, w.ix, &w.spec, *mix, m)
-                            .then(|| (misfit(view, &astray, &w.spec, m, room), *mix, *m))
+                            .then(|| (misfit(view, &w.spec, m, room), *mix, *m))
                     })
                     .min_by_key(|(cost, mix, _)| (*cost, *mix));
                 let Some((_, mix, m)) = best else { break };
@@ -802,7 +757,6 @@
     job: &Job,
     spec: &Spec,
     free: &Room,
-    lanes: &Lanes,
     usable: impl Fn(&Machine) -> bool,
 ) -> Option<Vec<(MachineIx, &'a Machine)>> {
     let mut zones: BTreeMap<ZoneIx, Vec<(MachineIx, &Machine)>> = BTreeMap::new();
@@ -826,18 +780,10 @@
         }
     }
     let n = spec.tasks() as usize;
-    let astray = lanes.astray(view, spec);
     let mut best: Option<(u64, Vec<(MachineIx, &Machine)>)> = None;
     for mut slots in zones.into_values() {
         // A gang begins with the last of its fetches.
-        let lane_ms = |m: &Machine| {
-            if astray.contains(&m.rig) {
-                ms_of(LANE_S)
-            } else {
-                0
-            }
-        };
-        slots.sort_by_key(|(mix, m)| (fetch_ms(view, spec, m) + lane_ms(m), !m.spot, *mix));
+        slots.sort_by_key(|(mix, m)| (fetch_ms(view, spec, m), !m.spot, *mix));
         if spec.wire.spread {
             let cap = spec.zone_cap();
             let mut per: HashMap<ZoneIx, u32> = HashMap::new();
@@ -861,14 +807,7 @@
 }
 
 /// Places gangs whose shard this node owns, all tasks in one claim.
-fn claim_gangs(
-    view: &View,
-    rules: &Rules,
-    draft: &mut Draft,
-    free: &mut Room,
-    lanes: &Lanes,
-    now: Ms,
-) {
+fn claim_gangs(view: &View, rules: &Rules, draft: &mut Draft, free: &mut Room, now: Ms) {
     for ix in waiting_gangs(view, now) {
         let job = view.jobs[ix.at()].clone();
         let Some(spec) = job.spec.clone() else {
@@ -883,7 +822,7 @@
             let others = m.held.is_some_and(|(j, until)| j != ix && now < until);
             m.takes(now, rules.silent_ms) && !others
         };
-        let Some(slots) = gather(view, ix, &job, &spec, free, lanes, usable) else {
+        let Some(slots) = gather(view, ix, &job, &spec, free, usable) else {
             continue;
         };
         let on: Vec<_> = (0..spec.tasks())
@@ -998,7 +937,6 @@
         }
     }
     let waited = wall_ms.saturating_sub(job.submitted);
-    let astray = lanes(view).astray(view, &spec);
     let mut out = Vec::new();
     for task in job.waiting() {
         let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
@@ -1015,7 +953,7 @@
                     is_empty(view, m, room),
                 );
                 let good = zone_ok(m) && spec.need.fits(room) && !alone;
-                good.then(|| (misfit(view, &astray, &spec, m, room), (*mix, *m)))
+                good.then(|| (misfit(view, &spec, m, room), (*mix, *m)))
             })
             .min_by_key(|(cost, (mix, _))| (*cost, *mix))
             .map(|(_, chosen)| chosen);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -68,3 +68,55 @@
     assert_eq!(c.view.used(team), (n * need.cpu, n * need.gpu));
     assert_eq!(n, 2);
 }
+
+fn order(c: &Controller, wall: u64) -> Vec<String> {
+    let draft = plan::Draft::default();
+    let jobs = plan::waiting_jobs(&c.view, &c.rules, &draft, Ms(wall), wall);
+    let names = jobs
+        .iter()
+        .map(|w| c.view.jobs[w.ix.0 as usize].id.to_string());
+    names.collect()
+}
+
+fn due(id: &str, tasks: u32, deadline_s: f64) -> pointhook::protocol::users::JobSpec {
+    let mut spec = job(id, tasks);
+    spec.deadline_s = Some(deadline_s);
+    spec
+}
+
+#[test]
+fn among_jobs_that_can_be_in_time_the_smaller_goes_first() {
+    let (mut store, mut c) = one();
+    c.submit(&mut store, due("job-1", 100, 100.0), 0);
+    c.submit(&mut store, due("job-2", 5, 100.0), 1000);
+    c.submit(&mut store, due("job-3", 6, 100.0), 2000);
+    assert_eq!(order(&c, 3000), ["job-2", "job-3", "job-1"]);
+}
+
+#[test]
+fn a_late_wide_job_is_not_starved_by_younger_and_smaller_ones() {
+    let (mut store, mut c) = one();
+    c.submit(&mut store, due("job-1", 200, 60.0), 0);
+    // Every second a small job comes that can be in time.
+    let mut first = 0;
+    for t in 1..=40u64 {
+        c.submit(
+            &mut store,
+            due(&format!("job-{}", t + 1), 2, 60.0),
+            55_000 + t * 1000,
+        );
+        let turn = order(&c, 55_000 + t * 1000);
+        first += u32::from(turn[0] == "job-1");
+    }
+    // One second of five is its own although it is late all the while.
+    assert_eq!(first, 8);
+    // Before two minutes are over its first task goes first in any second.
+    for t in 120..125u64 {
+        c.submit(
+            &mut store,
+            due(&format!("job-{}", t + 1), 2, 60.0),
+            t * 1000,
+        );
+        assert_eq!(order(&c, t * 1000)[0], "job-1");
+    }
+}
