--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -136,7 +136,7 @@
             out.push(Demand {
                 ix: None,
                 spec,
-                tasks: tasks.min(32),
+                tasks: tasks.min(256),
             });
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -196,7 +196,7 @@
             idle_return_s: 10.0,
             spot_patience_s: 45.0,
             headroom: 1.0,
-            headroom_ordinary: 0.6,
+            headroom_ordinary: 1.2,
             shards_per_zone: 2,
         }
     }
