A new owner shows its token to whole shards at once, and is patient with machines until then

Now 48 machines a second are shown the token; an owner whose token a machine has not shown yet waits half a lease longer; a machine in no list waits no longer than a listed one; the renting duty rests while the state service does not serve, and asks before it has anything closed; a closed machine without tasks is always returned.

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -78,6 +78,8 @@
     ///
     /// A report under an older token may be a late copy and proves no life.
     pub heard: Option<Ms>,
+    /// It has shown its owner's token since that took over, as the owner told.
+    pub sure: bool,
     /// Newest message with a task list taken here, be it a report or an answer.
     pub stamp: Stamp,
     /// Newest report taken here.
@@ -145,6 +147,7 @@
             shard,
             known: now,
             heard: None,
+            sure: false,
             stamp: (0, 0),
             reported: (0, 0),
             answering: 0,
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -15,7 +15,9 @@
 
 const TICK_MS: u64 = 300;
 const RENEW_MS: u64 = 1000;
-const POKE_MS: u64 = 2000;
+const POKE_MS: u64 = 1000;
+/// Machines that are shown a new token at a time: a whole shard well within their silence.
+const POKES: usize = 48;
 /// A node must have been there this long before it is handed shards of a living one.
 const SETTLED_MS: u64 = 2500;
 
@@ -316,7 +318,7 @@
                         && m.token < token
                 })
                 .map(|(_, m)| (m.addr.clone(), view.shards[m.shard.at()].rec.token))
-                .take(16)
+                .take(POKES)
                 .collect()
         };
         for (addr, token) in targets {
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -416,6 +416,10 @@
 }
 
 async fn turn(node: &Rc<Node>, desk: &mut Desk) {
+    if !node.store_ok() {
+        // Whether the duty is still ours can't be known, and nothing could be recorded.
+        return;
+    }
     let s = &node.platform.settings;
     let lag_ms = ms_of(s.cloud.list_lag_s);
     let now = node.now();
@@ -643,12 +647,44 @@
     }
 }
 
+/// How long a machine may be silent before it is returned.
+pub struct Silence {
+    /// One that has shown its owner's token.
+    pub sure_ms: u64,
+    /// The workers' lease.
+    pub lease_ms: u64,
+}
+
+impl Silence {
+    fn unsure(&self) -> u64 {
+        self.sure_ms + self.lease_ms / 2
+    }
+    /// The limit of a machine. After a change of owner it may still talk to the old one, who
+    /// does not know: until the new token has reached it, its silence here proves little.
+    pub fn of(&self, view: &View, rules: &Rules, m: &Machine) -> u64 {
+        let token = view.shards[m.shard.at()].rec.token;
+        let sure = if rules.owns(view, m.shard) {
+            m.token == token
+        } else {
+            m.sure
+        };
+        match m.heard {
+            None => self.lease_ms + 20_000,
+            Some(_) if sure => self.sure_ms,
+            Some(_) => self.unsure(),
+        }
+    }
+}
+
 /// Machines to be released now, with the reason.
 fn to_release(node: &Node, desk: &Desk, now: Ms) -> (Vec<(String, &'static str)>, Vec<String>) {
     let s = &node.platform.settings;
     let view = node.view.borrow();
     let lease_ms = ms_of(s.workers.lease_s);
-    let silent_limit = ms_of(s.workers.report_s * 4.0) + 4000;
+    let limits = Silence {
+        sure_ms: ms_of(s.workers.report_s * 4.0) + 4000,
+        lease_ms,
+    };
     let idle_ms = ms_of(node.operator.idle_return_s);
     let mut dead = Vec::new();
     let mut idle = Vec::new();
@@ -692,9 +728,11 @@
             if h.age_s > boot * STUCK + 10.0 {
                 dead.push((h.name.clone(), "did not come up"));
             }
-        } else if told && silent > silent_limit && (m.heard.is_some() || silent > lease_ms + 20_000)
-        {
+        } else if told && silent > limits.of(&view, &node.rules, m) {
             dead.push((h.name.clone(), "silent"));
+        } else if m.closed && view.placed_on(mix).is_empty() {
+            // It takes nothing any more, whatever became of its first release.
+            idle.push(h.name.clone());
         } else if view.placed_on(mix).is_empty()
             && m.heard.is_some()
             && !desk.needed.contains(&mix)
@@ -704,7 +742,6 @@
             idle.push(h.name.clone());
         }
     }
-    let limit = lease_ms + 20_000;
     let silent = |mix: MachineIx| match view.machine(mix) {
         Some(m) => {
             let owner_here = node.rules.owns(&view, m.shard);
@@ -712,10 +749,13 @@
             let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
             let since = node.owned_since.borrow().get(&m.shard).copied();
             let base = if owner_here { since } else { desk.owner_since };
-            (owner_here || told) && siblings::silence(m.heard, m.known, base, now) > limit
+            (owner_here || told)
+                && siblings::silence(m.heard, m.known, base, now) > limits.of(&view, &node.rules, m)
         }
         // Nobody has told of it since this duty began here.
-        None => desk.owner_since.is_some_and(|t| now.since(t) > limit),
+        None => desk
+            .owner_since
+            .is_some_and(|t| now.since(t) > limits.unsure()),
     };
     let asked = |n: &str| desk.released.get(n).is_some_and(|t| now.since(*t) < 5000);
     let lost = lost(&view, &desk.listed, silent);
@@ -764,22 +804,9 @@
         return;
     }
     let (dead, idle) = to_release(node, desk, now);
-    let mut names: Vec<String> = Vec::new();
-    for (n, why) in dead {
-        log::info!("machine {n} is to be returned: {why}");
-        names.push(n);
-    }
-    if !idle.is_empty() {
-        let closed = close_idle(node, &idle).await;
-        for n in &closed {
-            log::info!("machine {n} is to be returned: idle");
-        }
-        names.extend(closed);
-    }
-    if names.is_empty() {
+    if dead.is_empty() && idle.is_empty() {
         return;
     }
-    names.truncate(100);
     // Nothing fences a release but this: an owner that was cut off from the state service
     // would go on returning machines that others have long put to use.
     let still = node.refreshed(1500).await && {
@@ -787,10 +814,17 @@
         node.rules.owns(&view, view.renting())
     };
     if !still {
-        log::info!(
-            "{} machines are not returned: not surely in charge",
-            names.len()
-        );
+        log::debug!("nothing is returned: not surely in charge");
+        return;
+    }
+    let closed = close_idle(node, &idle).await;
+    let closed = closed.into_iter().map(|n| (n, "idle"));
+    let mut names: Vec<String> = Vec::new();
+    for (n, why) in dead.into_iter().chain(closed).take(100) {
+        log::info!("machine {n} is to be returned: {why}");
+        names.push(n);
+    }
+    if names.is_empty() {
         return;
     }
     let Ok(body) = rmp_serde::to_vec_named(&Hosts {
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -38,6 +38,7 @@
                     spot: m.spot,
                     silent_ms: silence(m.heard, m.known, since.get(&m.shard).copied(), now),
                     heard: m.heard.is_some(),
+                    sure: m.token == view.shards[m.shard.at()].rec.token,
                     queued: m.queue.len().min(255) as u8,
                     closed: m.closed || m.leaves.is_some() || m.deaf.is_some(),
                     sick: m.sick,
@@ -182,6 +183,7 @@
         if n.heard {
             m.heard = Some(Ms(now.0.saturating_sub(n.silent_ms)));
         }
+        m.sure = n.sure;
         m.queued_elsewhere = n.queued;
         m.closed = n.closed;
         m.sick = n.sick;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -10,7 +10,7 @@
 use rkyv::{rancor::Error, Archive, Deserialize, Serialize};
 
 /// Version of the frames.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest frame.
 pub const MAX_FRAME: usize = 64 * 1024;
 
@@ -40,6 +40,8 @@
     pub silent_ms: u64,
     /// It has reported at least once.
     pub heard: bool,
+    /// It has shown the sender's token.
+    pub sure: bool,
     /// Tasks in its queue.
     pub queued: u8,
     /// Tells that it takes no more tasks.
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -262,6 +262,7 @@
         spot: true,
         silent_ms,
         heard: true,
+        sure: true,
         queued: 0,
         closed: false,
         sick: false,
@@ -298,6 +299,34 @@
     assert_eq!(third.view.machine(mix).unwrap().heard, Some(Ms(30_000)));
 }
 
+#[test]
+fn a_new_owner_gives_machines_time_to_learn_its_token() {
+    let (mut store, mut old) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    old.visit(&mut store, &mut w, 0);
+    let limits = renting::Silence {
+        sure_ms: 10_000,
+        lease_ms: 10_000,
+    };
+    let at = |c: &Controller| {
+        let m = c.view.machine(c.machine("m1")).unwrap();
+        limits.of(&c.view, &c.rules, m)
+    };
+    assert_eq!(at(&old), 10_000);
+    // The new owner knows it from news; the worker still talks to the old one.
+    store.end_lease(old.lease);
+    let mut new = Controller::start("s1", 2, &mut store, 5000);
+    let known = new
+        .view
+        .learn_machine("m1", "oven", "north", true, Ms(5000))
+        .unwrap();
+    new.view.machine_mut(known).unwrap().heard = Some(Ms(5000));
+    new.members(&mut store, 5000);
+    assert_eq!(at(&new), 15_000);
+    new.visit(&mut store, &mut w, 6000);
+    assert_eq!(at(&new), 10_000);
+}
+
 #[test]
 fn a_node_back_amid_a_hand_over_inherits_nothing_and_no_shard_is_left() {
     let (mut store, old) = one();
