Smaller first only among jobs with a deadline of their own

Classes that are only expected to finish within some time (mesh-repair) were ordered by size too, and wide jobs within a guarantee waited behind small ones.

--- a/src/coordination/plan/order.rs
+++ b/src/coordination/plan/order.rs
@@ -56,12 +56,13 @@
 /// Age at which any job's first task goes before others of its priority.
 pub(super) const BEGIN_MS: u64 = 120_000;
 
-/// Among work that can still make what is expected of it, the smaller goes first, in steps of
-/// two: when not all can be in time, more jobs are.
-pub(super) fn size_step(rules: &Rules, job: &Job, spec: &Spec, back: u8) -> u32 {
-    let within = rules.finish_within.contains_key(&spec.wire.class);
-    let expected = spec.wire.deadline_s.is_some() || within;
-    if back != 1 || !expected {
+/// Among jobs with a deadline of their own that can still make it, the smaller goes first, in
+/// steps of two: when not all can be in time, more jobs are.
+///
+/// Not so where a class is only expected to finish within some time: there a team's guarantee
+/// and the waits count as much, and the oldest first serves them better.
+fn size_step(job: &Job, spec: &Spec, back: u8) -> u32 {
+    if back != 1 || spec.wire.deadline_s.is_none() {
         return 0;
     }
     job.waiting_count().max(1).ilog2()
@@ -84,7 +85,7 @@
             (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
                 let rank = spec.rank();
                 let back = put_back(rules, j, &spec, wall_ms);
-                let size = size_step(rules, j, &spec, back);
+                let size = size_step(j, &spec, back);
                 (rank, back, size, j.submitted, Waiting { ix, rank, spec })
             })
         })
