Reports are received and answered by pure functions; news fits its frames; tests of the added rules

The door's decisions on a report (owner, token, deleted machine, late copy) are `reports::receive` and `reply`, which tests now drive themselves; before, the stand-in held a copy of them, and a guard could go unnoticed. News of a fleet goes in frames of 128 machines: one with all 470 machines passes the limit of 64 KiB and would be refused, which leaves peers without any news when one controller owns nearly all. Malformed messages are told of every ten seconds at most.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -94,6 +94,8 @@
     pub store_served: Cell<Option<Ms>>,
     /// Whether the state service and the cloud were last seen to serve, for the log.
     pub served: [Cell<bool>; 2],
+    /// Last time a malformed message was told of, and how many came since.
+    complained: Cell<(Option<Ms>, u32)>,
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
     /// Runs the routines.
@@ -110,6 +112,9 @@
     Cloud,
 }
 
+/// Least time between two lines on malformed messages.
+const COMPLAIN_MS: u64 = 10_000;
+
 /// Time of day, ms.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
@@ -163,6 +168,7 @@
             fresh: Signal::default(),
             store_served: Cell::new(None),
             served: [Cell::new(false), Cell::new(false)],
+            complained: Cell::new((None, 0)),
             owned_since: RefCell::new(HashMap::new()),
             ex,
             started: Instant::now(),
@@ -231,6 +237,18 @@
         }
     }
 
+    /// Tells of a malformed message, every ten seconds at most.
+    pub fn complain(&self, what: &str) {
+        let now = self.now();
+        let (last, kept) = self.complained.get();
+        if last.is_some_and(|t| now.since(t) < COMPLAIN_MS) {
+            self.complained.set((last, kept.saturating_add(1)));
+            return;
+        }
+        log::warn!("{what} ({kept} more malformed messages since the last of these lines)");
+        self.complained.set((Some(now), 0));
+    }
+
     /// A peer by name.
     pub fn peer(&self, name: &str) -> Option<&Peer> {
         self.peers.iter().find(|p| p.name == name)
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -1,7 +1,7 @@
 //! Workers' reports.
 
 use super::node::Node;
-use super::plan;
+use super::plan::{self, Rules};
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen, Stamp};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::{ms_of, Ms};
@@ -25,54 +25,21 @@
 pub async fn handle(node: &Rc<Node>, body: Option<Vec<u8>>) -> Answer {
     let parsed = body.as_deref().map(rmp_serde::from_slice::<Report>);
     let Some(Ok(report)) = parsed else {
-        log::warn!("unreadable report ignored");
+        node.complain("unreadable report ignored");
         return Answer::bare(400);
     };
     if !node.view.borrow().loaded {
         return Answer::later(1);
     }
-    let now = node.now();
-    let (mix, token, taken) = {
+    let lease_ms = ms_of(node.platform.settings.workers.lease_s);
+    let received = {
         let mut view = node.view.borrow_mut();
-        let view = &mut *view;
-        let learnt =
-            view.learn_machine(&report.machine, &report.rig, &report.zone, report.spot, now);
-        let Some(mix) = learnt else {
-            return elsewhere(None);
-        };
-        let Some(shard) = view.machine(mix).map(|m| m.shard) else {
-            return elsewhere(None);
-        };
-        if !node.rules.owns(view, shard) {
-            let owner = view.live_owner(shard).map(str::to_string);
-            return elsewhere(owner.filter(|o| *o != node.rules.node));
-        }
-        let token = view.shards[shard.at()].rec.token;
-        if report.token > token {
-            // Someone else commands this machine: stand down.
-            log::info!(
-                "{}: token {} is above ours, {token}",
-                report.machine,
-                report.token
-            );
-            return elsewhere(None);
-        }
-        if view.machine(mix).is_some_and(|m| m.gone) {
-            // A late copy: what the cloud has deleted does not come back.
-            return elsewhere(None);
-        }
-        let lease_ms = ms_of(node.platform.settings.workers.lease_s);
-        (
-            mix,
-            token,
-            take(view, mix, &report, now, Some((token, lease_ms))),
-        )
+        receive(&mut view, &node.rules, &report, lease_ms, node.now())
+    };
+    let (mix, token, taken) = match received {
+        Received::Elsewhere(owner) => return elsewhere(owner),
+        Received::Taken(mix, token, taken) => (mix, token, taken),
     };
-    if taken == Taken::Old {
-        // A late copy is not what its worker waits for: nothing in this answer arrives.
-        let orders = Vec::new();
-        return Answer::of(200, &ReportAnswer { token, orders });
-    }
     if taken == Taken::News {
         let answering = |by: i32| {
             if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
@@ -84,22 +51,74 @@
         answering(-1);
     }
     let mut view = node.view.borrow_mut();
-    // Ownership may have gone while the planner was waited for.
-    let still = view.machine(mix).is_some_and(|m| {
-        node.rules.owns(&view, m.shard) && view.shards[m.shard.at()].rec.token == token
-    });
-    if !still {
-        return elsewhere(None);
+    match reply(&mut view, &node.rules, &report, (mix, token, taken)) {
+        Some(answer) => Answer::of(200, &answer),
+        None => elsewhere(None),
+    }
+}
+
+/// What becomes of a report.
+#[derive(Debug)]
+pub enum Received {
+    /// It is for another node, which is named if it is known.
+    Elsewhere(Option<String>),
+    /// It was taken: machine, own token, and what it brought.
+    Taken(MachineIx, u64, Taken),
+}
+
+/// Takes a report if its machine is this node's.
+pub fn receive(
+    view: &mut View,
+    rules: &Rules,
+    report: &Report,
+    lease_ms: u64,
+    now: Ms,
+) -> Received {
+    let learnt = view.learn_machine(&report.machine, &report.rig, &report.zone, report.spot, now);
+    let Some((mix, shard)) = learnt.and_then(|mix| Some((mix, view.machine(mix)?.shard))) else {
+        return Received::Elsewhere(None);
+    };
+    if !rules.owns(view, shard) {
+        let owner = view.live_owner(shard).map(str::to_string);
+        return Received::Elsewhere(owner.filter(|o| *o != rules.node));
+    }
+    let token = view.shards[shard.at()].rec.token;
+    if report.token > token {
+        // Someone else commands this machine: stand down.
+        log::info!(
+            "{}: token {} is above ours, {token}",
+            report.machine,
+            report.token
+        );
+        return Received::Elsewhere(None);
+    }
+    if view.is_gone(mix) {
+        // A late copy: what the cloud has deleted does not come back.
+        return Received::Elsewhere(None);
+    }
+    let taken = take(view, mix, report, now, Some((token, lease_ms)));
+    Received::Taken(mix, token, taken)
+}
+
+/// The answer to a taken report; `None` if ownership went while the planner was waited for.
+pub fn reply(
+    view: &mut View,
+    rules: &Rules,
+    report: &Report,
+    (mix, token, taken): (MachineIx, u64, Taken),
+) -> Option<ReportAnswer> {
+    let m = view.machine(mix)?;
+    if !rules.owns(view, m.shard) || view.shards[m.shard.at()].rec.token != token {
+        return None;
     }
-    let newest = view
-        .machine(mix)
-        .is_some_and(|m| m.stamp == (report.session, report.seq));
+    // A late copy is not what its worker waits for: no order in this answer would arrive.
+    let newest = taken != Taken::Old && m.stamp == (report.session, report.seq);
     let orders = if newest {
-        plan::orders(&mut view, &node.rules, mix)
+        plan::orders(view, rules, mix)
     } else {
         Vec::new()
     };
-    Answer::of(200, &ReportAnswer { token, orders })
+    Some(ReportAnswer { token, orders })
 }
 
 /// What a report brought.
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -45,23 +45,39 @@
                 })
                 .collect()
         };
-        let ask = Ask::News {
-            node: node.rules.node.clone(),
-            store_ok: node.store_ok(),
-            machines,
-        };
+        let asks: Rc<[Ask]> = tell(&node.rules.node, node.store_ok(), machines).into();
         for i in 0..node.peers.len() {
-            let (node, ask) = (node.clone(), ask.clone());
+            let (node, asks) = (node.clone(), asks.clone());
             node.ex
                 .clone()
                 .spawn(async move {
-                    let _ = node.peers[i].client.ask(&ask, NEWS_MS).await;
+                    for ask in asks.iter() {
+                        if node.peers[i].client.ask(ask, NEWS_MS).await.is_err() {
+                            break;
+                        }
+                    }
                 })
                 .detach();
         }
     }
 }
 
+/// Machines in one frame of news: a frame with all of a large fleet would be refused.
+const NEWS_MACHINES: usize = 128;
+
+/// News in as many frames as it takes, at least one.
+pub fn tell(from: &str, store_ok: bool, machines: Vec<MachineNews>) -> Vec<Ask> {
+    let ask = |machines: &[MachineNews]| Ask::News {
+        node: from.to_string(),
+        store_ok,
+        machines: machines.to_vec(),
+    };
+    if machines.is_empty() {
+        return vec![ask(&[])];
+    }
+    machines.chunks(NEWS_MACHINES).map(ask).collect()
+}
+
 /// Turns between two surveys in the log.
 const SURVEY_TURNS: u64 = 15;
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -3,10 +3,13 @@
 mod support;
 
 use pointhook::bookkeeping::units::{Ms, Res};
-use pointhook::coordination::plan;
+use pointhook::coordination::{plan, siblings};
+use pointhook::protocol::peers::{self, Ask, MachineNews};
+use pointhook::protocol::users::Shape;
 use support::controller::{one, Controller};
 use support::job;
 use support::store::Store;
+use support::worker::Worker;
 
 /// Adds machines that were just heard.
 fn fleet(c: &mut Controller, n: usize) {
@@ -120,3 +123,80 @@
         assert_eq!(order(&c, t * 1000)[0], "job-1");
     }
 }
+
+#[test]
+fn a_wide_gang_begins_amid_steady_small_work() {
+    let (mut store, mut c) = one();
+    let mut workers: Vec<Worker> = (0..4)
+        .map(|i| Worker::new(&format!("m{i}"), "north", 0))
+        .collect();
+    let mut gang = job("job-1000", 3);
+    gang.shape = Shape::Gang;
+    gang.vcpus = 16.0;
+    let mut begun = None;
+    for now in (0..120_000u64).step_by(500) {
+        // More small work than the machines can run, all the time.
+        c.submit(&mut store, job(&format!("job-{}", now / 500), 2), now);
+        if now == 10_000 {
+            c.submit(&mut store, gang.clone(), now);
+        }
+        for (ix, machines) in plan::gang_holds(&c.view, &c.rules, Ms(now), now) {
+            for m in machines {
+                c.view.machine_mut(m).unwrap().held = Some((ix, Ms(now + 4000)));
+            }
+        }
+        for (i, w) in workers.iter_mut().enumerate() {
+            // No two tasks end together, so that a machine is never empty by chance.
+            w.run_ms = 3000 + (now / 500 * 7 + i as u64 * 3) % 11 * 500;
+            c.visit(&mut store, w, now);
+        }
+        let placed = c.view.job("job-1000").map(|j| j.1.placements.len());
+        if begun.is_none() && placed == Some(3) {
+            begun = Some(now);
+        }
+    }
+    // It comes after ten seconds, its hold begins after five more, and what runs then ends.
+    assert!(begun.is_some_and(|at| at < 30_000), "began at {begun:?}");
+}
+
+#[test]
+fn a_job_as_wide_as_the_largest_arrays_runs_whole_within_one_record() {
+    let mut store = Store::default();
+    store.value_bytes = 8 * 1024;
+    let mut c = Controller::start("n1", 1, &mut store, 0);
+    c.members(&mut store, 0);
+    fleet(&mut c, 40);
+    c.submit(&mut store, job("job-1", 80), 0);
+    c.plan(&mut store, 10);
+    assert_eq!(c.job("job-1").placements.len(), 80);
+}
+
+#[test]
+fn news_of_a_whole_large_fleet_fits_its_frames() {
+    let machine = |i: usize| MachineNews {
+        name: format!("n-{i:06}"),
+        addr: format!("10.11.{}.{}:9000", i / 250, i % 250),
+        rig: "a-rather-long-machine-type".into(),
+        zone: "a-rather-long-zone".into(),
+        spot: true,
+        silent_ms: 1,
+        heard: true,
+        sure: true,
+        queued: 2,
+        closed: false,
+        sick: false,
+    };
+    let all: Vec<MachineNews> = (0..1000).map(machine).collect();
+    let asks = siblings::tell("node", true, all);
+    let mut told = 0;
+    for a in &asks {
+        assert!(peers::encode(a).unwrap().len() < peers::MAX_FRAME);
+        let Ask::News { machines, .. } = a else {
+            panic!("news")
+        };
+        told += machines.len();
+    }
+    assert_eq!(told, 1000);
+    // A node without machines still tells that it is there.
+    assert_eq!(siblings::tell("node", true, Vec::new()).len(), 1);
+}
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -227,33 +227,12 @@
 
     /// Takes a report and answers it; `None` is 421.
     pub fn report(&mut self, store: &mut Store, r: &Report, now: u64) -> Option<ReportAnswer> {
-        let mix = self
-            .view
-            .learn_machine(&r.machine, &r.rig, &r.zone, r.spot, Ms(now))?;
-        let shard = self.view.machine(mix)?.shard;
-        let token = self.view.shards[shard.at()].rec.token;
-        if !self.rules.owns(&self.view, shard) || r.token > token {
-            return None;
-        }
-        if self.view.machine(mix)?.gone {
+        let received = reports::receive(&mut self.view, &self.rules, r, 10_000, Ms(now));
+        let reports::Received::Taken(mix, token, taken) = received else {
             return None;
-        }
-        let under = Some((token, 10_000));
-        if reports::take(&mut self.view, mix, r, Ms(now), under) == reports::Taken::Old {
-            let orders = Vec::new();
-            return Some(ReportAnswer { token, orders });
-        }
-        self.plan(store, now);
-        if !self.rules.owns(&self.view, shard) {
-            return None;
-        }
-        let newest = self.view.machine(mix)?.stamp == (r.session, r.seq);
-        let orders = if newest {
-            plan::orders(&mut self.view, &self.rules, mix)
-        } else {
-            Vec::new()
         };
-        Some(ReportAnswer { token, orders })
+        self.plan(store, now);
+        reports::reply(&mut self.view, &self.rules, r, (mix, token, taken))
     }
 
     /// One report of a worker, answered and executed at once; false for 421. A worker that
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -3,8 +3,10 @@
 
 mod support;
 
+use futures_lite::future::{block_on, poll_once};
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::units::Ms;
+use pointhook::coordination::node::Signal;
 use pointhook::coordination::{members, plan, renting, siblings};
 use pointhook::protocol::peers::MachineNews;
 use pointhook::protocol::users::Shape;
@@ -34,6 +36,7 @@
     c.visit(&mut store, &mut w, 2000);
     assert!(w.has("job-1/0"));
     // A copy of the report from before the start, well over a lease later.
+    play(&mut c, &mut store, &mut [&mut w], 2500, 30_000);
     let heard = c.view.machine(c.machine("m1")).unwrap().heard;
     let answer = c.report(&mut store, &empty, 30_000).unwrap();
     assert!(answer.orders.is_empty());
@@ -378,3 +381,38 @@
         .all(|o| !matches!(o, Order::Start { .. })));
     assert_eq!(w.started.len(), 1);
 }
+
+#[test]
+fn one_fresh_read_answers_all_who_wait_for_it() {
+    let fresh = Signal::default();
+    let mut waiting: Vec<_> = (0..50).map(|_| Box::pin(fresh.turn(60_000))).collect();
+    for w in &mut waiting {
+        assert!(block_on(poll_once(w)).is_none());
+    }
+    // None is left for a second read, whoever came first.
+    let taken = fresh.take_waiters();
+    assert_eq!(taken.len(), 50);
+    assert!(fresh.take_waiters().is_empty());
+    for t in taken {
+        t.try_send(true).unwrap();
+    }
+    for w in &mut waiting {
+        assert_eq!(block_on(poll_once(w)), Some(Some(true)));
+    }
+}
+
+#[test]
+fn every_controller_knows_every_job_after_an_outage_with_a_restart_of_all() {
+    let (mut store, mut a) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    for i in 1..=30 {
+        a.submit(&mut store, job(&format!("job-{i}"), 1), 0);
+    }
+    a.visit(&mut store, &mut w, 0);
+    store.end_lease(a.lease);
+    let nodes = ["n1", "s1"].map(|n| Controller::start(n, 7, &mut store, 60_000));
+    for c in &nodes {
+        assert!(c.view.loaded);
+        assert!((1..=30).all(|i| c.view.job(&format!("job-{i}")).is_some()));
+    }
+}
