Any job's first task goes first after two minutes, also while it is in time

Cause, from reading: the bound on beginning was asked only of late jobs. A wide job with a far deadline is in time all the while, so smaller ones could keep it from beginning for longer than four minutes under steady overload.

--- a/src/coordination/plan/order.rs
+++ b/src/coordination/plan/order.rs
@@ -31,25 +31,24 @@
 ///
 /// One that has missed what is expected of it, or will whatever happens now, goes behind those
 /// that can still make it: when more is asked than can be done, someone is late, and it is
-/// better the same ones. Two bounds keep that from starving it, whatever younger work comes:
-/// once it has waited two and a half times the time allowed its first task goes before all,
-/// and in one second of five all late work does, the oldest first.
+/// better the same ones. Two bounds keep any job from starving, whatever younger or smaller
+/// work comes: after two minutes, or two and a half times the time allowed if that is less,
+/// its first task goes before all, and in one second of five all late work does, the oldest
+/// first.
 pub fn put_back(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> u8 {
     let due = spec.wire.deadline_s.map(ms_of);
-    let Some(due) = due.or_else(|| rules.finish_within.get(&spec.wire.class).copied()) else {
-        return 1;
-    };
+    let due = due.or_else(|| rules.finish_within.get(&spec.wire.class).copied());
     let age = wall_ms.saturating_sub(job.submitted);
-    if age + ms_of(spec.wire.estimate_s) <= due {
-        return 1;
-    }
     let begun = !job.placements.is_empty() || job.done.count() > 0;
-    let aged = age >= due * 5 / 2 || age >= BEGIN_MS;
-    let turn = (wall_ms / 1000) % LATE_TURNS == 0;
-    if turn || aged && !begun {
-        0
-    } else {
-        2
+    let begin_by = due.map_or(BEGIN_MS, |d| BEGIN_MS.min(d * 5 / 2));
+    if age >= begin_by && !begun {
+        return 0;
+    }
+    let late = due.is_some_and(|d| age + ms_of(spec.wire.estimate_s) > d);
+    match (late, (wall_ms / 1000) % LATE_TURNS) {
+        (false, _) => 1,
+        (true, 0) => 0,
+        (true, _) => 2,
     }
 }
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -72,6 +72,18 @@
     assert_eq!(n, 2);
 }
 
+#[test]
+fn a_wide_job_with_time_left_begins_within_two_minutes_of_smaller_ones() {
+    let (mut store, mut c) = one();
+    // Its deadline is far off, so it is in time all the while; smaller jobs keep coming.
+    c.submit(&mut store, due("job-1", 200, 900.0), 0);
+    for t in 100..130u64 {
+        c.submit(&mut store, due(&format!("job-{t}"), 2, 900.0), t * 1000);
+        let first = order(&c, t * 1000).swap_remove(0);
+        assert_eq!(first == "job-1", t >= 120, "at {t} s");
+    }
+}
+
 fn order(c: &Controller, wall: u64) -> Vec<String> {
     let draft = plan::Draft::default();
     let jobs = plan::waiting_jobs(&c.view, &c.rules, &draft, Ms(wall), wall);
