Tidy: one check of silence, one lookup of room, one attempt of a report line

No change of behaviour, from a last read of the change. `to_release` had the check of an owner's word and the wait after a release twice each; a machine's room and the attempt of a report line were spelt out at each use (`View::free_on`, `Seen::attempt_of`); a report cloned the placements of its machine twice; `Res::times_in` had no use since the lanes went; items of plan/ that only their own file uses are private again.

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -36,6 +36,10 @@
 }
 
 impl Seen {
+    /// The attempt, if its job is known.
+    pub fn attempt_of(&self) -> Option<Attempt> {
+        Some((self.job?, self.task, self.attempt))
+    }
     /// True if both show the same attempt in the same state.
     pub fn same(&self, o: &Seen) -> bool {
         (self.job, self.task, self.attempt, self.state, self.why)
@@ -175,10 +179,8 @@
     }
 
     /// The task in the newest report.
-    pub fn seen(&self, (job, task, attempt): Attempt) -> Option<&Seen> {
-        self.tasks
-            .iter()
-            .find(|s| s.job == Some(job) && s.task == task && s.attempt == attempt)
+    pub fn seen(&self, a: Attempt) -> Option<&Seen> {
+        self.tasks.iter().find(|s| s.attempt_of() == Some(a))
     }
 
     /// True if it may take a new task now.
--- a/src/bookkeeping/units.rs
+++ b/src/bookkeeping/units.rs
@@ -72,12 +72,6 @@
             mem: self.mem.saturating_mul(n.into()),
         }
     }
-    /// How many of it fit into `room`, as far as that matters.
-    pub fn times_in(self, room: Res) -> u32 {
-        let part = |a: i64, b: i64| if a > 0 { b.max(0) / a } else { 1000 };
-        let n = part(self.cpu, room.cpu).min(part(self.gpu, room.gpu));
-        n.min(part(self.mem, room.mem)).clamp(0, 1000) as u32
-    }
     /// The largest part of `whole` that `self` takes, 0 to 1 and beyond.
     pub fn share_of(self, whole: Res) -> f64 {
         let part = |a: i64, b: i64| match (a, b) {
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -370,6 +370,10 @@
         }
         self.recount(mix);
     }
+    /// Free room of a machine; `None` if it or its type is unknown.
+    pub fn free_on(&self, m: MachineIx) -> Option<Res> {
+        self.room().get(m.at()).copied().flatten()
+    }
     /// Room by machine after placements and whatever else was reported.
     pub fn room(&self) -> &[Option<Res>] {
         self.tally.room()
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -45,7 +45,7 @@
 }
 
 /// How often a gang's task whose wait ran out is started again in its place.
-pub(super) const WAITS: u8 = 3;
+const WAITS: u8 = 3;
 
 /// True if a gang's task that gave up waiting should wait once more, under the same attempt.
 ///
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -24,7 +24,7 @@
 }
 
 /// Machines of one zone (or all) for a gang: as many as it has tasks, or `None`.
-pub(super) fn gather<'a>(
+fn gather<'a>(
     view: &'a View,
     ix: JobIx,
     job: &Job,
--- a/src/coordination/plan/order.rs
+++ b/src/coordination/plan/order.rs
@@ -25,7 +25,7 @@
 }
 
 /// One in so many seconds belongs to what is late.
-pub(super) const LATE_TURNS: u64 = 5;
+const LATE_TURNS: u64 = 5;
 
 /// How far the order of service puts a job back within its priority.
 ///
@@ -53,7 +53,7 @@
 }
 
 /// Age at which any job's first task goes before others of its priority.
-pub(super) const BEGIN_MS: u64 = 120_000;
+const BEGIN_MS: u64 = 120_000;
 
 /// Among jobs with a deadline of their own that can still make it, the smaller goes first, in
 /// steps of two: when not all can be in time, more jobs are.
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -23,14 +23,12 @@
         let (piece, attempt) = (s.name.to_string(), s.attempt);
         let known = s.job.map(|j| (j, &view.jobs[j.at()]));
         let here = view.placed_on(mix);
-        let placed = s.job.is_some_and(|j| here.contains(&(j, s.task, attempt)));
+        let placed = s.attempt_of().is_some_and(|a| here.contains(&a));
         match (s.state, placed) {
             // An exit is forgotten only after the record has it: the worker keeps it until then.
             (TaskState::Exited, false) => {
                 // Nor while a start may run late: the worker would take it for a new one.
-                let late = s
-                    .job
-                    .is_some_and(|j| may_start_late(m, token, (j, s.task, attempt)));
+                let late = s.attempt_of().is_some_and(|a| may_start_late(m, token, a));
                 if !late {
                     out.push(Order::Forget { piece, attempt });
                 }
@@ -81,7 +79,7 @@
     out
 }
 
-pub(super) fn start(view: &View, a: Attempt) -> Order {
+fn start(view: &View, a: Attempt) -> Order {
     Order::Start {
         piece: format!("{}/{}", view.jobs[a.0.at()].id, a.1),
         attempt: a.2,
@@ -89,7 +87,7 @@
 }
 
 /// Placements on a machine whose start it has not shown yet.
-pub(super) fn missing_starts(view: &View, mix: MachineIx, m: &Machine) -> Vec<Attempt> {
+fn missing_starts(view: &View, mix: MachineIx, m: &Machine) -> Vec<Attempt> {
     let here = view.placed_on(mix).iter().copied();
     here.filter(|a| {
         let job = &view.jobs[a.0.at()];
--- a/src/coordination/plan/preempt.rs
+++ b/src/coordination/plan/preempt.rs
@@ -95,11 +95,11 @@
 }
 
 /// An attempt to be stopped and the room that it gives.
-pub(super) type Victim = (Attempt, Res);
+type Victim = (Attempt, Res);
 
 /// Tasks of a lower priority on a machine, the cheapest to stop first: those that still
 /// fetch, then those that save. Others lose their work and are left alone, but for replicas.
-pub(super) fn victims_on(view: &View, m: &Machine, rank: Rank) -> Vec<Attempt> {
+fn victims_on(view: &View, m: &Machine, rank: Rank) -> Vec<Attempt> {
     let mut out: Vec<(u8, Rank, Attempt)> = m
         .tasks
         .iter()
--- a/src/coordination/plan/room.rs
+++ b/src/coordination/plan/room.rs
@@ -82,7 +82,7 @@
 }
 
 /// Zone rules against all placements of the record, old attempts counted until proven gone.
-pub(super) fn zone_allowed(view: &View, job: &Job, spec: &Spec, zone: ZoneIx) -> bool {
+fn zone_allowed(view: &View, job: &Job, spec: &Spec, zone: ZoneIx) -> bool {
     let zones = || {
         job.placements
             .iter()
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -229,7 +229,7 @@
     let found = {
         let view = node.view.borrow();
         let m = view.machine(idle)?;
-        let room = view.room().get(idle.at()).copied().flatten()?;
+        let room = view.free_on(idle)?;
         let queue = &view.machine(other)?.queue;
         queue.iter().position(|(ix, task, _)| {
             let j = &view.jobs[ix.at()];
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -686,14 +686,21 @@
         lease_ms,
     };
     let idle_ms = ms_of(node.operator.idle_return_s);
+    // True if its owner, who must have told lately, has waited for it for too long.
+    let silent = |m: &Machine| {
+        let owner_here = node.rules.owns(&view, m.shard);
+        let peer = view.live_owner(m.shard).and_then(|o| node.peer(o));
+        let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
+        let since = node.owned_since.borrow().get(&m.shard).copied();
+        let base = if owner_here { since } else { desk.owner_since };
+        (owner_here || told)
+            && siblings::silence(m.heard, m.known, base, now) > limits.of(&view, &node.rules, m)
+    };
+    let asked = |n: &str, ms: u64| desk.released.get(n).is_some_and(|t| now.since(*t) < ms);
     let mut dead = Vec::new();
     let mut idle = Vec::new();
     for h in desk.listed.values() {
-        if desk
-            .released
-            .get(&h.name)
-            .is_some_and(|t| now.since(*t) < 5000)
-        {
+        if asked(&h.name, 5000) {
             continue;
         }
         let mix = view.machine_names.find(&h.name);
@@ -702,24 +709,10 @@
             continue;
         };
         // A list may show a deleted machine for some time.
-        if m.gone
-            && desk
-                .released
-                .get(&h.name)
-                .is_some_and(|t| now.since(*t) < 30_000)
-        {
+        if m.gone && asked(&h.name, 30_000) {
             continue;
         }
         let boot = view.rigs.get(&m.rig).map_or(60.0, |r| r.flavor.boot_s);
-        let owner_here = node.rules.owns(&view, m.shard);
-        let owner = view.live_owner(m.shard);
-        let told = owner_here
-            || owner
-                .and_then(|o| node.peer(o))
-                .is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
-        let since = node.owned_since.borrow().get(&m.shard).copied();
-        let base = if owner_here { since } else { desk.owner_since };
-        let silent = siblings::silence(m.heard, m.known, base, now);
         if h.status == "failed" {
             dead.push((h.name.clone(), "failed"));
         } else if m.sick {
@@ -728,7 +721,7 @@
             if h.age_s > boot * STUCK + 10.0 {
                 dead.push((h.name.clone(), "did not come up"));
             }
-        } else if told && silent > limits.of(&view, &node.rules, m) {
+        } else if silent(m) {
             dead.push((h.name.clone(), "silent"));
         } else if m.closed && view.placed_on(mix).is_empty() {
             // It takes nothing any more, whatever became of its first release.
@@ -742,24 +735,15 @@
             idle.push(h.name.clone());
         }
     }
-    let silent = |mix: MachineIx| match view.machine(mix) {
-        Some(m) => {
-            let owner_here = node.rules.owns(&view, m.shard);
-            let peer = view.live_owner(m.shard).and_then(|o| node.peer(o));
-            let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
-            let since = node.owned_since.borrow().get(&m.shard).copied();
-            let base = if owner_here { since } else { desk.owner_since };
-            (owner_here || told)
-                && siblings::silence(m.heard, m.known, base, now) > limits.of(&view, &node.rules, m)
-        }
+    let unheard = |mix: MachineIx| match view.machine(mix) {
+        Some(m) => silent(m),
         // Nobody has told of it since this duty began here.
         None => desk
             .owner_since
             .is_some_and(|t| now.since(t) > limits.unsure()),
     };
-    let asked = |n: &str| desk.released.get(n).is_some_and(|t| now.since(*t) < 5000);
-    let lost = lost(&view, &desk.listed, silent);
-    dead.extend(lost.into_iter().filter(|n| !asked(n)).map(|n| (n, "lost")));
+    let lost = lost(&view, &desk.listed, unheard).into_iter();
+    dead.extend(lost.filter(|n| !asked(n, 5000)).map(|n| (n, "lost")));
     dead.sort();
     idle.sort();
     (dead, idle)
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -159,7 +159,7 @@
         .collect();
     let mut failed: Vec<JobIx> = Vec::new();
     let news;
-    let placed = &view.placed_on(mix).to_vec();
+    let placed = view.placed_on(mix).to_vec();
     {
         let Some(m) = view.machine_mut(mix) else {
             return Taken::Old;
@@ -173,15 +173,13 @@
             || m.tasks.len() != tasks.len()
             || tasks.iter().zip(&m.tasks).any(|(a, b)| !a.same(b));
         if let Some((token, lease_ms)) = under {
-            listen(m, r, &tasks, placed, now, token, lease_ms);
+            listen(m, r, &tasks, &placed, now, token, lease_ms);
         }
         let fresh_exit = |m: &Machine, s: &Seen, why: Why| {
             s.state == TaskState::Exited
                 && s.why == Some(why)
-                && s.job.is_some_and(|j| {
-                    m.seen((j, s.task, s.attempt))
-                        .is_none_or(|o| o.state != TaskState::Exited)
-                })
+                && s.attempt_of()
+                    .is_some_and(|a| m.seen(a).is_none_or(|o| o.state != TaskState::Exited))
         };
         let mut alone: Vec<Attempt> = Vec::new();
         for s in &tasks {
@@ -192,13 +190,9 @@
                 failed.extend(s.job);
             }
             if fresh_exit(m, s, Why::Alone) {
-                let a = s.job.map(|j| (j, s.task, s.attempt));
-                alone.extend(a);
+                alone.extend(s.attempt_of());
             }
-            let known = s
-                .job
-                .and_then(|j| m.seen((j, s.task, s.attempt)))
-                .map(|o| o.state);
+            let known = s.attempt_of().and_then(|a| m.seen(a)).map(|o| o.state);
             if s.state == TaskState::Exited
                 && s.why != Some(Why::Done)
                 && known != Some(TaskState::Exited)
@@ -234,11 +228,7 @@
         }
         m.leaves = r.notice_s.map(|s| now.plus(ms_of(s)));
         m.tasks = tasks;
-        let shown: Vec<Attempt> = m
-            .tasks
-            .iter()
-            .filter_map(|s| Some((s.job?, s.task, s.attempt)))
-            .collect();
+        let shown: Vec<Attempt> = m.tasks.iter().filter_map(Seen::attempt_of).collect();
         m.shown.extend(shown);
         let (token, session) = (r.token, r.session);
         m.late_starts
@@ -272,7 +262,7 @@
             m.stopping.entry(a).or_insert(grace);
         }
     }
-    prune(view, mix);
+    prune(view, mix, &placed);
     view.recount(mix);
     if news {
         Taken::News
@@ -315,10 +305,7 @@
     if !answered {
         m.answered_since = Some(now);
     }
-    let shows = |a: &Attempt| {
-        let it = |s: &Seen| s.job == Some(a.0) && (s.task, s.attempt) == (a.1, a.2);
-        tasks.iter().any(it)
-    };
+    let shows = |a: &Attempt| tasks.iter().any(|s| s.attempt_of() == Some(*a));
     let waited = |(a, sent): (&Attempt, &Stamp)| *sent < stamp && placed.contains(a);
     let mut pending = m.start_sent.iter().filter(|x| waited(*x)).peekable();
     if pending.peek().is_none() {
@@ -335,8 +322,7 @@
 }
 
 /// Drops what is remembered of attempts that have no placement here any more.
-fn prune(view: &mut View, mix: MachineIx) {
-    let placed = view.placed_on(mix).to_vec();
+fn prune(view: &mut View, mix: MachineIx, placed: &[Attempt]) {
     if let Some(m) = view.machine_mut(mix) {
         // Late starts stay: they outlive their placement.
         m.start_sent.retain(|a, _| placed.contains(a));
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -94,8 +94,7 @@
             if !own || !m.takes(node.now(), node.rules.silent_ms) {
                 continue;
             }
-            let free = view.room().get(mix.at()).copied().flatten();
-            let free = free.unwrap_or_default();
+            let free = view.free_on(mix).unwrap_or_default();
             let empty = u32::from(free == r.room);
             let tasks = view.placed_on(mix).len();
             sum = (sum.0 + 1, sum.1 + tasks, sum.2.plus(free), sum.3 + empty);
