--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -114,8 +114,6 @@
     pub closed: bool,
     /// Kept free for a gang until then.
     pub held: Option<(JobIx, Ms)>,
-    /// The cloud has deleted it.
-    pub gone: bool,
     /// Jobs whose tasks failed here since the last success.
     pub failed_jobs: HashSet<JobIx>,
     /// Suspected to be faulty.
@@ -167,7 +165,6 @@
             queued_elsewhere: 0,
             closed: false,
             held: None,
-            gone: false,
             failed_jobs: HashSet::new(),
             sick: false,
             misses: 0,
@@ -185,8 +182,7 @@
 
     /// True if it may take a new task now.
     pub fn takes(&self, now: Ms, silent_ms: u64) -> bool {
-        !self.gone
-            && !self.closed
+        !self.closed
             && !self.sick
             && self.deaf.is_none()
             && self.leaves.is_none()
--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -193,9 +193,10 @@
             .as_ref()
             .filter(|_| self.open())
             .map_or(0, |s| s.tasks());
-        self.done
-            .missing(n)
-            .filter(|t| self.placement(*t).is_none())
+        let mut placed: Vec<u32> = self.placements.iter().map(|p| p.task).collect();
+        placed.sort_unstable();
+        let waits = move |t: &u32| placed.binary_search(t).is_err();
+        self.done.missing(n).filter(waits)
     }
     /// How many tasks wait.
     pub fn waiting_count(&self) -> u32 {
--- a/src/bookkeeping/units.rs
+++ b/src/bookkeeping/units.rs
@@ -64,6 +64,14 @@
             mem: self.mem - o.mem,
         }
     }
+    /// The lesser of each part.
+    pub fn least(self, o: Res) -> Res {
+        Res {
+            cpu: self.cpu.min(o.cpu),
+            gpu: self.gpu.min(o.gpu),
+            mem: self.mem.min(o.mem),
+        }
+    }
     /// `n` times as much.
     pub fn times(self, n: u32) -> Res {
         Res {
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -171,8 +171,8 @@
     pub shards_per_zone: usize,
     /// This process' machine types were read from the state service.
     pub flavors_version: u64,
-    /// Machines that the cloud has deleted.
-    gone: HashSet<MachineIx>,
+    /// Machines that the cloud has deleted, by index.
+    gone: Vec<bool>,
     /// Sums over records and reports, kept current by every change of either.
     tally: Tally,
     /// Bad records already complained about.
@@ -270,7 +270,8 @@
         }
         ix
     }
-    /// Adds a machine if it is new; `None` for a zone nobody knows.
+    /// Adds a machine if it is new; `None` for a zone nobody knows, or if the cloud has deleted
+    /// it: late lists, reports and news bring none back.
     pub fn learn_machine(
         &mut self,
         name: &str,
@@ -281,6 +282,9 @@
     ) -> Option<MachineIx> {
         let zone = self.zone_names.find(zone)?;
         let ix = self.intern_machine(name);
+        if self.is_gone(ix) {
+            return None;
+        }
         if self.machines[ix.at()].is_none() {
             let rig = self.rig_names.intern(rig);
             let shard = self.shard_of(zone, name);
@@ -358,15 +362,17 @@
     }
     /// True if the cloud has deleted the machine.
     pub fn is_gone(&self, m: MachineIx) -> bool {
-        self.gone.contains(&m)
+        self.gone.get(m.at()).copied().unwrap_or(false)
     }
     /// Notes that the cloud has deleted a machine, which may be known by name only.
     pub fn set_gone(&mut self, mix: MachineIx) {
-        self.gone.insert(mix);
-        if let Some(m) = self.machine_mut(mix) {
-            m.gone = true;
-            m.tasks.clear();
-            m.queue.clear();
+        if self.gone.len() <= mix.at() {
+            self.gone.resize(mix.at() + 1, false);
+        }
+        self.gone[mix.at()] = true;
+        // Nothing of it is of use any more, and fleets change machines all day.
+        if let Some(m) = self.machines.get_mut(mix.at()) {
+            *m = None;
         }
         self.recount(mix);
     }
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -311,8 +311,7 @@
                 .filter(|(_, m)| {
                     let own = since.get(&m.shard).copied();
                     let token = view.shards[m.shard.at()].rec.token;
-                    !m.gone
-                        && !m.addr.is_empty()
+                    !m.addr.is_empty()
                         && node.rules.owns(&view, m.shard)
                         && own.is_some_and(|o| now.since(o) > quiet / 2 && now.since(o) < 60_000)
                         && m.token < token
@@ -337,7 +336,7 @@
     let mut out = Vec::new();
     for mix in (0..view.machines.len()).map(MachineIx::new) {
         let owned = view.machine(mix).is_some_and(|m| rules.owns(view, m.shard));
-        let Some(m) = view.machine_mut(mix).filter(|m| owned && !m.gone) else {
+        let Some(m) = view.machine_mut(mix).filter(|_| owned) else {
             continue;
         };
         let Some(since) = m.deaf else { continue };
--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -2,12 +2,16 @@
 
 use super::*;
 use crate::bookkeeping::fleet::Machine;
-use crate::bookkeeping::job::{Placement, Spec};
+use crate::bookkeeping::job::{Job, Placement, Spec};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
 use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::View;
 use crate::protocol::users::Rank;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
+
+/// Rough size of a placement in a record.
+pub(super) const PLACEMENT_BYTES: usize = 44;
 
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
 pub fn claim(
@@ -20,16 +24,20 @@
     let mut free = free_room(view, draft);
     claim_gangs(view, rules, draft, &mut free, now);
     let jobs = waiting_jobs(view, rules, draft, now, wall_ms);
-    // Full machines are most of a busy fleet, and nothing can be claimed for them.
+    let Some(least) = least_need(jobs.iter().map(|w| &*w.spec)) else {
+        return Vec::new();
+    };
+    let own = rules.owned(view);
+    // Machines without room for any of it are most of a busy fleet.
     let machines: Vec<(MachineIx, &Machine)> = view
         .all_machines()
         .filter(|(mix, m)| {
-            free.get(*mix).is_some_and(has_any)
-                && rules.owns(view, m.shard)
+            free.get(*mix).is_some_and(|f| least.fits(f))
+                && own[m.shard.at()]
                 && m.takes(now, rules.silent_ms)
         })
         .collect();
-    if jobs.is_empty() || machines.is_empty() {
+    if machines.is_empty() {
         return Vec::new();
     }
     let mut bound: HashSet<(JobIx, u32)> = HashSet::new();
@@ -37,12 +45,10 @@
         let fresh = m.queue.iter().filter(|q| now.since(q.2) < rules.steal_ms);
         bound.extend(fresh.map(|q| (q.0, q.1)));
     }
-    let fits = |d: &Draft, room: Res, ix: JobIx, s: &Spec, mix: MachineIx, m: &Machine| {
-        let job = d.job(view, ix);
+    let fits = |job: &Job, room: Res, ix: JobIx, s: &Spec, mix: MachineIx, m: &Machine| {
         let held = m.held.is_some_and(|(_, until)| now < until);
-        (!held || s.rank() == Rank::Production)
-            && s.need.fits(room)
-            && job.size() + 44 < rules.value_bytes
+        s.need.fits(room)
+            && (!held || s.rank() == Rank::Production)
             && allowed(view, job, ix, s, mix, m)
             && !leaves_alone(
                 view,
@@ -72,7 +78,8 @@
                 if !job.waits(*task)
                     || backed_off(view, *ix, now)
                     || crowds_out(view, draft, &claimants, job, &s)
-                    || !fits(draft, room, *ix, &s, *mix, m)
+                    || job.size() + PLACEMENT_BYTES >= rules.value_bytes
+                    || !fits(job, room, *ix, &s, *mix, m)
                 {
                     continue;
                 }
@@ -84,6 +91,20 @@
         }
         // Then the oldest jobs' next unbound tasks, each by the machine that suits it best.
         for w in jobs.iter().filter(|w| w.rank == rank) {
+            // Machines by how well they suit. What a task takes changes its machine alone, and
+            // placements only ever rule more out, so each is looked at once and once a task.
+            let ranked = |draft: &Draft, free: &Room, n: usize| {
+                let (mix, m) = &machines[n];
+                let room = free.get(*mix)?;
+                fits(draft.job(view, w.ix), room, w.ix, &w.spec, *mix, m)
+                    .then(|| Reverse((misfit(view, &w.spec, m, room), *mix, n)))
+            };
+            let mut best: BinaryHeap<_> = (0..machines.len())
+                .filter_map(|n| ranked(draft, &free, n))
+                .collect();
+            if best.is_empty() {
+                continue;
+            }
             let tasks: Vec<u32> = draft
                 .job(view, w.ix)
                 .waiting()
@@ -91,35 +112,32 @@
                 .take(machines.len() * 8)
                 .collect();
             for task in tasks {
-                if crowds_out(view, draft, &claimants, draft.job(view, w.ix), &w.spec) {
+                let job = draft.job(view, w.ix);
+                if job.size() + PLACEMENT_BYTES >= rules.value_bytes
+                    || crowds_out(view, draft, &claimants, job, &w.spec)
+                {
                     break;
                 }
-                let best = machines
-                    .iter()
-                    .filter_map(|(mix, m)| {
-                        let room = free.get(*mix)?;
-                        fits(draft, room, w.ix, &w.spec, *mix, m)
-                            .then(|| (misfit(view, &w.spec, m, room), *mix, *m))
-                    })
-                    .min_by_key(|(cost, mix, _)| (*cost, *mix));
-                let Some((_, mix, m)) = best else { break };
-                if !place(
-                    view,
-                    rules,
-                    draft,
-                    w.ix,
-                    &w.spec,
-                    &[(task, mix, m)],
-                    m.shard,
-                ) {
+                let found = loop {
+                    match best.pop() {
+                        Some(Reverse((.., n))) if ranked(draft, &free, n).is_none() => {}
+                        other => break other,
+                    }
+                };
+                let Some(Reverse((_, mix, n))) = found else {
+                    break;
+                };
+                let on = [(task, mix, machines[n].1)];
+                if !place(view, rules, draft, w.ix, &w.spec, &on, on[0].2.shard) {
                     break;
                 }
                 free.take(mix, w.spec.need);
                 pulled.insert(mix);
+                best.extend(ranked(draft, &free, n));
             }
         }
     }
-    let has_room = |mix: &MachineIx| free.get(*mix).is_some_and(has_any);
+    let has_room = |mix: &MachineIx| free.get(*mix).is_some_and(|f| least.fits(f));
     machines
         .iter()
         .map(|(mix, _)| *mix)
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -75,6 +75,7 @@
 
 /// Takes what reports and deletions prove into the draft.
 pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
+    let own = rules.owned(view);
     for (ix, job) in view.active_jobs() {
         if view.suspects.contains(&ix) {
             // A write with an unknown outcome may still be applied: writing the
@@ -89,8 +90,8 @@
                 }
                 continue;
             }
-            let owned = |m: &&Machine| rules.owns(view, m.shard);
-            let Some(m) = view.machine(p.machine).filter(owned) else {
+            let owned = own.get(p.shard.at()).copied().unwrap_or(false);
+            let Some(m) = view.machine(p.machine).filter(|_| owned) else {
                 continue;
             };
             let a = (ix, p.task, p.attempt);
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::View;
 use crate::protocol::users::Rank;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 /// Wide gangs that wait, oldest of the highest priority first.
 pub fn waiting_gangs(view: &View, now: Ms) -> Vec<JobIx> {
@@ -30,10 +30,11 @@
     job: &Job,
     spec: &Spec,
     free: &Room,
+    machines: &[(MachineIx, &'a Machine)],
     usable: impl Fn(&Machine) -> bool,
 ) -> Option<Vec<(MachineIx, &'a Machine)>> {
     let mut zones: BTreeMap<ZoneIx, Vec<(MachineIx, &Machine)>> = BTreeMap::new();
-    for (mix, m) in view.all_machines() {
+    for (mix, m) in machines.iter().copied() {
         let mut room = free.get(mix).unwrap_or_default();
         if !spec.need.fits(room) || !usable(m) || !allowed(view, job, ix, spec, mix, m) {
             continue;
@@ -81,28 +82,35 @@
 
 /// Places gangs whose shard this node owns, all tasks in one claim.
 pub(super) fn claim_gangs(view: &View, rules: &Rules, draft: &mut Draft, free: &mut Room, now: Ms) {
-    for ix in waiting_gangs(view, now) {
-        let job = view.jobs[ix.at()].clone();
-        let Some(spec) = job.spec.clone() else {
-            continue;
-        };
-        let payer = view.gang_shard(&job.id);
-        let size = job.size() + 44 * spec.tasks() as usize;
-        if !rules.owns(view, payer) || size > rules.value_bytes {
-            continue;
-        }
-        let usable = |m: &Machine| {
-            let others = m.held.is_some_and(|(j, until)| j != ix && now < until);
-            m.takes(now, rules.silent_ms) && !others
-        };
-        let Some(slots) = gather(view, ix, &job, &spec, free, usable) else {
+    let own: Vec<(JobIx, &Job, &Spec)> = waiting_gangs(view, now)
+        .into_iter()
+        .map(|ix| (ix, &view.jobs[ix.at()]))
+        .filter(|(_, job)| rules.owns(view, view.gang_shard(&job.id)))
+        .filter_map(|(ix, job)| Some((ix, job, job.spec.as_deref()?)))
+        .filter(|(_, job, s)| {
+            job.size() + PLACEMENT_BYTES * (s.tasks() as usize) <= rules.value_bytes
+        })
+        .collect();
+    let Some(least) = least_need(own.iter().map(|(.., s)| *s)) else {
+        return;
+    };
+    let machines: Vec<(MachineIx, &Machine)> = view
+        .all_machines()
+        .filter(|(mix, m)| {
+            free.get(*mix).is_some_and(|f| least.fits(f)) && m.takes(now, rules.silent_ms)
+        })
+        .collect();
+    for (ix, job, spec) in own {
+        let usable = |m: &Machine| !m.held.is_some_and(|(j, until)| j != ix && now < until);
+        let Some(slots) = gather(view, ix, job, spec, free, &machines, usable) else {
             continue;
         };
         let on: Vec<_> = (0..spec.tasks())
             .zip(&slots)
             .map(|(t, (mix, m))| (t, *mix, *m))
             .collect();
-        if place(view, rules, draft, ix, &spec, &on, payer) {
+        let payer = view.gang_shard(&job.id);
+        if place(view, rules, draft, ix, spec, &on, payer) {
             for (mix, _) in slots {
                 free.take(mix, spec.need);
             }
@@ -120,48 +128,51 @@
     now: Ms,
     wall_ms: u64,
 ) -> Vec<(JobIx, Vec<MachineIx>)> {
-    let mut taken: HashSet<MachineIx> = HashSet::new();
+    let long = |ix: &JobIx| {
+        let job = &view.jobs[ix.at()];
+        wall_ms.saturating_sub(job.submitted) >= rules.gang_hold_ms
+    };
+    let gangs: Vec<JobIx> = waiting_gangs(view, now).into_iter().filter(long).collect();
+    if gangs.is_empty() {
+        return Vec::new();
+    }
+    // Machines that are nearly free come first: without their present load. The order is the
+    // same for all gangs, so it is made once.
+    let mut machines: Vec<(i64, MachineIx, &Machine, Res)> = view
+        .all_machines()
+        .filter(|(_, m)| m.takes(now, rules.silent_ms))
+        .filter_map(|(mix, m)| {
+            let whole = view.rigs.get(&m.rig)?.room;
+            let load = whole.minus(view.free_on(mix).unwrap_or_default());
+            Some((load.gpu + load.cpu, mix, m, whole))
+        })
+        .collect();
+    machines.sort_unstable_by_key(|(load, mix, ..)| (*load, *mix));
     let mut out = Vec::new();
-    let full = |m: &Machine| view.rigs.get(&m.rig).map(|r| r.room);
-    let free = free_room(view, &Draft::default());
-    for ix in waiting_gangs(view, now) {
+    for ix in gangs {
         let job = &view.jobs[ix.at()];
         let Some(spec) = &job.spec else { continue };
-        if wall_ms.saturating_sub(job.submitted) < rules.gang_hold_ms {
-            continue;
-        }
-        // Machines that are nearly free come first: without their present load.
-        let mut best: Option<Vec<MachineIx>> = None;
-        let mut best_load = i64::MAX;
+        let n = spec.tasks() as usize;
+        let mut best: Option<(i64, Vec<MachineIx>)> = None;
         for z in 0..view.zone_names.len() {
             let z = ZoneIx::new(z);
-            let mut c: Vec<(i64, MachineIx)> = view
-                .all_machines()
-                .filter(|(mix, m)| {
+            let chosen: Vec<(i64, MachineIx)> = machines
+                .iter()
+                .filter(|(_, mix, m, whole)| {
                     (!spec.wire.one_zone || m.zone == z)
-                        && !taken.contains(mix)
-                        && m.takes(now, rules.silent_ms)
+                        && spec.need.fits(*whole)
                         && allowed(view, job, ix, spec, *mix, m)
                 })
-                .filter_map(|(mix, m)| {
-                    let whole = full(m).filter(|r| spec.need.fits(*r))?;
-                    let load = whole.minus(free.get(mix).unwrap_or_default());
-                    Some((load.gpu + load.cpu, mix))
-                })
+                .map(|(load, mix, ..)| (*load, *mix))
+                .take(n)
                 .collect();
-            c.sort();
-            c.truncate(spec.tasks() as usize);
-            if c.len() < spec.tasks() as usize {
-                continue;
-            }
-            let load: i64 = c.iter().map(|x| x.0).sum();
-            if load < best_load {
-                best_load = load;
-                best = Some(c.into_iter().map(|x| x.1).collect());
+            let load: i64 = chosen.iter().map(|x| x.0).sum();
+            if chosen.len() == n && best.as_ref().is_none_or(|(b, _)| load < *b) {
+                best = Some((load, chosen.into_iter().map(|x| x.1).collect()));
             }
         }
-        if let Some(b) = best {
-            taken.extend(&b);
+        if let Some((_, b)) = best {
+            machines.retain(|(_, mix, ..)| !b.contains(mix));
             if rules.owns(view, view.gang_shard(&job.id)) {
                 out.push((ix, b));
             }
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -70,6 +70,11 @@
         let r = &view.shards[shard.at()].rec;
         r.owner == self.node && r.incarnation == self.incarnation
     }
+    /// The same for all shards, by index: for loops over machines and placements.
+    pub fn owned(&self, view: &View) -> Vec<bool> {
+        let shards = (0..view.shards.len()).map(ShardIx::new);
+        shards.map(|s| self.owns(view, s)).collect()
+    }
 }
 
 /// Changes to be committed together.
@@ -83,6 +88,8 @@
     pub teams: BTreeMap<TeamIx, TeamRecord>,
     /// New placements.
     pub claims: Vec<(JobIx, Placement)>,
+    /// Something was left out for which the transaction or a team's share had no room.
+    pub cut: bool,
     bytes: usize,
 }
 
@@ -103,6 +110,7 @@
     fn edit(&mut self, view: &View, rules: &Rules, ix: JobIx) -> Option<&mut Job> {
         if !self.jobs.contains_key(&ix) {
             if !self.has_room(rules, 1) {
+                self.cut = true;
                 return None;
             }
             let job = view.jobs[ix.at()].clone();
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -117,11 +117,12 @@
 /// They are noted as possibly late until the worker has answered.
 pub fn pushes(view: &mut View, rules: &Rules, now: Ms) -> Vec<Push> {
     let mut out = Vec::new();
+    let own = rules.owned(view);
     for i in 0..view.machines.len() {
         let mix = MachineIx::new(i);
         let Some(m) = view.machine(mix) else { continue };
         let token = view.shards[m.shard.at()].rec.token;
-        let ready = rules.owns(view, m.shard)
+        let ready = own[m.shard.at()]
             && m.takes(now, rules.silent_ms)
             && m.answering == 0
             && m.token == token
--- a/src/coordination/plan/room.rs
+++ b/src/coordination/plan/room.rs
@@ -156,7 +156,7 @@
     (waited_ms as f64) < rules.spot_patience_ms as f64 * part
 }
 
-/// True if a machine with this much room may still have a use.
-pub(super) fn has_any(free: Res) -> bool {
-    free.cpu > 0 && free.mem > 0
+/// The least of each part that any of these needs: a machine without that suits none of them.
+pub fn least_need<'a>(specs: impl Iterator<Item = &'a Spec>) -> Option<Res> {
+    specs.map(|s| s.need).reduce(Res::least)
 }
--- a/src/coordination/plan/shares.rs
+++ b/src/coordination/plan/shares.rs
@@ -113,6 +113,8 @@
     raised.set(payer, (share.0.max(wanted.0), share.1.max(wanted.1)));
     let fresh = usize::from(!draft.teams.contains_key(&team));
     if !limits.allows(raised.total()) || !draft.has_room(rules, fresh + 1) {
+        // What this draft frees is free for others once it is committed.
+        draft.cut = true;
         return false;
     }
     draft.teams.insert(team, raised);
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -3,6 +3,7 @@
 use super::node::{wall_ms, Node};
 use super::plan::{self, Draft, Push};
 use super::store::Outcome;
+use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::Placement;
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx};
 use crate::bookkeeping::units::Ms;
@@ -57,6 +58,10 @@
                     for line in told {
                         log::debug!("{line}");
                     }
+                    // What was ready is done; the next pass is for what comes next.
+                    if !draft.cut {
+                        break;
+                    }
                 }
                 Outcome::Conflict(keys) => {
                     log::debug!("conflict on {keys:?}");
@@ -156,6 +161,8 @@
 
 /// Idle machines poll a few random others, once for each of their reports.
 fn pull(node: &Rc<Node>, idle: &[MachineIx], last: &mut HashMap<MachineIx, (u64, u64)>) {
+    // Machines with queues, looked up once for all that poll now.
+    let mut queues: Option<Vec<(MachineIx, usize)>> = None;
     for mix in idle {
         let (stamp, chosen) = {
             let view = node.view.borrow();
@@ -165,16 +172,16 @@
             if last.get(mix) == Some(&m.stamp) {
                 continue;
             }
-            let mut others: Vec<(MachineIx, usize)> = view
-                .all_machines()
-                .filter(|(ix, o)| {
-                    ix != mix && !o.gone && (!o.queue.is_empty() || o.queued_elsewhere > 0)
-                })
-                .map(|(ix, o)| (ix, o.shard.at()))
-                .collect();
-            fastrand::shuffle(&mut others);
-            others.truncate(node.operator.polls);
-            (m.stamp, others)
+            let queues = queues.get_or_insert_with(|| {
+                let waits = |o: &Machine| !o.queue.is_empty() || o.queued_elsewhere > 0;
+                let with = view.all_machines().filter(|(_, o)| waits(o));
+                with.map(|(ix, o)| (ix, o.shard.at())).collect()
+            });
+            let others = queues.iter().copied().filter(|(ix, _)| ix != mix);
+            (
+                m.stamp,
+                fastrand::choose_multiple(others, node.operator.polls),
+            )
         };
         last.insert(*mix, stamp);
         let mut remote: HashMap<String, Vec<String>> = HashMap::new();
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -705,13 +705,10 @@
         }
         let mix = view.machine_names.find(&h.name);
         let m: Option<&Machine> = mix.and_then(|m| view.machine(m));
+        // A list may show a deleted machine for some time.
         let (Some(mix), Some(m)) = (mix, m) else {
             continue;
         };
-        // A list may show a deleted machine for some time.
-        if m.gone && asked(&h.name, 30_000) {
-            continue;
-        }
         let boot = view.rigs.get(&m.rig).map_or(60.0, |r| r.flavor.boot_s);
         if h.status == "failed" {
             dead.push((h.name.clone(), "failed"));
@@ -888,7 +885,6 @@
             .map_or(0, |r| ms_of(r.flavor.boot_s * OVERDUE));
         let coming = m.heard.is_none()
             && now.since(m.known) < boot_ms
-            && !m.gone
             && !m.closed
             && (booked.contains(name) || listed.is_some_and(|h| h.status != "failed"));
         if !up && !coming {
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -92,10 +92,6 @@
         );
         return Received::Elsewhere(None);
     }
-    if view.is_gone(mix) {
-        // A late copy: what the cloud has deleted does not come back.
-        return Received::Elsewhere(None);
-    }
     let taken = take(view, mix, report, now, Some((token, lease_ms)));
     Received::Taken(mix, token, taken)
 }
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -29,7 +29,7 @@
             let view = node.view.borrow();
             let since = node.owned_since.borrow();
             view.all_machines()
-                .filter(|(_, m)| node.rules.owns(&view, m.shard) && !m.gone)
+                .filter(|(_, m)| node.rules.owns(&view, m.shard))
                 .map(|(_, m)| MachineNews {
                     name: m.name.to_string(),
                     addr: m.addr.clone(),
