An exit that a repeated direct start could undo is kept until the token rises

Delivered once more after the worker had forgotten a stopped attempt, it would have started that attempt while the task ran elsewhere (ran_twice). Changed: answered direct starts stay on record under their token and session; such an exit is forgotten at once only if it is done, else once the token has risen, which also happens when a machine keeps 200 of them. Excluded: starts in answers to reports, which the worker drops after 4 s.

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -50,7 +50,7 @@
 /// The newest of a machine's reports, by (session, number).
 pub type Stamp = (u64, u64);
 
-/// What a direct start without an answer is bound to.
+/// What a direct start is bound to: it may be delivered once more for as long as that holds.
 #[derive(Clone, Copy, Debug)]
 pub struct LateStart {
     /// Token.
@@ -59,6 +59,8 @@
     pub session: u64,
     /// When it was sent.
     pub sent: Ms,
+    /// The worker has answered it.
+    pub answered: bool,
 }
 
 /// A machine.
@@ -98,7 +100,7 @@
     pub tasks: Vec<Seen>,
     /// Report that an order to start an attempt answered last.
     pub start_sent: HashMap<Attempt, Stamp>,
-    /// Direct starts without an answer, with what they are bound to.
+    /// Direct starts that may be delivered late, or once more, with what they are bound to.
     pub late_starts: HashMap<Attempt, LateStart>,
     /// Attempts that were seen here in a report.
     pub shown: HashSet<Attempt>,
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -3,6 +3,7 @@
 use super::node::{Node, Outside};
 use super::plan::Rules;
 use super::store::{set, Outcome};
+use crate::bookkeeping::fleet::LateStart;
 use crate::bookkeeping::names::{Index, MachineIx, ShardIx, ZoneIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
@@ -46,6 +47,9 @@
 /// Age at which a direct start without an answer counts as late.
 const LATE_MS: u64 = 2500;
 
+/// Direct starts of a machine that are kept in mind at most before the token rises.
+const KEPT_EXITS: usize = 200;
+
 /// A change of owner to be tried.
 #[derive(Debug, PartialEq)]
 pub struct Move {
@@ -82,14 +86,18 @@
         let target = match view.live_owner(shard) {
             None => wanted_owner(view, zones, &live, shard).filter(|n| *n == rules.node),
             Some(owner) if owner == rules.node && rules.owns(view, shard) => {
-                // A direct start that was not answered may run until the token rises.
+                // A direct start that was not answered may run until the token rises, and exits
+                // that are kept against repeated ones must not fill the reports.
                 let late = || {
                     let token = view.shards[shard.at()].rec.token;
                     view.all_machines().any(|(_, m)| {
+                        let open = |l: &&LateStart| l.token >= token;
                         m.shard == shard
-                            && m.late_starts
-                                .values()
-                                .any(|l| l.token >= token && now.since(l.sent) > LATE_MS)
+                            && (m.late_starts.len() > KEPT_EXITS
+                                || m.late_starts
+                                    .values()
+                                    .filter(open)
+                                    .any(|l| !l.answered && now.since(l.sent) > LATE_MS))
                     })
                 };
                 wanted_owner(view, zones, &settled, shard)
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -66,13 +66,22 @@
     token > 0 && m.token == token && m.heard.is_some_and(|h| now.since(h) > dead_ms)
 }
 
-/// True if a direct start that was not answered may still take effect.
+/// True if a direct start may still take effect, late or once more.
+///
+/// One that was answered may be repeated on its way. As long as the worker still shows the
+/// attempt that changes nothing, and so such an exit is kept until the token has risen.
 pub fn may_start_late(m: &Machine, token: u64, a: Attempt) -> bool {
     m.late_starts
         .get(&a)
         .is_some_and(|l| l.token >= token && l.session == m.stamp.0)
 }
 
+/// True if a direct start that was not answered may still take effect.
+pub fn unanswered_start(m: &Machine, token: u64, a: Attempt) -> bool {
+    let open = m.late_starts.get(&a).is_some_and(|l| !l.answered);
+    open && may_start_late(m, token, a)
+}
+
 /// Takes what reports and deletions prove into the draft.
 pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
     let own = rules.owned(view);
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::View;
 use crate::protocol::users::Shape;
-use crate::protocol::workers::{Order, TaskState};
+use crate::protocol::workers::{Order, TaskState, Why};
 
 /// Orders for a machine in answer to its newest report. Notes the starts it sends.
 pub fn orders(view: &mut View, rules: &Rules, mix: MachineIx) -> Vec<Order> {
@@ -27,8 +27,13 @@
         match (s.state, placed) {
             // An exit is forgotten only after the record has it: the worker keeps it until then.
             (TaskState::Exited, false) => {
-                // Nor while a start may run late: the worker would take it for a new one.
-                let late = s.attempt_of().is_some_and(|a| may_start_late(m, token, a));
+                // Nor while a start may run late or be repeated: the worker would take it for a
+                // new one, although the task may be on another machine by then. One that is
+                // done does no harm, since all it does is to tell so once more.
+                let late = s.attempt_of().is_some_and(|a| {
+                    unanswered_start(m, token, a)
+                        || may_start_late(m, token, a) && s.why != Some(Why::Done)
+                });
                 if !late {
                     out.push(Order::Forget { piece, attempt });
                 }
@@ -36,7 +41,7 @@
             (TaskState::Exited, true) => {
                 let Some((ix, job)) = known else { continue };
                 let a = (ix, s.task, attempt);
-                if waits_again(job, m, a) && !may_start_late(m, token, a) {
+                if waits_again(job, m, a) && !unanswered_start(m, token, a) {
                     out.push(Order::Forget { piece, attempt });
                     out.push(start(view, a));
                     again.push(a);
@@ -136,6 +141,7 @@
             token,
             session,
             sent: now,
+            answered: false,
         };
         let attempts: Vec<Attempt> = missing_starts(view, mix, m)
             .into_iter()
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -146,11 +146,17 @@
         log::info!("no answer to direct starts at {}", p.addr);
         return;
     }
+    let executed = answer.as_ref().is_some_and(|f| f.status == 200);
     let mut view = node.view.borrow_mut();
     let view = &mut *view;
     if let Some(m) = view.machine_mut(p.machine) {
         for a in &p.attempts {
-            m.late_starts.remove(a);
+            match m.late_starts.get_mut(a) {
+                Some(l) if executed => l.answered = true,
+                _ => {
+                    m.late_starts.remove(a);
+                }
+            }
         }
     }
     let report = answer.and_then(|f| rmp_serde::from_slice::<Report>(&f.body).ok());
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -226,9 +226,11 @@
         m.tasks = tasks;
         let shown: Vec<Attempt> = m.tasks.iter().filter_map(Seen::attempt_of).collect();
         m.shown.extend(shown);
-        let (token, session) = (r.token, r.session);
-        m.late_starts
-            .retain(|_, l| l.token >= token && l.session == session);
+        let (token, session, shown) = (r.token, r.session, &m.tasks);
+        m.late_starts.retain(|a, l| {
+            let here = || placed.contains(a) || shown.iter().any(|s| s.attempt_of() == Some(*a));
+            l.token >= token && l.session == session && (!l.answered || here())
+        });
         m.failed_jobs.extend(&failed);
         if m.failed_jobs.len() >= SICK_JOBS && !m.sick {
             log::warn!(
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -143,6 +143,43 @@
     assert_eq!(w.started.len(), 1);
 }
 
+#[test]
+fn a_direct_start_that_is_repeated_after_its_task_has_moved_starts_nothing() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 60_000;
+    c.visit(&mut store, &mut w, 0);
+    c.visit(&mut store, &mut w, 500);
+    c.submit(&mut store, job("job-1", 1), 600);
+    c.plan(&mut store, 600);
+    let pushed = c.pushes(600).remove(0);
+    assert_eq!(w.command(&commands(&pushed), 700), 200);
+    let mix = c.machine("m1");
+    let a = pushed.attempts[0];
+    c.view
+        .machine_mut(mix)
+        .unwrap()
+        .late_starts
+        .get_mut(&a)
+        .unwrap()
+        .answered = true;
+    c.visit(&mut store, &mut w, 1000);
+    // It is stopped, and the task moves to another machine.
+    c.view.machine_mut(mix).unwrap().stopping.insert(a, 0.0);
+    c.view.machine_mut(mix).unwrap().closed = true;
+    play(&mut c, &mut store, &mut [&mut w], 1500, 4000);
+    let mut other = Worker::new("m2", "north", 4000);
+    other.run_ms = 60_000;
+    play(&mut c, &mut store, &mut [&mut w, &mut other], 4000, 6000);
+    assert!(other.has("job-1/0") && !w.has("job-1/0"));
+    // The command that was carried out long ago arrives once more.
+    assert_eq!(w.command(&commands(&pushed), 6000), 200);
+    assert_eq!(w.started.len(), 1);
+    // Once the token has risen the exit need not be kept.
+    w.token += 1;
+    assert_eq!(w.command(&commands(&pushed), 6100), 409);
+}
+
 #[test]
 fn an_answer_to_commands_proves_no_absence() {
     let (mut store, mut c) = one();
