Cut and halted nodes: users go elsewhere, tokens reach all, halts are no silence

Changed: a node that hears no peer and none refuses is unhealthy without the state service; pokes go to those tried least lately; a pause that ends seconds late is noted and silence counted from then; a twentieth of the sockets, 160 at most, is for connections to workers, and the door leaves those, the peers' and some for services free. Excluded: proofs by time after a halt (they rest on the shard's record; test added). Tests in tests/troubles.rs.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -126,9 +126,7 @@
     async_io::block_on(async {
         let users = door(platform.bind)?;
         let peers = door(platform.cluster_listen)?;
-        // Some sockets stay for the state service, the cloud and the peers.
-        let sockets = platform.settings.machine_limits.max_connections;
-        let sockets = sockets.saturating_sub(100).max(16);
+        let sockets = platform.settings.machine_limits.at_the_door();
         log::info!(
             "node {} in {} serves {}",
             platform.node,
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -3,7 +3,7 @@
 use super::node::{Node, Outside};
 use super::plan::Rules;
 use super::store::{set, Outcome};
-use crate::bookkeeping::fleet::LateStart;
+use crate::bookkeeping::fleet::{LateStart, Machine};
 use crate::bookkeeping::names::{Index, MachineIx, ShardIx, ZoneIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
@@ -17,8 +17,6 @@
 const TICK_MS: u64 = 300;
 const RENEW_MS: u64 = 1000;
 const POKE_MS: u64 = 1000;
-/// Machines that are shown a new token at a time: a whole shard well within their silence.
-const POKES: usize = 48;
 /// A node must have been there this long before it is handed shards of a living one.
 const SETTLED_MS: u64 = 2500;
 
@@ -218,7 +216,7 @@
         }
         note_owned(&node);
         node.note_served(Outside::State, node.store_ok());
-        crate::transport::pause(TICK_MS).await;
+        node.pause(TICK_MS).await;
     }
 }
 
@@ -308,36 +306,79 @@
 /// Without it they would stay with a node that lost its shards unnoticed, for example
 /// because the state service refuses that node alone.
 pub async fn poke(node: Rc<Node>) {
+    let lease_ms = ms_of(node.platform.settings.workers.lease_s);
+    let mut tried = HashMap::new();
     loop {
-        crate::transport::pause(POKE_MS).await;
+        node.pause(POKE_MS).await;
         let now = node.now();
         let quiet = node.rules.silent_ms;
-        let targets: Vec<(String, u64)> = {
-            let view = node.view.borrow();
-            let since = node.owned_since.borrow();
-            view.all_machines()
-                .filter(|(_, m)| {
-                    let own = since.get(&m.shard).copied();
-                    let token = view.shards[m.shard.at()].rec.token;
-                    !m.addr.is_empty()
-                        && node.rules.owns(&view, m.shard)
-                        && own.is_some_and(|o| now.since(o) > quiet / 2 && now.since(o) < 60_000)
-                        && m.token < token
-                })
-                .map(|(_, m)| (m.addr.clone(), view.shards[m.shard.at()].rec.token))
-                .take(POKES)
-                .collect()
+        let own = |s: ShardIx| {
+            let for_ms = now.since(node.owned_since.borrow().get(&s).copied()?);
+            (for_ms > quiet / 2 && for_ms < POKED_MS).then_some(())
         };
-        for (addr, token) in targets {
-            node.ex.spawn(raise_token(addr, token)).detach();
+        let targets = behind(&node.view.borrow(), &node.rules, &mut tried, now, own);
+        for (mix, addr, token) in targets {
+            let Some(slot) = node.direct() else { break };
+            tried.insert(mix, now);
+            let poke = raise_token(addr, token);
+            node.ex
+                .spawn(async move {
+                    poke.await;
+                    drop(slot);
+                })
+                .detach();
         }
-        let lease_ms = ms_of(node.platform.settings.workers.lease_s);
-        for (mix, addr) in unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now) {
-            node.ex.spawn(probe(node.clone(), mix, addr)).detach();
+        let deaf = unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now);
+        for (mix, addr) in deaf {
+            let Some(slot) = node.direct() else { break };
+            let probe = probe(node.clone(), mix, addr);
+            node.ex
+                .spawn(async move {
+                    probe.await;
+                    drop(slot);
+                })
+                .detach();
         }
     }
 }
 
+/// For how long after a take-over the token is shown to machines.
+const POKED_MS: u64 = 60_000;
+/// Least time between two attempts to show one machine the token.
+const POKE_AGAIN_MS: u64 = 3000;
+
+/// Owned machines that have not shown their owner's token, those first that were tried least
+/// lately: dozens of unreachable ones hold back none of the rest.
+pub fn behind(
+    view: &View,
+    rules: &Rules,
+    tried: &mut HashMap<MachineIx, Ms>,
+    now: Ms,
+    own: impl Fn(ShardIx) -> Option<()>,
+) -> Vec<(MachineIx, String, u64)> {
+    let due: Vec<bool> = rules
+        .owned(view)
+        .into_iter()
+        .enumerate()
+        .map(|(s, owned)| owned && own(ShardIx::new(s)).is_some())
+        .collect();
+    let token = |m: &Machine| view.shards[m.shard.at()].rec.token;
+    tried.retain(|mix, _| {
+        view.machine(*mix)
+            .is_some_and(|m| due[m.shard.at()] && m.token < token(m))
+    });
+    let mut out: Vec<(Option<Ms>, MachineIx, &Machine)> = view
+        .all_machines()
+        .filter(|(_, m)| due[m.shard.at()] && m.token < token(m) && !m.addr.is_empty())
+        .map(|(mix, m)| (tried.get(&mix).copied(), mix, m))
+        .filter(|(last, ..)| last.is_none_or(|t| now.since(t) >= POKE_AGAIN_MS))
+        .collect();
+    out.sort_by_key(|(last, mix, _)| (*last, *mix));
+    out.into_iter()
+        .map(|(_, mix, m)| (mix, m.addr.clone(), token(m)))
+        .collect()
+}
+
 /// Owned machines that seem to hear nothing, to be asked whether they do after all. One that
 /// stays so for a lease counts as faulty, and so is returned.
 pub fn unheard(view: &mut View, rules: &Rules, lease_ms: u64, now: Ms) -> Vec<(MachineIx, String)> {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -26,6 +26,30 @@
     pub heard: Cell<Option<Ms>>,
     /// It reaches the state service, by its last news.
     pub store_ok: Cell<bool>,
+    /// It refused the last connection, so the way to it is open.
+    pub refuses: Cell<bool>,
+}
+
+/// What a node knows of another's state.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerSeen {
+    /// It told of itself lately.
+    pub heard: bool,
+    /// It reaches the state service, as it told.
+    pub store_ok: bool,
+    /// It refused the last connection.
+    pub refuses: bool,
+}
+
+/// True if a node that does not reach the state service should take requests all the same.
+///
+/// In an outage every node fares alike, and being unhealthy helps nobody. One that others are
+/// served without, or that hears nothing from any side, is itself cut off: its users, who
+/// would get nothing but refusals from it, have to go elsewhere.
+pub fn outage_is_everyones(peers: &[PeerSeen]) -> bool {
+    let served = peers.iter().any(|p| p.heard && p.store_ok);
+    let alone = peers.iter().all(|p| !p.heard && !p.refuses);
+    !served && (peers.is_empty() || !alone)
 }
 
 /// A signal that several routines wait for.
@@ -98,11 +122,32 @@
     complained: Cell<(Option<Ms>, u32)>,
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
+    /// When this process last went on after it had stood still.
+    pub woke: Cell<Option<Ms>>,
+    /// Connections to workers that are open now.
+    directs: Cell<usize>,
     /// Runs the routines.
     pub ex: Rc<LocalExecutor<'static>>,
     started: Instant,
 }
 
+/// Since when machines could be heard: what came later, the shard or the end of a stop.
+pub fn listened(owned: Option<Ms>, woke: Option<Ms>) -> Option<Ms> {
+    owned.max(woke)
+}
+
+/// A connection to a worker, counted while it lasts.
+pub struct Direct(Rc<Node>);
+
+impl Drop for Direct {
+    fn drop(&mut self) {
+        self.0.directs.set(self.0.directs.get() - 1);
+    }
+}
+
+/// How much later than due a pause ends when the process, and not its load, is the cause.
+const STOOD_STILL_MS: u64 = 2500;
+
 /// A service outside, by its place in [`Node::served`].
 #[derive(Clone, Copy, Debug)]
 pub enum Outside {
@@ -156,6 +201,7 @@
                 client: PeerClient::new(p.addr),
                 heard: Cell::new(None),
                 store_ok: Cell::new(false),
+                refuses: Cell::new(false),
             })
             .collect();
         Node {
@@ -170,6 +216,8 @@
             served: [Cell::new(false), Cell::new(false)],
             complained: Cell::new((None, 0)),
             owned_since: RefCell::new(HashMap::new()),
+            woke: Cell::new(None),
+            directs: Cell::new(0),
             ex,
             started: Instant::now(),
             rules,
@@ -214,12 +262,42 @@
     /// True if requests can be taken: the records are known, and the state service is
     /// within reach or out of everyone's.
     pub fn healthy(&self) -> bool {
-        let others = || {
-            self.peers.iter().any(|p| {
-                p.store_ok.get() && p.heard.get().is_some_and(|h| self.now().since(h) < 4000)
-            })
+        let seen = |p: &Peer| PeerSeen {
+            heard: p.heard.get().is_some_and(|h| self.now().since(h) < 4000),
+            store_ok: p.store_ok.get(),
+            refuses: p.refuses.get(),
         };
-        self.view.borrow().loaded && (self.store_ok() || !others())
+        let peers = || self.peers.iter().map(seen).collect::<Vec<_>>();
+        self.view.borrow().loaded && (self.store_ok() || outage_is_everyones(&peers()))
+    }
+
+    /// Waits; notes if this process stood still for seconds meanwhile.
+    pub async fn pause(&self, ms: u64) {
+        let before = self.now();
+        crate::transport::pause(ms).await;
+        if self.now().since(before) > ms + STOOD_STILL_MS {
+            log::warn!(
+                "stood still for {} ms: machines are given time to be heard again",
+                self.now().since(before) - ms
+            );
+            self.woke.set(Some(self.now()));
+        }
+    }
+
+    /// Since when a shard's machines could be heard here: not before this node had the shard,
+    /// nor while it stood still.
+    pub fn listened_since(&self, shard: ShardIx) -> Option<Ms> {
+        let owned = self.owned_since.borrow().get(&shard).copied();
+        listened(owned, self.woke.get())
+    }
+
+    /// A place for a connection to a worker; `None` while all are taken.
+    pub fn direct(self: &Rc<Self>) -> Option<Direct> {
+        let open = self.directs.get();
+        (open < self.platform.settings.machine_limits.directs()).then(|| {
+            self.directs.set(open + 1);
+            Direct(self.clone())
+        })
     }
 
     /// Logs when a service outside goes and comes back.
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -119,8 +119,14 @@
 }
 
 /// Starts that no order has gone out for yet, on machines that no report is being answered to.
-/// They are noted as possibly late until the worker has answered.
-pub fn pushes(view: &mut View, rules: &Rules, now: Ms) -> Vec<Push> {
+/// They are noted as possibly late until the worker has answered. `place` tells whether there
+/// is a connection left for one more.
+pub fn pushes(
+    view: &mut View,
+    rules: &Rules,
+    now: Ms,
+    mut place: impl FnMut() -> bool,
+) -> Vec<Push> {
     let mut out = Vec::new();
     let own = rules.owned(view);
     for i in 0..view.machines.len() {
@@ -150,6 +156,9 @@
         if attempts.is_empty() {
             continue;
         }
+        if !place() {
+            break;
+        }
         let orders = attempts.iter().map(|a| start(view, *a)).collect();
         if let Some(m) = view.machine_mut(mix) {
             m.late_starts.extend(attempts.iter().map(|a| (*a, late)));
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -1,6 +1,6 @@
 //! The planning duty: passes, their commits, and the pull between controllers.
 
-use super::node::{wall_ms, Node};
+use super::node::{wall_ms, Direct, Node};
 use super::plan::{self, Draft, Push};
 use super::store::Outcome;
 use crate::bookkeeping::fleet::Machine;
@@ -118,10 +118,23 @@
 
 /// Sends starts that can't wait for the next report.
 fn push_starts(node: &Rc<Node>) {
-    let now = node.now();
-    let pushes = plan::pushes(&mut node.view.borrow_mut(), &node.rules, now);
-    for p in pushes {
-        node.ex.spawn(push(node.clone(), p)).detach();
+    let mut slots: Vec<Direct> = Vec::new();
+    // What finds no place goes out with the answer to the machine's next report.
+    let mut place = || node.direct().map(|slot| slots.push(slot)).is_some();
+    let pushes = plan::pushes(
+        &mut node.view.borrow_mut(),
+        &node.rules,
+        node.now(),
+        &mut place,
+    );
+    for (p, slot) in pushes.into_iter().zip(slots) {
+        let push = push(node.clone(), p);
+        node.ex
+            .spawn(async move {
+                push.await;
+                drop(slot);
+            })
+            .detach();
     }
 }
 
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -7,7 +7,9 @@
 use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::View;
 use crate::protocol::peers::{Ask, MachineNews, Reply};
+use crate::transport::TransportError;
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::rc::Rc;
 
 const NEWS_MS: u64 = 1000;
@@ -17,7 +19,7 @@
 /// Duty: tells the others about the own machines, and holds machines for gangs.
 pub async fn news(node: Rc<Node>) {
     for turn in 0u64.. {
-        crate::transport::pause(NEWS_MS).await;
+        node.pause(NEWS_MS).await;
         if turn % SURVEY_TURNS == 0 {
             survey(&node);
         }
@@ -27,7 +29,6 @@
         let now = node.now();
         let machines: Vec<MachineNews> = {
             let view = node.view.borrow();
-            let since = node.owned_since.borrow();
             view.all_machines()
                 .filter(|(_, m)| node.rules.owns(&view, m.shard))
                 .map(|(_, m)| MachineNews {
@@ -36,7 +37,7 @@
                     rig: view.rig_names.name(m.rig).to_string(),
                     zone: view.zone_names.name(m.zone).to_string(),
                     spot: m.spot,
-                    silent_ms: silence(m.heard, m.known, since.get(&m.shard).copied(), now),
+                    silent_ms: silence(m.heard, m.known, node.listened_since(m.shard), now),
                     heard: m.heard.is_some(),
                     sure: m.token == view.shards[m.shard.at()].rec.token,
                     queued: m.queue.len().min(255) as u8,
@@ -51,8 +52,12 @@
             node.ex
                 .clone()
                 .spawn(async move {
+                    let peer = &node.peers[i];
                     for ask in asks.iter() {
-                        if node.peers[i].client.ask(ask, NEWS_MS).await.is_err() {
+                        let told = peer.client.ask(ask, NEWS_MS).await;
+                        let refused = |e: &TransportError| matches!(e, TransportError::Connect(e) if e.kind() == ErrorKind::ConnectionRefused);
+                        peer.refuses.set(told.as_ref().is_err_and(refused));
+                        if told.is_err() {
                             break;
                         }
                     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -101,6 +101,22 @@
     pub max_connections: usize,
 }
 
+/// Connections that peers may open here.
+pub const PEER_CONNECTIONS: usize = 64;
+
+impl MachineLimits {
+    /// Connections to workers that may be open at a time.
+    pub fn directs(&self) -> usize {
+        (self.max_connections / 20).clamp(8, 160)
+    }
+    /// Connections that users and workers may open: the rest is kept for direct commands, the
+    /// peers, the state service and the cloud.
+    pub fn at_the_door(&self) -> usize {
+        let kept = self.directs() + PEER_CONNECTIONS + 36;
+        self.max_connections.saturating_sub(kept).max(16)
+    }
+}
+
 /// What all controllers share.
 #[derive(Deserialize, Clone, Debug)]
 pub struct Shared {
--- a/src/transport/frames.rs
+++ b/src/transport/frames.rs
@@ -2,6 +2,7 @@
 
 use super::{within, TransportError};
 use crate::protocol::peers::{self, Ask, Reply, MAX_FRAME, VERSION};
+use crate::settings::PEER_CONNECTIONS;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
@@ -9,7 +10,6 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-const MAX_PEER_CONNECTIONS: usize = 64;
 const IDLE_MS: u64 = 60_000;
 
 async fn write(stream: &mut &Async<TcpStream>, body: &[u8]) -> std::io::Result<()> {
@@ -47,7 +47,7 @@
             super::pause(100).await;
             continue;
         };
-        if open.get() >= MAX_PEER_CONNECTIONS {
+        if open.get() >= PEER_CONNECTIONS {
             continue;
         }
         let _ = stream.get_ref().set_nodelay(true);
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -255,7 +255,7 @@
     }
 
     pub fn pushes(&mut self, now: u64) -> Vec<Push> {
-        plan::pushes(&mut self.view, &self.rules, Ms(now))
+        plan::pushes(&mut self.view, &self.rules, Ms(now), || true)
     }
 
     pub fn machine(&self, name: &str) -> MachineIx {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -6,7 +6,7 @@
 use futures_lite::future::{block_on, poll_once};
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::units::Ms;
-use pointhook::coordination::node::Signal;
+use pointhook::coordination::node::{self, outage_is_everyones, PeerSeen, Signal};
 use pointhook::coordination::{members, plan, renting, siblings};
 use pointhook::protocol::peers::MachineNews;
 use pointhook::protocol::users::Shape;
@@ -416,3 +416,114 @@
         assert!((1..=30).all(|i| c.view.job(&format!("job-{i}")).is_some()));
     }
 }
+
+#[test]
+fn unreachable_machines_do_not_hold_back_the_token_from_the_rest() {
+    let (_, mut c) = one();
+    for i in 0..300 {
+        let name = format!("m{i:03}");
+        let mix = c
+            .view
+            .learn_machine(&name, "oven", "north", true, Ms(0))
+            .unwrap();
+        c.view.machine_mut(mix).unwrap().addr = "127.0.0.1:1".into();
+    }
+    // Nobody answers, and sixty connections are open at a time.
+    let mut tried = HashMap::new();
+    let mut reached = std::collections::HashSet::new();
+    for now in [10_000u64, 11_500, 13_000, 14_500, 16_000] {
+        let due = members::behind(&c.view, &c.rules, &mut tried, Ms(now), |_| Some(()));
+        for (mix, ..) in due.into_iter().take(60) {
+            tried.insert(mix, Ms(now));
+            reached.insert(mix);
+        }
+    }
+    assert_eq!(reached.len(), 300);
+    // One that has shown the token is left alone, and one in vain is tried again only later.
+    let mix = c.machine("m299");
+    c.view.machine_mut(mix).unwrap().token =
+        c.view.shards[0].rec.token.max(c.view.shards[1].rec.token);
+    let due = members::behind(&c.view, &c.rules, &mut tried, Ms(16_500), |_| Some(()));
+    assert!(due.iter().all(|(m, ..)| *m != mix));
+    assert!(due.len() <= 240);
+}
+
+#[test]
+fn a_node_cut_off_from_all_sides_sends_its_users_elsewhere() {
+    let seen = |heard, store_ok, refuses| PeerSeen {
+        heard,
+        store_ok,
+        refuses,
+    };
+    // The state service is down for all: being unhealthy would help nobody.
+    assert!(outage_is_everyones(&[
+        seen(true, false, false),
+        seen(false, false, false)
+    ]));
+    assert!(outage_is_everyones(&[]));
+    // A peer that ended or refuses connections shows that the way is open.
+    assert!(outage_is_everyones(&[seen(false, false, true)]));
+    // Others are served, or nothing is heard from any side.
+    assert!(!outage_is_everyones(&[
+        seen(true, true, false),
+        seen(true, false, false)
+    ]));
+    assert!(!outage_is_everyones(&[
+        seen(false, true, false),
+        seen(false, false, false)
+    ]));
+}
+
+#[test]
+fn a_node_that_stood_still_does_not_count_that_time_as_silence_of_machines() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    let m = c.view.machine(c.machine("m1")).unwrap();
+    // It owned the shard from the start, and stood still from 1 s to 40 s.
+    let (owned, woke) = (Some(Ms(0)), Some(Ms(40_000)));
+    let now = Ms(41_000);
+    assert_eq!(siblings::silence(m.heard, m.known, owned, now), 41_000);
+    assert_eq!(
+        siblings::silence(m.heard, m.known, node::listened(owned, woke), now),
+        1000
+    );
+    assert_eq!(node::listened(owned, None), owned);
+}
+
+#[test]
+fn what_was_drafted_before_a_stop_is_refused_after_a_take_over() {
+    let (mut store, mut old) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 600_000;
+    old.submit(&mut store, job("job-0", 1), 0);
+    play(&mut old, &mut store, &mut [&mut w], 0, 1500);
+    assert!(w.has("job-0/0"));
+    old.submit(&mut store, job("job-1", 1), 1500);
+    let draft = old.draft(1600);
+    assert_eq!(draft.claims.len(), 1);
+    let late = pointhook::coordination::store::transaction(&old.view, &draft);
+    // It stands still past its lease; another takes its shards and gives the task away.
+    store.end_lease(old.lease);
+    let mut new = Controller::start("s1", 2, &mut store, 20_000);
+    new.members(&mut store, 20_000);
+    let mut other = Worker::new("m2", "north", 20_000);
+    new.visit(&mut store, &mut other, 20_000);
+    // It goes on where it stood: the commit, an answer held back, a proof by time.
+    assert!(!matches!(
+        Controller::send(&mut store, &late, 40_000),
+        pointhook::coordination::store::Outcome::Done(_)
+    ));
+    let r = w.report(40_000);
+    let held = old.report_without_store(&r, 40_000).unwrap();
+    assert!(!held.orders.iter().any(|o| matches!(o, Order::Start { .. })));
+    let proof = old.draft(60_000);
+    assert!(!proof.is_empty());
+    let by_time = pointhook::coordination::store::transaction(&old.view, &proof);
+    assert!(!matches!(
+        Controller::send(&mut store, &by_time, 60_000),
+        pointhook::coordination::store::Outcome::Done(_)
+    ));
+    assert_eq!(other.started.len(), 1);
+    assert_eq!(w.started.len(), 1);
+}
