Cloud requests are paced by its limit: list by pages, bookings of 50, returns never starved

Cause, by reading: a list of 2,000 machines is four pages every 1.5 s of 3.5 requests a second, one refused page lost all, bookings of 25 took 52 requests to open the larger site, and renting could use up what returns need. Changed: a budget of requests; the list takes at most four tenths of it and goes on from the page it had; bookings of 50, several for a pool in one turn; one request is left for returns.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 pub mod intake;
 pub mod members;
 pub mod node;
+pub mod pace;
 pub mod plan;
 pub mod planner;
 pub mod renting;
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -1,6 +1,7 @@
 //! Renting and returning machines: one duty with one fenced owner.
 
 use super::node::{wall_ms, Node, Outside};
+use super::pace::Pace;
 use super::plan::{self, Draft, Rules};
 use super::siblings;
 use super::store::{set, Outcome};
@@ -18,8 +19,12 @@
 
 const TICK_MS: u64 = 250;
 const CALL_MS: u64 = 3000;
-/// Most machines in one request.
-const MOST_AT_ONCE: u32 = 25;
+/// Most machines in one request, by the cloud's protocol.
+const MOST_AT_ONCE: u32 = 50;
+/// Part of the cloud's limit that reading the machine list may take.
+const LIST_PART: f64 = 0.4;
+/// Age at which a list that is read page by page is begun anew.
+const STALE_MS: u64 = 15_000;
 /// Time over which arrivals are counted.
 const ARRIVALS_MS: u64 = 150_000;
 /// Jobs that came this soon after the first are the backlog of the opening.
@@ -30,6 +35,8 @@
 const STUCK: f64 = 2.5;
 /// Most requests side by side.
 const AT_ONCE: usize = 4;
+/// Most machines in one return, by the cloud's protocol.
+const RETURNS: usize = 100;
 
 /// A kind of machine that can be rented.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
@@ -330,8 +337,9 @@
 }
 
 /// What the duty remembers between turns; lost at a change of owner, which only costs time.
-#[derive(Default)]
 struct Desk {
+    pace: Pace,
+    pages: Pages,
     listed: HashMap<String, Listed>,
     listed_at: Option<Ms>,
     list_due: Ms,
@@ -344,11 +352,31 @@
     needed: HashSet<MachineIx>,
 }
 
+impl Desk {
+    fn new(rps: f64, token: u64, owner_since: Option<Ms>) -> Desk {
+        Desk {
+            pace: Pace::new(rps),
+            pages: Pages::default(),
+            listed: HashMap::new(),
+            listed_at: None,
+            list_due: Ms(0),
+            backoff: HashMap::new(),
+            counter: 0,
+            released: HashMap::new(),
+            booked_at: HashMap::new(),
+            owner_since,
+            token,
+            needed: HashSet::new(),
+        }
+    }
+}
+
 /// Duty: rents and returns machines while this node owns the renting shard.
 pub async fn run(node: Rc<Node>) {
-    let mut desk = Desk::default();
+    let rps = node.platform.settings.cloud.rps;
+    let mut desk = Desk::new(rps, 0, None);
     loop {
-        crate::transport::pause(TICK_MS).await;
+        node.pause(TICK_MS).await;
         if !node.view.borrow().loaded {
             continue;
         }
@@ -366,11 +394,7 @@
         };
         let now = node.now();
         if desk.owner_since.is_none() || desk.token != token {
-            desk = Desk {
-                owner_since: Some(now),
-                token,
-                ..Desk::default()
-            };
+            desk = Desk::new(rps, token, Some(now));
         }
         turn(&node, &mut desk).await;
     }
@@ -424,25 +448,7 @@
     let lag_ms = ms_of(s.cloud.list_lag_s);
     let now = node.now();
     if now >= desk.list_due {
-        let every = ((4000.0 / s.cloud.rps) as u64).clamp(1500, 4000);
-        desk.list_due = now.plus(every);
-        if let Some(list) = read_list(node).await {
-            let now = node.now();
-            desk.listed_at = Some(now);
-            let mut view = node.view.borrow_mut();
-            for h in &list {
-                if let Some(mix) = view.learn_machine(&h.name, &h.rig, &h.zone, h.spot, now) {
-                    if let Some(m) = view.machine_mut(mix).filter(|m| m.addr.is_empty()) {
-                        m.addr.clone_from(&h.addr);
-                    }
-                }
-            }
-            // An older list than the last may lack new machines: those stay for a while.
-            let names: HashSet<&str> = list.iter().map(|h| h.name.as_str()).collect();
-            desk.listed.retain(|n, _| names.contains(n.as_str()));
-            desk.listed
-                .extend(list.iter().map(|h| (h.name.clone(), h.clone())));
-        }
+        read_list(node, desk).await;
     }
     repeat_bookings(node, desk).await;
     clear_bookings(node, desk, lag_ms).await;
@@ -450,36 +456,92 @@
     release(node, desk).await;
 }
 
-async fn read_list(node: &Rc<Node>) -> Option<Vec<Listed>> {
-    let mut out: Vec<Listed> = Vec::new();
-    let mut from = String::new();
-    loop {
-        let path = format!("/hosts?from={from}&most=500");
-        let f = match node
-            .cloud
-            .call(Method::Get, &path, Vec::new(), CALL_MS)
-            .await
-        {
-            Ok(f) if f.status == 200 => f,
-            Ok(f) => {
-                log::debug!("machine list refused with {}", f.status);
-                // 429 is our own haste, not the cloud's trouble.
-                node.note_served(Outside::Cloud, f.status == 429);
-                return None;
-            }
-            Err(e) => {
-                log::debug!("machine list: {e}");
-                node.note_served(Outside::Cloud, false);
-                node.cloud.reset();
-                return None;
-            }
+/// Time from one list of machines to the next: a large one takes no more than its part of the
+/// cloud's limit, so that renting and returning have the rest.
+pub fn list_every_ms(rps: f64, pages: usize) -> u64 {
+    let least = ((4000.0 / rps) as u64).clamp(1500, 4000);
+    least.max((pages as f64 * 1000.0 / (rps * LIST_PART)) as u64)
+}
+
+/// A machine list that is read page by page. What was read stays when a page is refused, and
+/// the next turn goes on from there.
+#[derive(Default)]
+pub struct Pages {
+    list: Vec<Listed>,
+    since: Option<Ms>,
+}
+
+impl Pages {
+    /// The name after which the next page begins; a list that took too long is begun anew.
+    pub fn next(&mut self, now: Ms) -> &str {
+        if self.since.is_some_and(|t| now.since(t) >= STALE_MS) {
+            *self = Pages::default();
+        }
+        self.since.get_or_insert(now);
+        self.list.last().map_or("", |h| h.name.as_str())
+    }
+    /// Takes a page; the whole list if it was the last.
+    pub fn take(&mut self, page: HostList) -> Option<Vec<Listed>> {
+        let more = page.more && !page.hosts.is_empty();
+        self.list.extend(page.hosts);
+        (!more).then(|| std::mem::take(self).list)
+    }
+}
+
+/// Reads pages of the machine list as far as the cloud's limit lets it.
+async fn read_list(node: &Rc<Node>, desk: &mut Desk) {
+    let list = loop {
+        let now = node.now();
+        if !desk.pace.take(now, 0.0) {
+            return;
+        }
+        let Some(page) = read_page(node, desk.pages.next(now)).await else {
+            desk.list_due = node.now().plus(500);
+            return;
         };
-        node.note_served(Outside::Cloud, true);
-        let page: HostList = rmp_serde::from_slice(&f.body).ok()?;
-        out.extend(page.hosts);
-        match out.last() {
-            Some(h) if page.more => from.clone_from(&h.name),
-            _ => return Some(out),
+        if let Some(list) = desk.pages.take(page) {
+            break list;
+        }
+    };
+    let now = node.now();
+    let pages = list.len() / PAGE + 1;
+    desk.list_due = now.plus(list_every_ms(node.platform.settings.cloud.rps, pages));
+    desk.listed_at = Some(now);
+    let mut view = node.view.borrow_mut();
+    for h in &list {
+        if let Some(mix) = view.learn_machine(&h.name, &h.rig, &h.zone, h.spot, now) {
+            if let Some(m) = view.machine_mut(mix).filter(|m| m.addr.is_empty()) {
+                m.addr.clone_from(&h.addr);
+            }
+        }
+    }
+    desk.listed = list.into_iter().map(|h| (h.name.clone(), h)).collect();
+    desk.released
+        .retain(|n, t| desk.listed.contains_key(n) || now.since(*t) < STALE_MS);
+}
+
+/// Machines in a page of the list, by the cloud's protocol at most.
+const PAGE: usize = 500;
+
+async fn read_page(node: &Rc<Node>, from: &str) -> Option<HostList> {
+    let path = format!("/hosts?from={from}&most={PAGE}");
+    let answer = node.cloud.call(Method::Get, &path, Vec::new(), CALL_MS);
+    match answer.await {
+        Ok(f) if f.status == 200 => {
+            node.note_served(Outside::Cloud, true);
+            rmp_serde::from_slice(&f.body).ok()
+        }
+        Ok(f) => {
+            log::debug!("machine list refused with {}", f.status);
+            // 429 is our own haste, not the cloud's trouble.
+            node.note_served(Outside::Cloud, f.status == 429);
+            None
+        }
+        Err(e) => {
+            log::debug!("machine list: {e}");
+            node.note_served(Outside::Cloud, false);
+            node.cloud.reset();
+            None
         }
     }
 }
@@ -494,7 +556,8 @@
             .filter(|(_, b)| b.rec.hosts.is_empty())
             .filter(|(n, _)| desk.booked_at.get(*n).is_none_or(|t| now.since(*t) > 2000))
             .map(|(n, b)| (n.clone(), b.rec.clone()))
-            .take(4)
+            .take(AT_ONCE)
+            .take_while(|_| desk.pace.take(now, 0.0))
             .collect()
     };
     book_all(node, desk, open).await;
@@ -691,8 +754,11 @@
         let owner_here = node.rules.owns(&view, m.shard);
         let peer = view.live_owner(m.shard).and_then(|o| node.peer(o));
         let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
-        let since = node.owned_since.borrow().get(&m.shard).copied();
-        let base = if owner_here { since } else { desk.owner_since };
+        let base = if owner_here {
+            node.listened_since(m.shard)
+        } else {
+            desk.owner_since.max(node.woke.get())
+        };
         (owner_here || told)
             && siblings::silence(m.heard, m.known, base, now) > limits.of(&view, &node.rules, m)
     };
@@ -800,14 +866,14 @@
     }
     let closed = close_idle(node, &idle).await;
     let closed = closed.into_iter().map(|n| (n, "idle"));
-    let mut names: Vec<String> = Vec::new();
-    for (n, why) in dead.into_iter().chain(closed).take(100) {
-        log::info!("machine {n} is to be returned: {why}");
-        names.push(n);
-    }
-    if names.is_empty() {
+    let returned: Vec<(String, &str)> = dead.into_iter().chain(closed).take(RETURNS).collect();
+    let names: Vec<String> = returned.iter().map(|(n, _)| n.clone()).collect();
+    if names.is_empty() || !desk.pace.take(node.now(), 0.0) {
         return;
     }
+    for (n, why) in &returned {
+        log::info!("machine {n} is to be returned: {why}");
+    }
     let Ok(body) = rmp_serde::to_vec_named(&Hosts {
         hosts: names.clone(),
     }) else {
@@ -930,6 +996,22 @@
     out
 }
 
+/// Requests for what is to be rented, of the size the cloud takes, the pools in turn.
+pub fn requests(rent: BTreeMap<Pool, u32>) -> Vec<(Pool, u32)> {
+    let mut left = rent;
+    let mut out = Vec::new();
+    while !left.is_empty() && out.len() < AT_ONCE {
+        for (pool, n) in &mut left {
+            let part = (*n).min(MOST_AT_ONCE);
+            out.push((*pool, part));
+            *n -= part;
+        }
+        left.retain(|_, n| *n > 0);
+    }
+    out.truncate(AT_ONCE);
+    out
+}
+
 async fn rent(node: &Rc<Node>, desk: &mut Desk) {
     let now = node.now();
     // Without a list of this owner's time, what is rented already is not known.
@@ -949,14 +1031,19 @@
     };
     let mut list = Vec::new();
     desk.needed = plan.needed;
-    for (pool, count) in plan.rent.into_iter().take(AT_ONCE) {
+    for (pool, count) in requests(plan.rent) {
+        // One request is left for returns: those who wait for a machine to be proven gone wait
+        // as long as those who need a new one.
+        if !desk.pace.take(node.now(), 1.0) {
+            break;
+        }
         desk.counter += 1;
         let view = node.view.borrow();
         let rec = BookingRecord {
             rig: view.rig_names.name(pool.rig).to_string(),
             zone: view.zone_names.name(pool.zone).to_string(),
             spot: pool.spot,
-            count: count.min(MOST_AT_ONCE),
+            count,
             hosts: Vec::new(),
         };
         // The token is of this owner alone, so no name is ever used twice.
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -5,12 +5,15 @@
 use pointhook::bookkeeping::names::{Index, RigIx, ZoneIx};
 use pointhook::bookkeeping::units::{Ms, Res};
 use pointhook::bookkeeping::view::{BookingRecord, ROOT};
-use pointhook::coordination::renting::{supply, wanted, Pool, Supply, Wanted};
+use pointhook::coordination::pace::Pace;
+use pointhook::coordination::renting::{
+    list_every_ms, requests, supply, wanted, Pages, Pool, Supply, Wanted,
+};
 use pointhook::coordination::store::{set, Outcome};
-use pointhook::protocol::cloud::Listed;
+use pointhook::protocol::cloud::{HostList, Listed};
 use pointhook::protocol::state::Transaction;
 use pointhook::protocol::users::Shape;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use support::controller::Controller;
 use support::job;
 use support::store::Store;
@@ -154,6 +157,81 @@
     assert_eq!(plan(&c, have, &[]).rent.values().sum::<u32>(), 1);
 }
 
+fn listed(name: &str) -> Listed {
+    Listed {
+        name: name.into(),
+        addr: "127.0.0.1:1".into(),
+        rig: "oven".into(),
+        zone: "north".into(),
+        spot: true,
+        status: "running".into(),
+        age_s: 0.0,
+    }
+}
+
+#[test]
+fn a_refused_page_of_the_list_loses_none_that_were_read() {
+    let page = |from: usize, n: usize, more| HostList {
+        hosts: (from..from + n)
+            .map(|i| listed(&format!("n-{i:06}")))
+            .collect(),
+        more,
+    };
+    let mut pages = Pages::default();
+    assert_eq!(pages.next(Ms(0)), "");
+    assert!(pages.take(page(0, 500, true)).is_none());
+    // The next page is refused twice; it is asked for again, not the first.
+    assert_eq!(pages.next(Ms(500)), "n-000499");
+    assert_eq!(pages.next(Ms(1000)), "n-000499");
+    assert!(pages.take(page(500, 500, true)).is_none());
+    assert_eq!(pages.take(page(1000, 3, false)).unwrap().len(), 1003);
+    // A list that takes for ever would tell of long ago.
+    assert!(pages.take(page(0, 500, true)).is_none());
+    assert_eq!(pages.next(Ms(2000)), "n-000499");
+    assert_eq!(pages.next(Ms(60_000)), "");
+}
+
+#[test]
+fn requests_to_the_cloud_stay_within_its_limit_and_leave_one_for_returns() {
+    let rate = 3.5;
+    let mut pace = Pace::new(rate);
+    let (mut rented, mut returned) = (0u32, 0u32);
+    // Renting asks as often as it can, returns come once a second.
+    for now in (0..60_000u64).step_by(50) {
+        rented += u32::from(pace.take(Ms(now), 1.0));
+        if now % 1000 == 0 {
+            assert!(
+                now == 0 || pace.take(Ms(now), 0.0),
+                "a return waits at {now}"
+            );
+            returned += 1;
+        }
+    }
+    assert!(f64::from(rented + returned) <= 60.0 * rate + 2.0 * rate);
+    assert!(rented > 100);
+    // The list of two thousand machines takes less than half of the limit.
+    let every = list_every_ms(rate, 4);
+    assert!(4.0 * 1000.0 / every as f64 <= rate / 2.0);
+    // That of a small deployment is as fresh as it can be.
+    assert_eq!(list_every_ms(4.0, 1), 1500);
+}
+
+#[test]
+fn a_thousand_machines_are_asked_for_in_few_requests_the_pools_in_turn() {
+    let (_, c) = ready();
+    let pool = |zone, spot| Pool {
+        rig: oven(&c),
+        zone: ZoneIx::new(zone),
+        spot,
+    };
+    let rent = BTreeMap::from([(pool(0, true), 700), (pool(1, true), 20)]);
+    let out = requests(rent);
+    assert!(out.iter().all(|(_, n)| (1..=50).contains(n)));
+    assert_eq!(out.len(), 4);
+    assert_eq!(out[1], (pool(1, true), 20));
+    assert!(requests(BTreeMap::new()).is_empty());
+}
+
 #[test]
 fn a_machine_that_is_long_overdue_is_not_waited_for() {
     let (mut store, mut c) = ready();
@@ -161,13 +239,8 @@
     c.view
         .learn_machine("n-000007", "oven", "north", true, Ms(0));
     let listed = Listed {
-        name: "n-000007".into(),
-        addr: "127.0.0.1:1".into(),
-        rig: "oven".into(),
-        zone: "north".into(),
-        spot: true,
         status: "booting".into(),
-        age_s: 0.0,
+        ..listed("n-000007")
     };
     let list = HashMap::from([(listed.name.clone(), listed)]);
     assert_eq!(supply(&c.view, &list, 4000, Ms(20_000)).len(), 1);
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -212,3 +212,49 @@
     // A node without machines still tells that it is there.
     assert_eq!(siblings::tell("node", true, Vec::new()).len(), 1);
 }
+
+#[test]
+fn the_loss_of_hundreds_of_machines_costs_one_change_a_job() {
+    let (mut store, mut c) = one();
+    fleet(&mut c, 300);
+    for i in 0..12 {
+        c.submit(&mut store, job(&format!("job-{i}"), 60), 0);
+    }
+    c.plan(&mut store, 10);
+    let placed =
+        |c: &Controller| -> usize { c.view.active_jobs().map(|(_, j)| j.placements.len()).sum() };
+    assert_eq!(placed(&c), 720);
+    let machines: Vec<_> = c.view.occupied().collect();
+    assert!(machines.len() >= 180);
+    for m in &machines {
+        c.view.set_gone(*m);
+    }
+    let mut changes = 0;
+    loop {
+        let mut d = plan::Draft::default();
+        plan::settle(&c.view, &c.rules, &mut d, Ms(20));
+        if d.is_empty() {
+            break;
+        }
+        changes += d.jobs.len();
+        let txn = pointhook::coordination::store::transaction(&c.view, &d);
+        let out = Controller::send(&mut store, &txn, 20);
+        pointhook::coordination::store::conclude(&mut c.view, &d, &out);
+    }
+    assert_eq!((placed(&c), changes), (0, 12));
+}
+
+#[test]
+fn a_deleted_machine_leaves_nothing_behind_but_its_name() {
+    let (_, mut c) = one();
+    fleet(&mut c, 2000);
+    for i in 0..1990 {
+        let mix = c.machine(&format!("m{i:03}"));
+        c.view.set_gone(mix);
+    }
+    assert_eq!(c.view.all_machines().count(), 10);
+    // Late lists and reports bring none back.
+    let again = c.view.learn_machine("m005", "oven", "north", true, Ms(9));
+    assert!(again.is_none());
+    assert_eq!(c.view.all_machines().count(), 10);
+}
