Ends and claims of arrays are gathered while changes are scarce

Most changes are the claim and the end of each array task, one at a time. Changed: each node reckons all nodes' changes by the watch. From half of the limit on, ends of tasks whose array goes on and claims of arrays are gathered, up to a second near the limit; urgent work, gangs, services and a job's last end are written at once. A completed task's room is free before its record says so.

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -40,6 +40,10 @@
     pub fn attempt_of(&self) -> Option<Attempt> {
         Some((self.job?, self.task, self.attempt))
     }
+    /// True if it has completed, and so takes nothing of its machine.
+    pub fn is_done(&self) -> bool {
+        self.state == TaskState::Exited && self.why == Some(Why::Done)
+    }
     /// True if both show the same attempt in the same state.
     pub fn same(&self, o: &Seen) -> bool {
         (self.job, self.task, self.attempt, self.state, self.why)
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -1,6 +1,6 @@
 //! The cached view: everything a controller knows. Pure, no I/O.
 
-use super::fleet::{Attempt, Machine, Rig};
+use super::fleet::{Attempt, Machine, Rig, Seen};
 use super::job::{Job, JobRecord, JobState, Placement, Spec};
 use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
 use super::tally::Tally;
@@ -127,6 +127,8 @@
 pub struct View {
     /// Revision up to which all changes are in here.
     pub revision: u64,
+    /// Changes seen, of all nodes.
+    pub changes: u64,
     /// True once the records were read.
     pub loaded: bool,
     /// Job names.
@@ -394,7 +396,9 @@
                 let job = self.jobs.get(ix.at()).filter(|j| !j.settled())?;
                 Some(job.spec.as_ref()?.need)
             };
-            for n in placed.iter().filter_map(|a| need(a.0)) {
+            // The record of a completed task may follow a little later.
+            let there = |a: &&Attempt| !m.seen(**a).is_some_and(Seen::is_done);
+            for n in placed.iter().filter(there).filter_map(|a| need(a.0)) {
                 free = free.minus(n);
             }
             for t in m.tasks.iter().filter(|t| t.state != TaskState::Exited) {
@@ -617,6 +621,7 @@
         // least of all a node or booking that has been deleted since.
         let known = self.revision;
         for e in events.iter().filter(|e| e.version > known) {
+            self.changes += 1;
             match (&e.set, &e.remove, &e.v) {
                 (Some(key), _, Some(v)) => self.put(key, e.version, v),
                 (_, Some(key), _) => self.delete(key, e.version),
--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -6,13 +6,18 @@
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
 use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::View;
-use crate::protocol::users::Rank;
+use crate::protocol::users::{Rank, Shape};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
 /// Rough size of a placement in a record.
 pub(super) const PLACEMENT_BYTES: usize = 44;
 
+/// True for tasks that are claimed many at a time while changes are scarce.
+fn deferrable(spec: &Spec) -> bool {
+    spec.wire.shape == Shape::Array && spec.rank() > Rank::High
+}
+
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
 pub fn claim(
     view: &View,
@@ -23,7 +28,10 @@
 ) -> Vec<MachineIx> {
     let mut free = free_room(view, draft);
     claim_gangs(view, rules, draft, &mut free, now);
-    let jobs = waiting_jobs(view, rules, draft, now, wall_ms);
+    let mut jobs = waiting_jobs(view, rules, draft, now, wall_ms);
+    if draft.defer {
+        jobs.retain(|w| !deferrable(&w.spec));
+    }
     let Some(least) = least_need(jobs.iter().map(|w| &*w.spec)) else {
         return Vec::new();
     };
@@ -75,7 +83,8 @@
                     continue;
                 };
                 let room = free.get(*mix).unwrap_or_default();
-                if !job.waits(*task)
+                if draft.defer && deferrable(&s)
+                    || !job.waits(*task)
                     || backed_off(view, *ix, now)
                     || crowds_out(view, draft, &claimants, job, &s)
                     || job.size() + PLACEMENT_BYTES >= rules.value_bytes
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -1,11 +1,12 @@
 //! What reports and deletions prove of placements.
 
 use super::*;
-use crate::bookkeeping::fleet::{Attempt, Machine};
+use crate::bookkeeping::fleet::{Attempt, Machine, Seen};
 use crate::bookkeeping::job::Job;
 use crate::bookkeeping::names::Index;
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::View;
+use crate::protocol::users::Shape;
 use crate::protocol::workers::{TaskState, Why};
 
 /// True if a gang has lost some of its tasks and the rest has to go.
@@ -82,6 +83,21 @@
     open && may_start_late(m, token, a)
 }
 
+/// True if a task's end may be written a little later, with others of its job: it is done, its
+/// job is an array that goes on, and its room counts as free already.
+fn deferred(view: &View, job: &Job, ix: JobIx, m: &Machine, a: Attempt) -> bool {
+    let array = job.spec.as_ref().filter(|s| s.wire.shape == Shape::Array);
+    let done = |m: &Machine, a| m.seen(a).is_some_and(Seen::is_done);
+    let Some(spec) = array.filter(|_| job.open() && done(m, a)) else {
+        return false;
+    };
+    let over = job.placements.iter().filter(|p| {
+        let a = (ix, p.task, p.attempt);
+        !job.done.has(p.task) && view.machine(p.machine).is_some_and(|m| done(m, a))
+    });
+    job.done.count() as usize + over.count() < spec.tasks() as usize
+}
+
 /// Takes what reports and deletions prove into the draft.
 pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
     let own = rules.owned(view);
@@ -109,7 +125,7 @@
             let exit = exit.filter(|_| !waits_again(job, m, a));
             let absent = proven_absent(m, token, a) && (unwanted(job, m, a) || given_up(m, a));
             let lost = exit.is_none() && (absent || lease_over(m, token, rules.dead_ms, now));
-            if exit.is_none() && !lost {
+            if exit.is_none() && !lost || draft.defer && deferred(view, job, ix, m, a) {
                 continue;
             }
             let Some(j) = draft.edit(view, rules, ix) else {
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -88,12 +88,21 @@
     pub teams: BTreeMap<TeamIx, TeamRecord>,
     /// New placements.
     pub claims: Vec<(JobIx, Placement)>,
+    /// Leave small news of arrays for later, when more of it is written at once.
+    pub defer: bool,
     /// Something was left out for which the transaction or a team's share had no room.
     pub cut: bool,
     bytes: usize,
 }
 
 impl Draft {
+    /// A draft that may leave arrays' small news for later.
+    pub fn deferring(defer: bool) -> Draft {
+        Draft {
+            defer,
+            ..Draft::default()
+        }
+    }
     /// True if nothing changes.
     pub fn is_empty(&self) -> bool {
         self.jobs.is_empty() && self.teams.is_empty()
--- a/src/coordination/plan/room.rs
+++ b/src/coordination/plan/room.rs
@@ -51,10 +51,11 @@
             .iter()
             .filter(|p| !job.placements.contains(p))
         {
-            // What a report still shows takes its room until it has exited.
+            // What a report still shows takes its room until it has exited, and what is done
+            // takes none in the view either.
             let a = (*ix, p.task, p.attempt);
             let there = view.machine(p.machine).and_then(|m| m.seen(a));
-            if there.is_none_or(|t| t.state == TaskState::Exited) {
+            if there.is_none_or(|t| t.state == TaskState::Exited && !t.is_done()) {
                 free.give(p.machine, s.need);
             }
         }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -20,22 +20,79 @@
 const PEER_MS: u64 = 800;
 const WORKER_MS: u64 = 2000;
 
+/// How scarce changes are: what all nodes write, by the watch, against the limit they share.
+///
+/// Arrays make most of it, a claim and an end for each task. The nearer the limit, the longer
+/// these are gathered, so that one change of a record tells of several; what is urgent, gangs
+/// and services don't wait.
+#[derive(Default)]
+pub struct Changes {
+    seen: u64,
+    at: Ms,
+    a_second: f64,
+    gathered: Ms,
+    window_ms: u64,
+}
+
+/// Part of the limit on changes from which on they are gathered.
+const SPARE_PART: f64 = 0.5;
+/// Longest time that ends and claims of arrays are gathered. A job's end is written at once by
+/// the node that sees it whole, and no later than this by others.
+const GATHER_MS: f64 = 1000.0;
+
+impl Changes {
+    /// True if arrays' small news should wait for more of it; `total` counts all changes seen.
+    pub fn defer(&mut self, now: Ms, total: u64, limit: f64) -> bool {
+        let span = now.since(self.at);
+        if span >= 1000 {
+            let rate = total.saturating_sub(self.seen) as f64 * 1000.0 / span as f64;
+            // Smoothed over a few seconds.
+            self.a_second += (rate - self.a_second) * 0.4;
+            self.seen = total;
+            self.at = now;
+            let part = self.a_second / limit.max(0.1);
+            let full = (part - SPARE_PART) / (0.9 - SPARE_PART);
+            self.window_ms = (full.clamp(0.0, 1.0) * GATHER_MS) as u64;
+        }
+        if now.since(self.gathered) < self.window_ms {
+            return true;
+        }
+        self.gathered = now;
+        false
+    }
+    /// How long the planner may sleep.
+    pub fn wait_ms(&self, now: Ms) -> u64 {
+        match self.window_ms {
+            0 => IDLE_MS,
+            w => w
+                .saturating_sub(now.since(self.gathered))
+                .clamp(20, IDLE_MS),
+        }
+    }
+}
+
+/// Longest sleep of the planner.
+const IDLE_MS: u64 = 700;
+
 /// Duty: plans whenever something changed, and now and then.
 pub async fn run(node: Rc<Node>) {
     let mut lowered = Ms(0);
     let mut last_poll: HashMap<MachineIx, (u64, u64)> = HashMap::new();
+    let mut changes = Changes::default();
     loop {
-        node.plan.rung(700).await;
+        node.plan.rung(changes.wait_ms(node.now())).await;
         if !node.view.borrow().loaded {
             continue;
         }
         let waiters = node.plan.take_waiters();
+        let limit = node.platform.settings.state.write_rps;
+        let defer = changes.defer(node.now(), node.view.borrow().changes, limit);
         let mut idle = Vec::new();
         for _ in 0..PASSES {
             let now = node.now();
             let draft = {
                 let view = node.view.borrow();
-                let mut d = Draft::default();
+                let mut d = Draft::deferring(defer);
                 plan::settle(&view, &node.rules, &mut d, now);
                 idle = plan::claim(&view, &node.rules, &mut d, now, wall_ms());
                 if now.since(lowered) > 2000 {
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::units::{Ms, Res};
-use pointhook::coordination::{plan, siblings};
+use pointhook::coordination::planner::Changes;
+use pointhook::coordination::{plan, reports, siblings};
 use pointhook::protocol::peers::{self, Ask, MachineNews};
-use pointhook::protocol::users::Shape;
-use support::controller::{one, Controller};
+use pointhook::protocol::users::{Rank, Shape};
+use pointhook::protocol::workers::TaskState;
+use support::controller::{one, play, Controller};
 use support::job;
 use support::store::Store;
 use support::worker::Worker;
@@ -244,6 +247,60 @@
     assert_eq!((placed(&c), changes), (0, 12));
 }
 
+#[test]
+fn ends_of_an_array_are_gathered_but_its_last_is_not_and_its_room_is_free_at_once() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 2000;
+    c.submit(&mut store, job("job-1", 4), 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 1500);
+    assert_eq!(c.job("job-1").placements.len(), 4);
+    let later = |c: &Controller, now| {
+        let mut d = plan::Draft::deferring(true);
+        plan::settle(&c.view, &c.rules, &mut d, Ms(now));
+        plan::claim(&c.view, &c.rules, &mut d, Ms(now), now);
+        d
+    };
+    // Three of four are done: nothing is written yet, but what is urgent has their room.
+    let mut r = w.report(4000);
+    r.tasks[3].state = TaskState::Running;
+    r.tasks[3].why = None;
+    let take = |c: &mut Controller, r| reports::receive(&mut c.view, &c.rules, r, 10_000, Ms(4000));
+    take(&mut c, &r);
+    assert!(later(&c, 4000).is_empty());
+    let mut urgent = job("job-2", 3);
+    urgent.priority = Rank::High;
+    c.submit(&mut store, urgent, 4000);
+    c.submit(&mut store, job("job-3", 1), 4000);
+    let d = later(&c, 4010);
+    assert_eq!(d.claims.len(), 3);
+    assert!(d.claims.iter().all(|(ix, _)| *ix == c.job_ix("job-2")));
+    // Once the last is done as well, the job's end is written at once, with all of them.
+    let r = w.report(5000);
+    take(&mut c, &r);
+    let d = later(&c, 5000);
+    assert_eq!(d.jobs[&c.job_ix("job-1")].state, JobState::Done);
+}
+
+#[test]
+fn the_nearer_the_limit_on_changes_the_longer_arrays_news_is_gathered() {
+    let passes = |a_second: u64| {
+        let mut changes = Changes::default();
+        let (mut total, mut now, mut whole) = (0, 0, 0);
+        while now < 20_000 {
+            whole += u32::from(!changes.defer(Ms(now), total, 70.0));
+            now += 100;
+            total = a_second * now / 1000;
+            assert!(changes.wait_ms(Ms(now)) <= 700);
+        }
+        whole
+    };
+    assert_eq!(passes(20), 200);
+    assert!(passes(50) < 100);
+    // At the limit once a second, and never less often.
+    assert!((20..60).contains(&passes(90)));
+}
+
 #[test]
 fn a_deleted_machine_leaves_nothing_behind_but_its_name() {
     let (_, mut c) = one();
