Fresh reads of all nodes leave most of the request limit to watches and transactions

Changed: a node begins no two such reads within the time that its part of three tenths of the limit gives; all that come meanwhile share the next. One poll alone waits for nothing.

--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -4,6 +4,7 @@
 use super::plan::Draft;
 use crate::bookkeeping::job::Job;
 use crate::bookkeeping::names::{Index, JobIx};
+use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{View, ROOT};
 use crate::protocol::state::{Changes, Committed, Condition, Page, Transaction, Write};
 use crate::transport::http::{jittered, Fetched};
@@ -26,6 +27,8 @@
 
 const CALL_MS: u64 = 1500;
 const WATCH_MS: u64 = 5000;
+/// Part of the limit on requests that fresh reads of all nodes may take.
+const READS_PART: f64 = 0.3;
 
 impl Node {
     fn note(&self, answer: &Result<Fetched, TransportError>) {
@@ -234,9 +237,20 @@
 }
 
 /// Duty: serves all who need the state of now with one read each time.
+///
+/// The more come, the more share one: all nodes together leave most of the service's limit on
+/// requests to the watches and transactions.
 pub async fn fresh_reads(node: Rc<Node>) {
+    let nodes = node.peers.len() as f64 + 1.0;
+    let apart_ms = nodes * 1000.0 / (node.platform.settings.state.rps * READS_PART);
+    let mut began = Ms(0);
     loop {
         node.fresh.rung(60_000).await;
+        let left = (apart_ms as u64).saturating_sub(node.now().since(began));
+        if left > 0 {
+            pause(left).await;
+        }
+        began = node.now();
         let waiters = node.fresh.take_waiters();
         if waiters.is_empty() {
             continue;
