A job that missed one of its class's times goes first before the last is in doubt

Cause: settings kept one finishing time a class, the last in the file, and a job with a deadline of its own only that. Changed: all times of a class count. One that can't make the first any more waits behind those that can until two fifths of the last have passed, then goes first; the bounds against starving are as they were.

--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 
 /// Arrivals remembered for the rate of each class.
-const MAX_ARRIVALS: usize = 256;
+const MAX_ARRIVALS: usize = 1024;
 
 /// All keys of the service start with this.
 pub const ROOT: &str = "ph/";
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -4,7 +4,7 @@
 use crate::bookkeeping::names::ShardIx;
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
-use crate::settings::{Operator, Platform};
+use crate::settings::{Objective, Operator, Platform};
 use crate::transport::frames::PeerClient;
 use crate::transport::http::Client;
 use crate::transport::within;
@@ -160,6 +160,20 @@
 /// Least time between two lines on malformed messages.
 const COMPLAIN_MS: u64 = 10_000;
 
+/// By class, the times in which its jobs are expected to finish, the shortest first.
+pub fn finish_times(objectives: &[Objective]) -> HashMap<String, Vec<u64>> {
+    let mut out: HashMap<String, Vec<u64>> = HashMap::new();
+    for o in objectives.iter().filter(|o| o.kind == "finished") {
+        if let (Some(class), Some(within)) = (&o.class, o.within_s) {
+            out.entry(class.clone()).or_default().push(ms_of(within));
+        }
+    }
+    for times in out.values_mut() {
+        times.sort_unstable();
+    }
+    out
+}
+
 /// Time of day, ms.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
@@ -184,12 +198,7 @@
             headroom_ordinary: operator.headroom_ordinary,
             // Clocks differ by up to 0.05%; the rest is for delivery and for timers that fire late.
             dead_ms: ms_of(s.workers.lease_s * 1.002) + 2000,
-            finish_within: s
-                .objectives
-                .iter()
-                .filter(|o| o.kind == "finished")
-                .filter_map(|o| Some((o.class.clone()?, ms_of(o.within_s?))))
-                .collect(),
+            finish_within: finish_times(&s.objectives),
             txn_ops: s.state.txn_ops,
             value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
         };
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -50,8 +50,8 @@
     pub headroom_ordinary: f64,
     /// Silence after which a worker that only this owner answered has killed its tasks, ms.
     pub dead_ms: u64,
-    /// Time in which jobs of a class are expected to finish, ms.
-    pub finish_within: HashMap<String, u64>,
+    /// Times in which jobs of a class are expected to finish, ms, the shortest first.
+    pub finish_within: HashMap<String, Vec<u64>>,
     /// Changes in a transaction.
     pub txn_ops: usize,
     /// Size of a record.
--- a/src/coordination/plan/order.rs
+++ b/src/coordination/plan/order.rs
@@ -31,24 +31,31 @@
 ///
 /// One that has missed what is expected of it, or will whatever happens now, goes behind those
 /// that can still make it: when more is asked than can be done, someone is late, and it is
-/// better the same ones. Two bounds keep any job from starving, whatever younger or smaller
-/// work comes: after two minutes, or two and a half times the time allowed if that is less,
-/// its first task goes before all, and in one second of five all late work does, the oldest
-/// first.
+/// better the same ones. A class may have several times, and one that has missed the first may
+/// still keep the last: it waits until a good part of that has passed, and then goes first.
+/// Two bounds keep any job from starving, whatever younger or smaller work comes: after two
+/// minutes, or two and a half times the time allowed if that is less, its first task goes
+/// before all, and in one second of five all late work does, the oldest first.
 pub fn put_back(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> u8 {
-    let due = spec.wire.deadline_s.map(ms_of);
-    let due = due.or_else(|| rules.finish_within.get(&spec.wire.class).copied());
     let age = wall_ms.saturating_sub(job.submitted);
     let begun = !job.placements.is_empty() || job.done.count() > 0;
-    let begin_by = due.map_or(BEGIN_MS, |d| BEGIN_MS.min(d * 5 / 2));
+    let class = rules.finish_within.get(&spec.wire.class);
+    let own = spec.wire.deadline_s.map(ms_of);
+    let times = own.into_iter().chain(class.into_iter().flatten().copied());
+    let (first, last) = times.fold((None, 0), |(f, l), t| (f.or(Some(t)), l.max(t)));
+    let begin_by = first.map_or(BEGIN_MS, |d| BEGIN_MS.min(d * 5 / 2));
     if age >= begin_by && !begun {
         return 0;
     }
-    let late = due.is_some_and(|d| age + ms_of(spec.wire.estimate_s) > d);
-    match (late, (wall_ms / 1000) % LATE_TURNS) {
-        (false, _) => 1,
-        (true, 0) => 0,
-        (true, _) => 2,
+    let Some(first) = first else { return 1 };
+    let end = age + ms_of(spec.wire.estimate_s);
+    let late_turn = (wall_ms / 1000) % LATE_TURNS == 0;
+    match (end <= first, end <= last) {
+        (true, _) => 1,
+        (_, true) if last > first && age * 5 >= last * 2 => 0,
+        _ if late_turn => 0,
+        (_, true) => 2,
+        _ => 3,
     }
 }
 
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -4,11 +4,13 @@
 
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::units::{Ms, Res};
+use pointhook::coordination::node::finish_times;
 use pointhook::coordination::planner::Changes;
 use pointhook::coordination::{plan, reports, siblings};
 use pointhook::protocol::peers::{self, Ask, MachineNews};
 use pointhook::protocol::users::{Rank, Shape};
 use pointhook::protocol::workers::TaskState;
+use pointhook::settings::Objective;
 use support::controller::{one, play, Controller};
 use support::job;
 use support::store::Store;
@@ -315,3 +317,47 @@
     assert!(again.is_none());
     assert_eq!(c.view.all_machines().count(), 10);
 }
+
+#[test]
+fn a_job_that_missed_one_time_of_several_still_keeps_the_last() {
+    let (mut store, mut c) = one();
+    let times = [350.0, 150.0, 250.0].map(|t| Objective {
+        kind: "finished".into(),
+        class: Some("bake".into()),
+        within_s: Some(t),
+    });
+    c.rules.finish_within = finish_times(&times);
+    assert_eq!(c.rules.finish_within["bake"], [150_000, 250_000, 350_000]);
+    let mut c = begun_at_once(c, &mut store, "job-1", 40);
+    // Younger work keeps coming that can make the first time.
+    let back = |c: &Controller, age: u64| {
+        let job = c.job("job-1");
+        plan::put_back(&c.rules, job, job.spec.as_ref().unwrap(), age * 1000 + 1)
+    };
+    assert_eq!(back(&c, 100), 1);
+    // It can't make 150 s any more, but the last: it goes first before that is in doubt.
+    assert_eq!(back(&c, 141), 0);
+    assert_eq!(back(&c, 300), 0);
+    // Once that is gone too, it goes behind, but for one second of five.
+    assert_eq!(back(&c, 341), 3);
+    assert_eq!(back(&c, 345), 0);
+    // With a deadline of its own that it missed early, it is patient for a while.
+    c.rules.finish_within.insert("bake".into(), vec![350_000]);
+    let mut spec = due("job-2", 40, 60.0);
+    spec.class = "bake".into();
+    c.submit(&mut store, spec, 1);
+    c.plan(&mut store, 10);
+    let job = c.job("job-2");
+    let at = |age: u64| plan::put_back(&c.rules, job, job.spec.as_ref().unwrap(), age * 1000 + 1);
+    assert!(!job.placements.is_empty());
+    assert_eq!((at(40), at(61), at(139), at(140)), (1, 2, 2, 0));
+}
+
+/// Adds machines and a job of which some tasks have begun.
+fn begun_at_once(mut c: Controller, store: &mut Store, id: &str, tasks: u32) -> Controller {
+    fleet(&mut c, 15);
+    c.submit(store, job(id, tasks), 1);
+    c.plan(store, 10);
+    assert!(!c.job(id).placements.is_empty());
+    c
+}
