Shards leave a node that no worker reaches; machines of a cut zone are waited for

Changed: a node that has heard no worker for a third of a lease, asking a few itself meanwhile, tells so and hands its shards over; it gets none back before it has heard some for a moment. Where over a third of a zone's machines fall silent at once, two more leases pass before they are returned. Frames between controllers have version 3.

--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -1,6 +1,6 @@
 //! Membership: the node's leased key, and who owns which shard.
 
-use super::node::{Node, Outside};
+use super::node::{Node, Outside, Peer};
 use super::plan::Rules;
 use super::store::{set, Outcome};
 use crate::bookkeeping::fleet::{LateStart, Machine};
@@ -11,7 +11,7 @@
 use crate::protocol::workers::{Commands, Report};
 use crate::transport::http::Client;
 use http_types::Method;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 const TICK_MS: u64 = 300;
@@ -64,6 +64,7 @@
     rules: &Rules,
     zones: &BTreeMap<String, ZoneIx>,
     seen: &HashMap<(String, u64), Ms>,
+    deaf: &HashSet<String>,
     may_raise: bool,
     now: Ms,
 ) -> Vec<Move> {
@@ -79,8 +80,17 @@
         })
         .map(|(n, _)| n.as_str())
         .collect();
+    // A node that no worker reaches is of no use to machines, as long as another is.
+    let hearing = |nodes: &[&str]| nodes.iter().any(|n| !deaf.contains(*n));
+    let (all_live, all_settled) = (live, settled);
     let mut out = Vec::new();
     for shard in (0..view.shards.len()).map(ShardIx::new) {
+        let (mut live, mut settled) = (all_live.clone(), all_settled.clone());
+        for nodes in [&mut live, &mut settled] {
+            if shard != view.renting() && hearing(nodes) {
+                nodes.retain(|n| !deaf.contains(*n));
+            }
+        }
         let target = match view.live_owner(shard) {
             None => wanted_owner(view, zones, &live, shard).filter(|n| *n == rules.node),
             Some(owner) if owner == rules.node && rules.owns(view, shard) => {
@@ -174,6 +184,7 @@
         if may_raise {
             raised = now;
         }
+        let deaf = deaf_nodes(&node);
         let wanted = {
             let view = node.view.borrow();
             seen.retain(|(n, i), _| view.nodes.get(n).is_some_and(|r| r.rec.incarnation == *i));
@@ -183,7 +194,7 @@
             // Without an own key there is nothing to take shards with.
             let me = view.nodes.get(&node.rules.node);
             if me.is_some_and(|r| r.rec.incarnation == node.rules.incarnation) {
-                moves(&view, &node.rules, &zones, &seen, may_raise, now)
+                moves(&view, &node.rules, &zones, &seen, &deaf, may_raise, now)
             } else {
                 Vec::new()
             }
@@ -220,6 +231,19 @@
     }
 }
 
+/// Nodes that no worker reaches, this one among them, as far as they told lately.
+fn deaf_nodes(node: &Rc<Node>) -> HashSet<String> {
+    let now = node.now();
+    let told = |p: &&Peer| p.heard.get().is_some_and(|t| now.since(t) < 4000);
+    let peers = node.peers.iter().filter(told);
+    let peers = peers.filter(|p| !p.hears_workers.get());
+    let mut out: HashSet<String> = peers.map(|p| p.name.clone()).collect();
+    if !node.hears_workers() {
+        out.insert(node.rules.node.clone());
+    }
+    out
+}
+
 /// Notes since when shards are owned.
 fn note_owned(node: &Rc<Node>) {
     let now = node.now();
@@ -328,6 +352,7 @@
                 })
                 .detach();
         }
+        listen_out(&node);
         let deaf = unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now);
         for (mix, addr) in deaf {
             let Some(slot) = node.direct() else { break };
@@ -342,6 +367,43 @@
     }
 }
 
+/// Asks a few workers for an answer if none has been heard for a while.
+fn listen_out(node: &Rc<Node>) {
+    let now = node.now();
+    if !node.ear.get().doubts(now) {
+        return;
+    }
+    let addrs: Vec<String> = {
+        let view = node.view.borrow();
+        let up = view
+            .all_machines()
+            .filter(|(_, m)| !m.addr.is_empty() && m.heard.is_some());
+        let some = fastrand::choose_multiple(up, LISTEN_TO);
+        some.into_iter().map(|(_, m)| m.addr.clone()).collect()
+    };
+    for addr in addrs.into_iter().filter_map(|a| a.parse().ok()) {
+        let Some(slot) = node.direct() else { return };
+        let node = node.clone();
+        let ex = node.ex.clone();
+        ex.spawn(async move {
+            let client = Client::new(addr);
+            let answer = client
+                .call(Method::Get, "/status", Vec::new(), PROBE_MS)
+                .await;
+            if answer.is_ok() {
+                node.heard_worker();
+            }
+            drop(slot);
+        })
+        .detach();
+    }
+}
+
+/// Workers that are asked at a time.
+const LISTEN_TO: usize = 4;
+/// Time a worker has to answer.
+const PROBE_MS: u64 = 1500;
+
 /// For how long after a take-over the token is shown to machines.
 const POKED_MS: u64 = 60_000;
 /// Least time between two attempts to show one machine the token.
@@ -403,7 +465,9 @@
 async fn probe(node: Rc<Node>, mix: MachineIx, addr: String) {
     let Ok(addr) = addr.parse() else { return };
     let client = Client::new(addr);
-    let answer = client.call(Method::Get, "/status", Vec::new(), 1500).await;
+    let answer = client
+        .call(Method::Get, "/status", Vec::new(), PROBE_MS)
+        .await;
     if !answer.is_ok_and(|f| f.status == 200) {
         return;
     }
@@ -418,7 +482,10 @@
 async fn raise_token(addr: String, token: u64) {
     let Ok(addr) = addr.parse() else { return };
     let client = Client::new(addr);
-    let Ok(f) = client.call(Method::Get, "/status", Vec::new(), 1500).await else {
+    let Ok(f) = client
+        .call(Method::Get, "/status", Vec::new(), PROBE_MS)
+        .await
+    else {
         return;
     };
     let Ok(r) = rmp_serde::from_slice::<Report>(&f.body) else {
@@ -433,6 +500,6 @@
         orders: Vec::new(),
     };
     if let Ok(body) = rmp_serde::to_vec_named(&commands) {
-        let _ = client.call(Method::Post, "/commands", body, 1500).await;
+        let _ = client.call(Method::Post, "/commands", body, PROBE_MS).await;
     }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1,7 +1,8 @@
 //! One controller: what its duties share.
 
 use super::plan::Rules;
-use crate::bookkeeping::names::ShardIx;
+use crate::bookkeeping::fleet::Machine;
+use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
 use crate::settings::{Objective, Operator, Platform};
@@ -28,6 +29,8 @@
     pub store_ok: Cell<bool>,
     /// It refused the last connection, so the way to it is open.
     pub refuses: Cell<bool>,
+    /// Workers reach it, by its last news.
+    pub hears_workers: Cell<bool>,
 }
 
 /// What a node knows of another's state.
@@ -122,6 +125,8 @@
     complained: Cell<(Option<Ms>, u32)>,
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
+    /// Whether workers reach this node.
+    pub ear: Cell<Ear>,
     /// When this process last went on after it had stood still.
     pub woke: Cell<Option<Ms>>,
     /// Connections to workers that are open now.
@@ -131,6 +136,57 @@
     started: Instant,
 }
 
+/// Whether workers reach a node, by the last report or answer of any worker.
+///
+/// A node that loses its workers alone keeps its key and its shards, and would answer none of
+/// their machines until their leases are over. It gives its shards away in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Ear {
+    /// The last sign of any worker.
+    last: Ms,
+    /// Since when there have been workers to be heard.
+    any: Option<Ms>,
+    /// When it was last found deaf.
+    deaf: Option<Ms>,
+    /// Time without any sign after which it is.
+    limit_ms: u64,
+}
+
+impl Ear {
+    /// A third of a lease leaves time to hand over and to be found by the workers.
+    pub fn new(lease_ms: u64) -> Ear {
+        Ear {
+            last: Ms(0),
+            any: None,
+            deaf: None,
+            limit_ms: (lease_ms / 3).max(3000),
+        }
+    }
+    /// A worker has reported or answered.
+    pub fn heard(&mut self, now: Ms) {
+        self.last = self.last.max(now);
+    }
+    /// True if workers should be asked for an answer: none has come for a while.
+    pub fn doubts(&self, now: Ms) -> bool {
+        now.since(self.last) > self.limit_ms / 2
+    }
+    /// True if workers reach the node, and have for a moment; `any`: there are some to be heard.
+    pub fn hears(&mut self, any: bool, woke: Option<Ms>, now: Ms) -> bool {
+        self.any = any.then(|| self.any.unwrap_or(now));
+        let could = self.any.max(woke).map(|t| t.max(self.last));
+        if any && could.is_some_and(|t| now.since(t) > self.limit_ms) {
+            self.deaf = Some(now);
+        }
+        self.heard_lately(now)
+    }
+    fn heard_lately(&self, now: Ms) -> bool {
+        self.deaf.is_none_or(|d| now.since(d) > REGAINED_MS)
+    }
+}
+
+/// A node that was deaf counts as hearing again after this.
+const REGAINED_MS: u64 = 5000;
+
 /// Since when machines could be heard: what came later, the shard or the end of a stop.
 pub fn listened(owned: Option<Ms>, woke: Option<Ms>) -> Option<Ms> {
     owned.max(woke)
@@ -211,6 +267,7 @@
                 heard: Cell::new(None),
                 store_ok: Cell::new(false),
                 refuses: Cell::new(false),
+                hears_workers: Cell::new(true),
             })
             .collect();
         Node {
@@ -225,6 +282,7 @@
             served: [Cell::new(false), Cell::new(false)],
             complained: Cell::new((None, 0)),
             owned_since: RefCell::new(HashMap::new()),
+            ear: Cell::new(Ear::new(ms_of(s.workers.lease_s))),
             woke: Cell::new(None),
             directs: Cell::new(0),
             ex,
@@ -300,6 +358,36 @@
         listened(owned, self.woke.get())
     }
 
+    /// A worker has reported or answered.
+    pub fn heard_worker(&self) {
+        let mut ear = self.ear.get();
+        ear.heard(self.now());
+        self.ear.set(ear);
+    }
+
+    /// True if workers reach this node.
+    pub fn hears_workers(&self) -> bool {
+        let now = self.now();
+        let any = {
+            let view = self.view.borrow();
+            let own = self.rules.owned(&view);
+            // Its own machines fall silent with its hearing, so what was heard once counts.
+            let there = |m: &Machine| {
+                m.takes(now, self.rules.silent_ms) || own[m.shard.at()] && m.heard.is_some()
+            };
+            let any = view.all_machines().any(|(_, m)| there(m));
+            any
+        };
+        let mut ear = self.ear.get();
+        let was = ear.heard_lately(now);
+        let hears = ear.hears(any, self.woke.get(), now);
+        self.ear.set(ear);
+        if was && !hears {
+            log::warn!("no worker reaches this node, its shards go to others");
+        }
+        hears
+    }
+
     /// A place for a connection to a worker; `None` while all are taken.
     pub fn direct(self: &Rc<Self>) -> Option<Direct> {
         let open = self.directs.get();
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -216,6 +216,9 @@
         log::info!("no answer to direct starts at {}", p.addr);
         return;
     }
+    if answer.is_some() {
+        node.heard_worker();
+    }
     let executed = answer.as_ref().is_some_and(|f| f.status == 200);
     let mut view = node.view.borrow_mut();
     let view = &mut *view;
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -718,7 +718,25 @@
     pub lease_ms: u64,
 }
 
+/// Fewest machines of a zone of which a part can tell of a cut.
+const ZONE_LEAST: u32 = 12;
+/// A zone in which more than one in so many machines is silent is likely cut off.
+const ZONE_PART: u32 = 3;
+
+/// Zones of which so many machines are silent at once that the zone and not they will have
+/// failed, from the number of machines and of silent ones by zone.
+pub fn cut_zones(counts: &HashMap<ZoneIx, (u32, u32)>) -> HashSet<ZoneIx> {
+    let cut = |(all, silent): &(u32, u32)| *all >= ZONE_LEAST && silent * ZONE_PART > *all;
+    let zones = counts.iter().filter(|(_, c)| cut(c));
+    zones.map(|(z, _)| *z).collect()
+}
+
 impl Silence {
+    /// How much longer machines of a zone that is likely cut off are waited for. Inside they go
+    /// on, answered by the nodes there, and what runs on them would be lost by returning them.
+    pub fn of_cut_zone(&self) -> u64 {
+        self.lease_ms * 2
+    }
     fn unsure(&self) -> u64 {
         self.sure_ms + self.lease_ms / 2
     }
@@ -749,8 +767,8 @@
         lease_ms,
     };
     let idle_ms = ms_of(node.operator.idle_return_s);
-    // True if its owner, who must have told lately, has waited for it for too long.
-    let silent = |m: &Machine| {
+    // By how long its owner, who must have told lately, has waited for it for too long.
+    let overdue = |m: &Machine| {
         let owner_here = node.rules.owns(&view, m.shard);
         let peer = view.live_owner(m.shard).and_then(|o| node.peer(o));
         let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
@@ -759,8 +777,24 @@
         } else {
             desk.owner_since.max(node.woke.get())
         };
-        (owner_here || told)
-            && siblings::silence(m.heard, m.known, base, now) > limits.of(&view, &node.rules, m)
+        let waited = siblings::silence(m.heard, m.known, base, now);
+        let over = waited.checked_sub(limits.of(&view, &node.rules, m))?;
+        (owner_here || told).then_some(over)
+    };
+    let mut by_zone: HashMap<ZoneIx, (u32, u32)> = HashMap::new();
+    for (_, m) in view.all_machines().filter(|(_, m)| m.heard.is_some()) {
+        let (all, silent) = by_zone.entry(m.zone).or_default();
+        *all += 1;
+        *silent += u32::from(m.heard.is_some_and(|h| now.since(h) > node.rules.silent_ms));
+    }
+    let cut = cut_zones(&by_zone);
+    let silent = |m: &Machine| {
+        let more = if cut.contains(&m.zone) {
+            limits.of_cut_zone()
+        } else {
+            0
+        };
+        overdue(m).is_some_and(|over| over > more)
     };
     let asked = |n: &str, ms: u64| desk.released.get(n).is_some_and(|t| now.since(*t) < ms);
     let mut dead = Vec::new();
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -28,6 +28,7 @@
         node.complain("unreadable report ignored");
         return Answer::bare(400);
     };
+    node.heard_worker();
     if !node.view.borrow().loaded {
         return Answer::later(1);
     }
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -46,7 +46,13 @@
                 })
                 .collect()
         };
-        let asks: Rc<[Ask]> = tell(&node.rules.node, node.store_ok(), machines).into();
+        let asks: Rc<[Ask]> = tell(
+            &node.rules.node,
+            node.store_ok(),
+            node.hears_workers(),
+            machines,
+        )
+        .into();
         for i in 0..node.peers.len() {
             let (node, asks) = (node.clone(), asks.clone());
             node.ex
@@ -71,10 +77,16 @@
 const NEWS_MACHINES: usize = 128;
 
 /// News in as many frames as it takes, at least one.
-pub fn tell(from: &str, store_ok: bool, machines: Vec<MachineNews>) -> Vec<Ask> {
+pub fn tell(
+    from: &str,
+    store_ok: bool,
+    hears_workers: bool,
+    machines: Vec<MachineNews>,
+) -> Vec<Ask> {
     let ask = |machines: &[MachineNews]| Ask::News {
         node: from.to_string(),
         store_ok,
+        hears_workers,
         machines: machines.to_vec(),
     };
     if machines.is_empty() {
@@ -217,11 +229,13 @@
         Ask::News {
             node: from,
             store_ok,
+            hears_workers,
             machines,
         } => {
             if let Some(p) = node.peer(&from) {
                 p.heard.set(Some(now));
                 p.store_ok.set(store_ok);
+                p.hears_workers.set(hears_workers);
             }
             take_news(
                 &mut node.view.borrow_mut(),
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -10,7 +10,7 @@
 use rkyv::{rancor::Error, Archive, Deserialize, Serialize};
 
 /// Version of the frames.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Largest frame.
 pub const MAX_FRAME: usize = 64 * 1024;
 
@@ -59,6 +59,8 @@
         node: String,
         /// The sender reaches the state service.
         store_ok: bool,
+        /// Workers reach the sender, or it them.
+        hears_workers: bool,
         /// Machines.
         machines: Vec<MachineNews>,
     },
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -782,6 +782,7 @@
             &north.rules,
             &north.zones,
             &seen,
+            &Default::default(),
             false,
             now,
         )
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -204,7 +204,7 @@
         sick: false,
     };
     let all: Vec<MachineNews> = (0..1000).map(machine).collect();
-    let asks = siblings::tell("node", true, all);
+    let asks = siblings::tell("node", true, true, all);
     let mut told = 0;
     for a in &asks {
         assert!(peers::encode(a).unwrap().len() < peers::MAX_FRAME);
@@ -215,7 +215,7 @@
     }
     assert_eq!(told, 1000);
     // A node without machines still tells that it is there.
-    assert_eq!(siblings::tell("node", true, Vec::new()).len(), 1);
+    assert_eq!(siblings::tell("node", true, true, Vec::new()).len(), 1);
 }
 
 #[test]
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -15,7 +15,7 @@
 use pointhook::protocol::users::JobSpec;
 use pointhook::protocol::workers::{Commands, Report, ReportAnswer};
 use pointhook::settings::Team;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 pub struct Controller {
     pub view: View,
@@ -135,6 +135,7 @@
             &self.rules,
             &self.zones,
             &HashMap::new(),
+            &HashSet::new(),
             true,
             Ms(now),
         );
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -5,8 +5,9 @@
 
 use futures_lite::future::{block_on, poll_once};
 use pointhook::bookkeeping::job::JobState;
+use pointhook::bookkeeping::names::ZoneIx;
 use pointhook::bookkeeping::units::Ms;
-use pointhook::coordination::node::{self, outage_is_everyones, PeerSeen, Signal};
+use pointhook::coordination::node::{self, outage_is_everyones, Ear, PeerSeen, Signal};
 use pointhook::coordination::{members, plan, renting, siblings};
 use pointhook::protocol::peers::MachineNews;
 use pointhook::protocol::users::Shape;
@@ -527,3 +528,54 @@
     assert_eq!(other.started.len(), 1);
     assert_eq!(w.started.len(), 1);
 }
+
+#[test]
+fn a_node_that_no_worker_reaches_gives_its_shards_away_and_gets_them_back() {
+    let (mut store, mut c) = one();
+    Controller::start("s1", 2, &mut store, 0);
+    c.sync(&store);
+    let seen = HashMap::from([("n1", 1), ("s1", 2)].map(|(n, i)| ((n.to_string(), i), Ms(0))));
+    let moves = |c: &Controller, deaf: &[&str]| {
+        let deaf = deaf.iter().map(|n| n.to_string()).collect();
+        members::moves(&c.view, &c.rules, &c.zones, &seen, &deaf, false, Ms(10_000))
+    };
+    // It owns all; the shard of the other zone goes there in any case.
+    let to = |m: Vec<members::Move>| m.into_iter().map(|m| (m.shard.0, m.to)).collect::<Vec<_>>();
+    let s1 = |shard: u32| (shard, "s1".to_string());
+    assert_eq!(to(moves(&c, &[])), [s1(1)]);
+    assert_eq!(to(moves(&c, &["n1"])), [s1(0), s1(1)]);
+    // Where no node hears any worker, giving shards away helps nobody.
+    assert_eq!(to(moves(&c, &["n1", "s1"])), [s1(1)]);
+    assert_eq!(to(moves(&c, &["s1"])), []);
+}
+
+#[test]
+fn hearing_is_doubted_then_lost_and_regained_only_after_a_moment() {
+    let mut ear = Ear::new(30_000);
+    // The first machine comes up late; until a while after that nothing can be said.
+    assert!(ear.hears(false, None, Ms(90_000)));
+    assert!(ear.hears(true, None, Ms(99_000)));
+    ear.heard(Ms(100_000));
+    assert!(!ear.doubts(Ms(104_000)) && ear.doubts(Ms(106_000)));
+    assert!(ear.hears(true, None, Ms(109_000)));
+    // Without machines there is nothing to hear, and a halt is no silence.
+    assert!(ear.clone().hears(false, None, Ms(111_000)));
+    assert!(ear.clone().hears(true, Some(Ms(110_000)), Ms(111_000)));
+    assert!(!ear.hears(true, None, Ms(111_000)));
+    ear.heard(Ms(112_000));
+    assert!(!ear.hears(true, None, Ms(113_000)));
+    assert!(ear.hears(true, None, Ms(117_000)));
+}
+
+#[test]
+fn machines_of_a_zone_that_is_cut_off_are_not_returned_at_once() {
+    let (north, south, east) = (ZoneIx(0), ZoneIx(1), ZoneIx(2));
+    let counts = HashMap::from([(north, (300, 30)), (south, (300, 280)), (east, (4, 4))]);
+    // A tenth of a zone, or all of a handful of machines, may well have failed.
+    assert!(renting::cut_zones(&counts).into_iter().eq([south]));
+    let limits = renting::Silence {
+        sure_ms: 20_000,
+        lease_ms: 22_000,
+    };
+    assert_eq!(limits.of_cut_zone(), 44_000);
+}
