--- /dev/null
+++ b/src/coordination/renting/demand.rs
@@ -0,0 +1,403 @@
+//! What is to be rented: pure functions of the view.
+
+use super::AT_ONCE;
+use crate::bookkeeping::job::{Job, Spec};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, TeamIx, ZoneIx};
+use crate::bookkeeping::units::{ms_of, Ms, Res};
+use crate::bookkeeping::view::View;
+use crate::coordination::plan;
+use crate::coordination::plan::{Draft, Rules};
+use crate::protocol::cloud::Listed;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+/// Time over which arrivals are counted.
+const ARRIVALS_MS: u64 = 150_000;
+
+/// Jobs that came this soon after the first are the backlog of the opening.
+const BACKLOG_MS: u64 = 10_000;
+
+/// Boot times after which a machine is no longer counted on.
+const OVERDUE: f64 = 1.7;
+
+/// Most machines in one request, by the cloud's protocol.
+const MOST_AT_ONCE: u32 = 50;
+
+/// A kind of machine that can be rented.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
+pub struct Pool {
+    /// Type.
+    pub rig: RigIx,
+    /// Zone.
+    pub zone: ZoneIx,
+    /// Spot.
+    pub spot: bool,
+}
+
+/// A machine that is on its way or there, as the renting duty counts it.
+#[derive(Clone, Debug)]
+pub struct Supply {
+    /// What it is.
+    pub pool: Pool,
+    /// Room that waiting tasks may use.
+    pub free: Res,
+    /// Zone limits and the like are those of a machine of this index, if it is up.
+    pub machine: Option<MachineIx>,
+}
+
+/// What needs room: tasks of a job that waits, or of one that is expected (no index).
+struct Demand {
+    ix: Option<JobIx>,
+    spec: Rc<Spec>,
+    tasks: u32,
+}
+
+/// How many of each job's waiting tasks its team's limit lets run now.
+fn demands(view: &View, now: Ms) -> Vec<Demand> {
+    let mut room: Vec<(i64, i64)> = Vec::new();
+    for (t, l) in view.team_limits.iter().enumerate() {
+        let used = plan::used_by_team(view, &Draft::default(), TeamIx::new(t));
+        let left = |most: i64, used: i64| if most == 0 { i64::MAX } else { most - used };
+        room.push((left(l.most.0, used.0), left(l.most.1, used.1)));
+    }
+    let mut jobs: Vec<(JobIx, &Job)> = view
+        .active_jobs()
+        .filter(|(_, j)| j.waiting_count() > 0)
+        .filter(|(ix, _)| view.failures.get(ix).is_none_or(|(_, until)| now >= *until))
+        .collect();
+    jobs.sort_by_key(|(ix, j)| (j.spec.as_ref().map(|s| s.rank()), j.submitted, *ix));
+    let mut out = Vec::new();
+    for (ix, j) in jobs {
+        let Some(s) = &j.spec else { continue };
+        let r = &mut room[s.team.at()];
+        let mut tasks = 0;
+        while tasks < j.waiting_count() && tasks < 200 && s.need.cpu <= r.0 && s.need.gpu <= r.1 {
+            *r = (
+                r.0.saturating_sub(s.need.cpu),
+                r.1.saturating_sub(s.need.gpu),
+            );
+            tasks += 1;
+        }
+        if s.is_wide_gang() && tasks < s.tasks() {
+            // It waits for its team's limit; younger work of the team does not overtake it.
+            *r = (0, 0);
+            continue;
+        }
+        if tasks > 0 {
+            out.push(Demand {
+                ix: Some(ix),
+                spec: s.clone(),
+                tasks,
+            });
+        }
+    }
+    out
+}
+
+/// Room for jobs that are likely to come while a machine boots, by what came lately.
+fn expected(view: &View, rules: &Rules, wall_ms: u64) -> Vec<Demand> {
+    let mut classes: BTreeMap<&str, (u32, Rc<Spec>)> = BTreeMap::new();
+    let Some(first) = view.opened else {
+        return Vec::new();
+    };
+    // What is there when the service opens is a backlog, not a rate.
+    let from = wall_ms.saturating_sub(ARRIVALS_MS).max(first + BACKLOG_MS);
+    let span = wall_ms.saturating_sub(from).max(60_000);
+    for (_, spec) in view.arrivals.iter().filter(|(at, _)| *at >= from) {
+        let class = classes
+            .entry(spec.wire.class.as_str())
+            .or_insert((0, spec.clone()));
+        *class = (class.0 + spec.tasks(), spec.clone());
+    }
+    let boot_ms = view
+        .rigs
+        .values()
+        .map(|r| ms_of(r.flavor.boot_s))
+        .max()
+        .unwrap_or(0);
+    let mut out = Vec::new();
+    for (tasks, spec) in classes.into_values() {
+        let part = if spec.wire.spot {
+            rules.headroom
+        } else {
+            rules.headroom_ordinary
+        };
+        let per_boot = f64::from(tasks) * boot_ms as f64 / span as f64;
+        let tasks = (per_boot * part).round() as u32;
+        if tasks > 0 {
+            out.push(Demand {
+                ix: None,
+                spec,
+                tasks: tasks.min(256),
+            });
+        }
+    }
+    out
+}
+
+/// What to rent, and which machines are needed.
+#[derive(Default)]
+pub struct Wanted {
+    /// Machines to rent, per pool.
+    pub rent: BTreeMap<Pool, u32>,
+    /// Machines that waiting or expected tasks need.
+    pub needed: HashSet<MachineIx>,
+}
+
+/// What to rent so that waiting and expected tasks find room.
+pub fn wanted(
+    view: &View,
+    rules: &Rules,
+    supply: &mut Vec<Supply>,
+    blocked: &HashSet<Pool>,
+    now: Ms,
+    wall_ms: u64,
+) -> Wanted {
+    let mut out = Wanted::default();
+    let spares = expected(view, rules, wall_ms);
+    for d in demands(view, now).into_iter().chain(spares) {
+        let spec = &d.spec;
+        let job = d.ix.map(|ix| (ix, &view.jobs[ix.at()]));
+        let mut per_zone: HashMap<ZoneIx, u32> = HashMap::new();
+        for p in job.iter().flat_map(|(_, j)| &j.placements) {
+            if let Some(z) = view.shard_zone(p.shard) {
+                *per_zone.entry(z).or_default() += 1;
+            }
+        }
+        // Expected jobs are many: what binds the tasks of one to a zone does not bind theirs.
+        let one_zone = spec.wire.one_zone && job.is_some();
+        let cap = if job.is_some() {
+            spec.zone_cap()
+        } else {
+            u32::MAX
+        };
+        let kind_ok = |p: &Pool| {
+            spec.rigs.as_ref().is_none_or(|r| r.contains(&p.rig))
+                && spec.zone.is_none_or(|z| z == p.zone)
+                && (spec.wire.spot || !p.spot)
+        };
+        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.submitted));
+        let alone = |p: &Pool, empty: bool| {
+            plan::leaves_alone(view, rules, spec, waited, (p.rig, p.spot), empty)
+        };
+        // Room for what may come is kept at the low price only, if it may be had there.
+        let dear = |p: &Pool| job.is_none() && spec.wire.spot && !p.spot;
+        let zone_ok = |per: &HashMap<ZoneIx, u32>, z: ZoneIx| {
+            per.get(&z).copied().unwrap_or(0) < cap && (!one_zone || per.keys().all(|k| *k == z))
+        };
+        // A gang that must be in one zone: where it can be complete, with the most room now.
+        let only = (one_zone && spec.is_wide_gang())
+            .then(|| gang_zone(view, supply, spec, |p| kind_ok(p) && !blocked.contains(p)))
+            .flatten();
+        let mut next = 0;
+        for _ in 0..d.tasks {
+            let ok = |p: &Pool, per: &HashMap<ZoneIx, u32>| {
+                kind_ok(p) && zone_ok(per, p.zone) && only.is_none_or(|z| z == p.zone)
+            };
+            // Room, zones and kinds only get fewer while one job's tasks are placed: what
+            // did not suit one task suits none of the next.
+            let found = loop {
+                let Some(s) = supply.get(next) else {
+                    break None;
+                };
+                let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
+                let good = spec.need.fits(s.free)
+                    && ok(&s.pool, &per_zone)
+                    && !(dear(&s.pool) && whole(view, s))
+                    && !alone(&s.pool, whole(view, s))
+                    && here
+                        .zip(job)
+                        .is_none_or(|((mix, m), (ix, j))| plan::allowed(view, j, ix, spec, mix, m));
+                if good {
+                    break supply.get_mut(next);
+                }
+                next += 1;
+            };
+            if let Some(s) = found {
+                s.free = s.free.minus(spec.need);
+                *per_zone.entry(s.pool.zone).or_default() += 1;
+                out.needed.extend(s.machine);
+                continue;
+            }
+            let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
+                ok(p, &per_zone) && !blocked.contains(p) && !alone(p, true) && !dear(p)
+            }) else {
+                break;
+            };
+            let Some(rig) = view.rigs.get(&pool.rig) else {
+                break;
+            };
+            *out.rent.entry(pool).or_default() += 1;
+            *per_zone.entry(pool.zone).or_default() += 1;
+            supply.push(Supply {
+                pool,
+                free: rig.room.minus(spec.need),
+                machine: None,
+            });
+        }
+    }
+    out
+}
+
+/// The zone for a gang that must be in one.
+fn gang_zone(
+    view: &View,
+    supply: &[Supply],
+    spec: &Spec,
+    open: impl Fn(&Pool) -> bool,
+) -> Option<ZoneIx> {
+    let zones = (0..view.zone_names.len()).map(ZoneIx::new);
+    zones
+        .filter(|z| spec.zone.is_none_or(|only| only == *z))
+        .max_by_key(|z| {
+            let fit: u32 = supply
+                .iter()
+                .filter(|s| {
+                    s.pool.zone == *z && (spec.wire.spot || !s.pool.spot) && spec.need.fits(s.free)
+                })
+                .count() as u32;
+            let more = view.rigs.keys().any(|rig| {
+                [false, true].into_iter().any(|spot| {
+                    open(&Pool {
+                        rig: *rig,
+                        zone: *z,
+                        spot,
+                    })
+                })
+            });
+            (fit >= spec.tasks() || more, fit)
+        })
+}
+
+fn whole(view: &View, s: &Supply) -> bool {
+    view.rigs.get(&s.pool.rig).is_some_and(|r| r.room == s.free)
+}
+
+/// The pool with the least cost for a task; boot time counts a little.
+fn cheapest(view: &View, need: &Res, tasks: u32, ok: impl Fn(&Pool) -> bool) -> Option<Pool> {
+    let mut best: Option<(f64, Pool)> = None;
+    let mut rigs: Vec<_> = view.rigs.iter().collect();
+    rigs.sort_by_key(|(ix, _)| **ix);
+    for (ix, rig) in rigs {
+        if !need.fits(rig.room) {
+            continue;
+        }
+        let mut fit = 0u32;
+        let mut left = rig.room;
+        while fit < tasks.max(1) && need.fits(left) && fit < 64 {
+            left = left.minus(*need);
+            fit += 1;
+        }
+        // What a task leaves free is used by others more often than not.
+        let share = need.share_of(rig.room) * f64::from(fit);
+        let used = share.clamp(0.5, 1.0) * 0.5 + share.min(1.0) * 0.5;
+        for zone in &rig.flavor.zones {
+            let Some(zone) = view.zone_names.find(zone) else {
+                continue;
+            };
+            for spot in [false, true] {
+                let pool = Pool {
+                    rig: *ix,
+                    zone,
+                    spot,
+                };
+                if !ok(&pool) {
+                    continue;
+                }
+                let price = if spot {
+                    rig.flavor.spot_price
+                } else {
+                    rig.flavor.price
+                };
+                let cost = price * used / f64::from(fit.max(1)) * (1.0 + rig.flavor.boot_s / 300.0);
+                // Equal pools share the load between zones.
+                let cost = cost * (1.0 + fastrand::f64() * 0.02);
+                if best.as_ref().is_none_or(|(c, _)| cost < *c) {
+                    best = Some((cost, pool));
+                }
+            }
+        }
+    }
+    best.map(|(_, p)| p)
+}
+
+/// Everything rented, as supply for what waits.
+pub fn supply(view: &View, list: &HashMap<String, Listed>, silent_ms: u64, now: Ms) -> Vec<Supply> {
+    let free = plan::free_room(view, &Draft::default());
+    let booked: HashSet<&str> = view
+        .bookings
+        .values()
+        .flat_map(|b| b.rec.hosts.iter().map(String::as_str))
+        .collect();
+    let mut out = Vec::new();
+    for (mix, m) in view.all_machines() {
+        let name = &*m.name;
+        let listed = list.get(name);
+        let up = m.takes(now, silent_ms);
+        // One that is long overdue may never come up: what waits is not to wait for it.
+        let boot_ms = view
+            .rigs
+            .get(&m.rig)
+            .map_or(0, |r| ms_of(r.flavor.boot_s * OVERDUE));
+        let coming = m.heard.is_none()
+            && now.since(m.known) < boot_ms
+            && !m.closed
+            && (booked.contains(name) || listed.is_some_and(|h| h.status != "failed"));
+        if !up && !coming {
+            continue;
+        }
+        if let Some(free) = free.get(mix) {
+            out.push(Supply {
+                pool: Pool {
+                    rig: m.rig,
+                    zone: m.zone,
+                    spot: m.spot,
+                },
+                free,
+                machine: Some(mix),
+            });
+        }
+    }
+    // Bookings without an answer may have rented what they ask for.
+    for b in view.bookings.values().filter(|b| b.rec.hosts.is_empty()) {
+        let (Some(rig), Some(zone)) = (
+            view.rig_names.find(&b.rec.rig),
+            view.zone_names.find(&b.rec.zone),
+        ) else {
+            continue;
+        };
+        let Some(r) = view.rigs.get(&rig) else {
+            continue;
+        };
+        for _ in 0..b.rec.count {
+            out.push(Supply {
+                pool: Pool {
+                    rig,
+                    zone,
+                    spot: b.rec.spot,
+                },
+                free: r.room,
+                machine: None,
+            });
+        }
+    }
+    // Spot first, as the planner does; the fullest first, so that others empty out.
+    out.sort_by_key(|s| (!s.pool.spot, s.free.gpu, s.free.cpu));
+    out
+}
+
+/// Requests for what is to be rented, of the size the cloud takes, the pools in turn.
+pub fn requests(rent: BTreeMap<Pool, u32>) -> Vec<(Pool, u32)> {
+    let mut left = rent;
+    let mut out = Vec::new();
+    while !left.is_empty() && out.len() < AT_ONCE {
+        for (pool, n) in &mut left {
+            let part = (*n).min(MOST_AT_ONCE);
+            out.push((*pool, part));
+            *n -= part;
+        }
+        left.retain(|_, n| *n > 0);
+    }
+    out.truncate(AT_ONCE);
+    out
+}
--- /dev/null
+++ b/src/coordination/renting/list.rs
@@ -0,0 +1,104 @@
+//! The cloud's list of machines, read page by page.
+
+use super::{Desk, CALL_MS};
+use crate::bookkeeping::units::Ms;
+use crate::coordination::node::{Node, Outside};
+use crate::protocol::cloud::{HostList, Listed};
+use http_types::Method;
+use std::rc::Rc;
+
+/// Part of the cloud's limit that reading the machine list may take.
+const LIST_PART: f64 = 0.4;
+
+/// Age at which a list that is read page by page is begun anew.
+const STALE_MS: u64 = 15_000;
+
+/// Machines in a page of the list, by the cloud's protocol at most.
+const PAGE: usize = 500;
+
+/// Time from one list of machines to the next: a large one takes no more than its part of the
+/// cloud's limit, so that renting and returning have the rest.
+pub fn list_every_ms(rps: f64, pages: usize) -> u64 {
+    let least = ((4000.0 / rps) as u64).clamp(1500, 4000);
+    least.max((pages as f64 * 1000.0 / (rps * LIST_PART)) as u64)
+}
+
+/// A machine list that is read page by page. What was read stays when a page is refused, and
+/// the next turn goes on from there.
+#[derive(Default)]
+pub struct Pages {
+    list: Vec<Listed>,
+    since: Option<Ms>,
+}
+
+impl Pages {
+    /// The name after which the next page begins; a list that took too long is begun anew.
+    pub fn next(&mut self, now: Ms) -> &str {
+        if self.since.is_some_and(|t| now.since(t) >= STALE_MS) {
+            *self = Pages::default();
+        }
+        self.since.get_or_insert(now);
+        self.list.last().map_or("", |h| h.name.as_str())
+    }
+    /// Takes a page; the whole list if it was the last.
+    pub fn take(&mut self, page: HostList) -> Option<Vec<Listed>> {
+        let more = page.more && !page.hosts.is_empty();
+        self.list.extend(page.hosts);
+        (!more).then(|| std::mem::take(self).list)
+    }
+}
+
+/// Reads pages of the machine list as far as the cloud's limit lets it.
+pub(super) async fn read_list(node: &Rc<Node>, desk: &mut Desk) {
+    let list = loop {
+        let now = node.now();
+        if !desk.pace.take(now, 0.0) {
+            return;
+        }
+        let Some(page) = read_page(node, desk.pages.next(now)).await else {
+            desk.list_due = node.now().plus(500);
+            return;
+        };
+        if let Some(list) = desk.pages.take(page) {
+            break list;
+        }
+    };
+    let now = node.now();
+    let pages = list.len() / PAGE + 1;
+    desk.list_due = now.plus(list_every_ms(node.platform.settings.cloud.rps, pages));
+    desk.listed_at = Some(now);
+    let mut view = node.view.borrow_mut();
+    for h in &list {
+        if let Some(mix) = view.learn_machine(&h.name, &h.rig, &h.zone, h.spot, now) {
+            if let Some(m) = view.machine_mut(mix).filter(|m| m.addr.is_empty()) {
+                m.addr.clone_from(&h.addr);
+            }
+        }
+    }
+    desk.listed = list.into_iter().map(|h| (h.name.clone(), h)).collect();
+    desk.released
+        .retain(|n, t| desk.listed.contains_key(n) || now.since(*t) < STALE_MS);
+}
+
+async fn read_page(node: &Rc<Node>, from: &str) -> Option<HostList> {
+    let path = format!("/hosts?from={from}&most={PAGE}");
+    let answer = node.cloud.call(Method::Get, &path, Vec::new(), CALL_MS);
+    match answer.await {
+        Ok(f) if f.status == 200 => {
+            node.note_served(Outside::Cloud, true);
+            rmp_serde::from_slice(&f.body).ok()
+        }
+        Ok(f) => {
+            log::debug!("machine list refused with {}", f.status);
+            // 429 is our own haste, not the cloud's trouble.
+            node.note_served(Outside::Cloud, f.status == 429);
+            None
+        }
+        Err(e) => {
+            log::debug!("machine list: {e}");
+            node.note_served(Outside::Cloud, false);
+            node.cloud.reset();
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/renting/mod.rs
@@ -0,0 +1,153 @@
+//! Renting and returning machines: one duty with one fenced owner.
+
+use crate::bookkeeping::names::{Index, MachineIx};
+use crate::bookkeeping::units::{ms_of, Ms};
+use crate::bookkeeping::view::ROOT;
+use crate::coordination::node::Node;
+use crate::coordination::pace::Pace;
+use crate::coordination::store::{set, Outcome};
+use crate::protocol::cloud::{Flavors, Listed};
+use crate::protocol::state::{Condition, Transaction};
+use http_types::Method;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+mod bookings;
+mod demand;
+mod list;
+mod returns;
+
+use bookings::{clear_bookings, rent, repeat_bookings};
+use list::read_list;
+use returns::release;
+
+pub use demand::*;
+pub use list::*;
+pub use returns::*;
+
+const TICK_MS: u64 = 250;
+
+const CALL_MS: u64 = 3000;
+
+/// Most requests side by side.
+const AT_ONCE: usize = 4;
+
+/// What the duty remembers between turns; lost at a change of owner, which only costs time.
+struct Desk {
+    pace: Pace,
+    pages: Pages,
+    listed: HashMap<String, Listed>,
+    listed_at: Option<Ms>,
+    list_due: Ms,
+    backoff: HashMap<Pool, (Ms, u64)>,
+    counter: u64,
+    released: HashMap<String, Ms>,
+    booked_at: HashMap<String, Ms>,
+    owner_since: Option<Ms>,
+    token: u64,
+    needed: HashSet<MachineIx>,
+}
+
+impl Desk {
+    fn new(rps: f64, token: u64, owner_since: Option<Ms>) -> Desk {
+        Desk {
+            pace: Pace::new(rps),
+            pages: Pages::default(),
+            listed: HashMap::new(),
+            listed_at: None,
+            list_due: Ms(0),
+            backoff: HashMap::new(),
+            counter: 0,
+            released: HashMap::new(),
+            booked_at: HashMap::new(),
+            owner_since,
+            token,
+            needed: HashSet::new(),
+        }
+    }
+}
+
+/// Duty: rents and returns machines while this node owns the renting shard.
+pub async fn run(node: Rc<Node>) {
+    let rps = node.platform.settings.cloud.rps;
+    let mut desk = Desk::new(rps, 0, None);
+    loop {
+        node.pause(TICK_MS).await;
+        if !node.view.borrow().loaded {
+            continue;
+        }
+        learn_flavors(&node).await;
+        let token = {
+            let view = node.view.borrow();
+            let shard = view.renting();
+            node.rules
+                .owns(&view, shard)
+                .then(|| view.shards[shard.at()].rec.token)
+        };
+        let Some(token) = token else {
+            desk.owner_since = None;
+            continue;
+        };
+        let now = node.now();
+        if desk.owner_since.is_none() || desk.token != token {
+            desk = Desk::new(rps, token, Some(now));
+        }
+        turn(&node, &mut desk).await;
+    }
+}
+
+/// Machine types: from the state service, or from the cloud, then shared through the state service.
+async fn learn_flavors(node: &Rc<Node>) {
+    let (known, version) = {
+        let view = node.view.borrow();
+        (!view.rigs.is_empty(), view.flavors_version)
+    };
+    if known && version > 0 {
+        return;
+    }
+    let Ok(f) = node
+        .cloud
+        .call(Method::Get, "/flavors", Vec::new(), CALL_MS)
+        .await
+    else {
+        node.cloud.reset();
+        return;
+    };
+    let Ok(flavors) = rmp_serde::from_slice::<Flavors>(&f.body) else {
+        return;
+    };
+    if f.status != 200 || flavors.types.is_empty() {
+        return;
+    }
+    node.view.borrow_mut().set_flavors(&flavors);
+    let key = format!("{ROOT}flavors/all");
+    let txn = Transaction {
+        conditions: vec![Condition {
+            key: key.clone(),
+            version: 0,
+        }],
+        writes: set(key, &flavors, None).into_iter().collect(),
+    };
+    if let Outcome::Done(r) = node.commit(&txn).await {
+        node.view.borrow_mut().flavors_version = r;
+    } else {
+        node.refreshed(1500).await;
+    }
+}
+
+async fn turn(node: &Rc<Node>, desk: &mut Desk) {
+    if !node.store_ok() {
+        // Whether the duty is still ours can't be known, and nothing could be recorded.
+        return;
+    }
+    let s = &node.platform.settings;
+    let lag_ms = ms_of(s.cloud.list_lag_s);
+    let now = node.now();
+    if now >= desk.list_due {
+        read_list(node, desk).await;
+    }
+    repeat_bookings(node, desk).await;
+    clear_bookings(node, desk, lag_ms).await;
+    rent(node, desk).await;
+    release(node, desk).await;
+}
