A node that missed much reads pages; a full read keeps nothing but its page

Causes, by reading for memory: a watch answers with all that was missed, up to 10,000 changes of up to 16 KiB, which in a cut of minutes is more than a process may hold; a full read gathered all records before it took them, which grows with every job ever submitted; and it dropped nodes and bookings that a watch had brought while it went on. Changed: after 20 s without news a node asks for the revision first and reads pages if it has missed over 2,000 changes; pages are taken one by one; what is newer than the read stays. Excluded: outages, in which nothing changes and the watch goes on as before.

--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -634,20 +634,38 @@
         }
     }
 
-    /// Takes a full read of all keys at one or more revisions, the lowest of which counts.
-    pub fn take_all(&mut self, entries: &[Entry], revision: u64) {
-        let names: HashSet<&str> = entries.iter().map(|e| e.key.as_str()).collect();
-        self.nodes
-            .retain(|n, _| names.contains(format!("{ROOT}node/{n}").as_str()));
-        self.bookings
-            .retain(|n, _| names.contains(format!("{ROOT}book/{n}").as_str()));
+    /// Takes a page of a full read of all keys. Nothing of it is kept but what it brings, so a
+    /// read of any number of records needs no more memory than a page; `fleeting` gathers the
+    /// keys that others delete, for [`View::end_read`].
+    pub fn take_page(&mut self, entries: &[Entry], fleeting: &mut HashSet<String>) {
         for e in entries {
+            let kind = e.key.strip_prefix(ROOT).and_then(|k| k.split_once('/'));
+            if matches!(kind, Some(("node" | "book", _))) {
+                fleeting.insert(e.key.clone());
+            }
             self.put(&e.key, e.version, &e.v);
         }
+    }
+
+    /// Ends a full read whose lowest revision this is: what it did not show is gone.
+    pub fn end_read(&mut self, fleeting: &HashSet<String>, revision: u64) {
+        // What is newer came meanwhile by a watch.
+        let stays = |key: String, version: u64| version > revision || fleeting.contains(&key);
+        self.nodes
+            .retain(|n, r| stays(format!("{ROOT}node/{n}"), r.version));
+        self.bookings
+            .retain(|n, b| stays(format!("{ROOT}book/{n}"), b.version));
         self.revision = self.revision.max(revision);
         self.loaded = true;
     }
 
+    /// Takes a full read in one page.
+    pub fn take_all(&mut self, entries: &[Entry], revision: u64) {
+        let mut fleeting = HashSet::new();
+        self.take_page(entries, &mut fleeting);
+        self.end_read(&fleeting, revision);
+    }
+
     /// Status word, done and placed tasks for users.
     pub fn status(job: &Job) -> (&'static str, u32, u32) {
         let running = job
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -117,6 +117,8 @@
     pub plan: Signal,
     /// Asks for a read of the newest changes.
     pub fresh: Signal,
+    /// Last time the view was brought up to date.
+    pub current: Cell<Option<Ms>>,
     /// Last time the state service served a request.
     pub store_served: Cell<Option<Ms>>,
     /// Whether the state service and the cloud were last seen to serve, for the log.
@@ -278,6 +280,7 @@
             peers,
             plan: Signal::default(),
             fresh: Signal::default(),
+            current: Cell::new(None),
             store_served: Cell::new(None),
             served: [Cell::new(false), Cell::new(false)],
             complained: Cell::new((None, 0)),
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -10,6 +10,7 @@
 use crate::transport::http::{jittered, Fetched};
 use crate::transport::{pause, TransportError};
 use http_types::Method;
+use std::collections::HashSet;
 use std::rc::Rc;
 
 /// How a transaction ended.
@@ -27,6 +28,10 @@
 
 const CALL_MS: u64 = 1500;
 const WATCH_MS: u64 = 5000;
+/// Time without news after which a node asks how much it has missed.
+const BEHIND_MS: u64 = 20_000;
+/// Changes that an answer to a watch may tell of; after more, all records are read by pages.
+const MOST_MISSED: u64 = 2000;
 /// Part of the limit on requests that fresh reads of all nodes may take.
 const READS_PART: f64 = 0.3;
 
@@ -87,7 +92,8 @@
     }
 
     async fn load_all(&self) -> bool {
-        let mut entries = Vec::new();
+        let mut fleeting = HashSet::new();
+        let mut keys = 0;
         let mut revision = None;
         let mut from = String::new();
         loop {
@@ -99,26 +105,46 @@
                 return false;
             };
             revision.get_or_insert(page.revision);
-            let last = page.entries.last().map(|e| e.key.clone());
-            entries.extend(page.entries);
-            match last {
-                Some(key) if page.more => from = format!("&from={key}"),
+            keys += page.entries.len();
+            self.view
+                .borrow_mut()
+                .take_page(&page.entries, &mut fleeting);
+            match page.entries.last() {
+                Some(last) if page.more => from = format!("&from={}", last.key),
                 _ => break,
             }
         }
         let mut view = self.view.borrow_mut();
-        view.take_all(&entries, revision.unwrap_or(0));
+        view.end_read(&fleeting, revision.unwrap_or(0));
+        self.current.set(Some(self.now()));
         log::info!(
-            "records read: {} keys, {} open jobs, revision {}",
-            entries.len(),
+            "records read: {keys} keys, {} open jobs, revision {}",
             view.active.len(),
             view.revision
         );
         true
     }
 
+    /// How many changes the view lacks.
+    async fn missed(&self) -> Option<u64> {
+        // A key that is never there: the answer is nothing but the revision.
+        let path = format!("/keys/{ROOT}none");
+        let f = self.store_call(Method::Get, &path, Vec::new()).await.ok()?;
+        let now = rmp_serde::from_slice::<Committed>(&f.body).ok()?.revision;
+        Some(now.saturating_sub(self.view.borrow().revision))
+    }
+
     /// One watch call; false if it did not bring the view up to date.
     async fn watch_once(&self, wait_ms: u64) -> bool {
+        // An answer to a watch has no size limit: all that was missed in a long cut could be
+        // more than this process may hold, while pages are small.
+        if behind_for_long(self.current.get(), self.now()) {
+            match self.missed().await {
+                Some(n) if n > MOST_MISSED => return self.load_all().await,
+                Some(_) => {}
+                None => return false,
+            }
+        }
         let from = self.view.borrow().revision;
         let path = format!("/watch?prefix={ROOT}&from={from}&wait_ms={wait_ms}");
         let answer = if wait_ms == 0 {
@@ -144,6 +170,7 @@
                 self.view
                     .borrow_mut()
                     .take_changes(from, c.revision, &c.events);
+                self.current.set(Some(self.now()));
                 if !c.events.is_empty() {
                     self.plan.ring();
                 }
@@ -158,6 +185,11 @@
     }
 }
 
+/// True if the view was current so long ago that much may have been missed.
+pub fn behind_for_long(current: Option<Ms>, now: Ms) -> bool {
+    current.is_some_and(|t| now.since(t) > BEHIND_MS)
+}
+
 /// The transaction of a draft: conditional on every record it changes or rests on.
 pub fn transaction(view: &View, draft: &Draft) -> Transaction {
     let mut txn = Transaction::default();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,9 +8,10 @@
 use pointhook::bookkeeping::view::{View, ROOT};
 use pointhook::coordination::plan::{self, Draft};
 use pointhook::coordination::reports;
-use pointhook::coordination::store::{conclude, transaction, Outcome};
+use pointhook::coordination::store::{behind_for_long, conclude, transaction, Outcome};
 use pointhook::protocol::users::{Rank, Shape};
 use pointhook::protocol::workers::Order;
+use std::collections::HashSet;
 use support::controller::{commands, one, play, Controller};
 use support::job;
 use support::worker::Worker;
@@ -754,6 +755,45 @@
     assert_eq!(c.view.active.len(), 6);
 }
 
+#[test]
+fn a_node_far_behind_reads_pages_and_not_all_it_missed() {
+    let (mut store, mut c) = one();
+    let dead = Controller::start("s1", 2, &mut store, 0);
+    c.sync(&store);
+    assert!(c.view.nodes.contains_key("s1"));
+    // It misses hundreds of changes in a cut, one of them the other's end.
+    store.end_lease(dead.lease);
+    let mut other = Controller::start("s2", 3, &mut store, 0);
+    for i in 0..200 {
+        other.submit(&mut store, job(&format!("job-{i}"), 1), 0);
+    }
+    assert!(!behind_for_long(Some(Ms(1000)), Ms(15_000)));
+    assert!(behind_for_long(Some(Ms(1000)), Ms(50_000)));
+    let (mut from, mut fleeting, mut revision) = (String::new(), HashSet::new(), None);
+    loop {
+        let page = store.list(ROOT, &from, 50);
+        assert!(page.entries.len() <= 50);
+        revision.get_or_insert(page.revision);
+        c.view.take_page(&page.entries, &mut fleeting);
+        match page.entries.last() {
+            Some(last) if page.more => from.clone_from(&last.key),
+            _ => break,
+        }
+    }
+    // Job records are not gathered, however many there are.
+    assert!(fleeting.len() < 5);
+    // A node that came while the pages were read is known by a watch and stays.
+    let newer = Controller::start("s3", 9, &mut store, 0);
+    let key = format!("{ROOT}node/s3");
+    let page = store.list(&key, "", 1);
+    c.view
+        .put(&key, page.entries[0].version, &page.entries[0].v);
+    c.view.end_read(&fleeting, revision.unwrap());
+    assert!((0..200).all(|i| c.view.job(&format!("job-{i}")).is_some()));
+    assert!(!c.view.nodes.contains_key("s1") && c.view.nodes.contains_key("n1"));
+    assert!(newer.view.nodes.contains_key("s3") && c.view.nodes.contains_key("s3"));
+}
+
 #[test]
 fn a_wide_job_stays_within_the_size_of_a_record() {
     let (mut store, mut c) = one();
