A shard stays for a moment with whoever gets it; a victim makes room once; one line on a halt

A halt was told of by every duty. Excluded: two owners at a time (each hand-over is one transaction).

--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -57,17 +57,31 @@
     pub to: String,
 }
 
+/// What a node knows beside the records when it decides on shards.
+#[derive(Default)]
+pub struct Known {
+    /// Since when each incarnation has been seen.
+    pub seen: HashMap<(String, u64), Ms>,
+    /// Nodes that no worker reaches.
+    pub deaf: HashSet<String>,
+    /// Since when this node has each of its shards.
+    pub owned: HashMap<ShardIx, Ms>,
+}
+
 /// What this node should change: take shards without a living owner, hand over its own
 /// to a settled node that should have them.
+///
+/// A shard stays for a moment with whoever gets it: why it came may be in news that are still
+/// on their way, and two nodes that disagree would hand it to and fro.
 pub fn moves(
     view: &View,
     rules: &Rules,
     zones: &BTreeMap<String, ZoneIx>,
-    seen: &HashMap<(String, u64), Ms>,
-    deaf: &HashSet<String>,
+    known: &Known,
     may_raise: bool,
     now: Ms,
 ) -> Vec<Move> {
+    let Known { seen, deaf, owned } = known;
     let live: Vec<&str> = view.nodes.keys().map(String::as_str).collect();
     let settled: Vec<&str> = view
         .nodes
@@ -108,8 +122,17 @@
                                     .any(|l| !l.answered && now.since(l.sent) > LATE_MS))
                     })
                 };
-                wanted_owner(view, zones, &settled, shard)
-                    .filter(|n| *n != rules.node || may_raise && late())
+                let held = || {
+                    let since = owned.get(&shard);
+                    since.is_some_and(|t| now.since(*t) >= SETTLED_MS)
+                };
+                wanted_owner(view, zones, &settled, shard).filter(|n| {
+                    if *n == rules.node {
+                        may_raise && late()
+                    } else {
+                        held()
+                    }
+                })
             }
             Some(_) => None,
         };
@@ -173,7 +196,7 @@
     let mut lease: Option<u64> = None;
     let mut renewed = Ms(0);
     let mut raised = Ms(0);
-    let mut seen: HashMap<(String, u64), Ms> = HashMap::new();
+    let mut known = Known::default();
     loop {
         let now = node.now();
         if node.view.borrow().loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
@@ -184,9 +207,11 @@
         if may_raise {
             raised = now;
         }
-        let deaf = deaf_nodes(&node);
+        known.deaf = deaf_nodes(&node);
+        known.owned.clone_from(&node.owned_since.borrow());
         let wanted = {
             let view = node.view.borrow();
+            let seen = &mut known.seen;
             seen.retain(|(n, i), _| view.nodes.get(n).is_some_and(|r| r.rec.incarnation == *i));
             for (n, r) in &view.nodes {
                 seen.entry((n.clone(), r.rec.incarnation)).or_insert(now);
@@ -194,7 +219,7 @@
             // Without an own key there is nothing to take shards with.
             let me = view.nodes.get(&node.rules.node);
             if me.is_some_and(|r| r.rec.incarnation == node.rules.incarnation) {
-                moves(&view, &node.rules, &zones, &seen, &deaf, may_raise, now)
+                moves(&view, &node.rules, &zones, &known, may_raise, now)
             } else {
                 Vec::new()
             }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -345,12 +345,20 @@
     pub async fn pause(&self, ms: u64) {
         let before = self.now();
         crate::transport::pause(ms).await;
-        if self.now().since(before) > ms + STOOD_STILL_MS {
-            log::warn!(
-                "stood still for {} ms: machines are given time to be heard again",
-                self.now().since(before) - ms
-            );
-            self.woke.set(Some(self.now()));
+        let now = self.now();
+        if now.since(before) > ms + STOOD_STILL_MS {
+            // All duties find out at once; one line tells.
+            if self
+                .woke
+                .get()
+                .is_none_or(|t| now.since(t) > STOOD_STILL_MS)
+            {
+                log::warn!(
+                    "stood still for {} ms: machines are given time to be heard again",
+                    now.since(before) - ms
+                );
+            }
+            self.woke.set(Some(now));
         }
     }
 
--- a/src/coordination/plan/preempt.rs
+++ b/src/coordination/plan/preempt.rs
@@ -64,6 +64,10 @@
             let mut left = free.get(mix).unwrap_or_default();
             let mut victims = Vec::new();
             for t in victims_on(view, m, w.rank) {
+                // One that goes for another task already makes room only once.
+                if out.iter().any(|(_, a, _)| *a == t) {
+                    continue;
+                }
                 if w.spec.need.fits(left) {
                     break;
                 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -658,6 +658,15 @@
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].1 .0, c.job_ix("job-1"));
     assert!(stops[0].2 >= 2.0);
+    // For two tasks two are stopped, and not one of them twice.
+    let mut second = job("job-5", 1);
+    second.priority = Rank::Production;
+    second.vcpus = 8.0;
+    c.submit(&mut store, second, 3000);
+    let stops = plan::preempt(&c.view, &c.rules, ShardIx(0), Ms(5000), 5000);
+    let stopped: HashSet<_> = stops.iter().map(|s| s.1).collect();
+    assert_eq!((stops.len(), stopped.len()), (2, 2));
+    c.cancel(&mut store, "job-5", 5000);
     // Work of the same priority stops nothing.
     let mut same = job("job-4", 1);
     same.vcpus = 8.0;
@@ -815,14 +824,17 @@
     Controller::start("s1", 2, &mut store, 0);
     north.sync(&store);
     let at = |ms| Ms(ms);
-    let seen = std::collections::HashMap::from([(("s1".to_string(), 2), at(0))]);
+    let known = pointhook::coordination::members::Known {
+        seen: std::collections::HashMap::from([(("s1".to_string(), 2), at(0))]),
+        owned: north.owned_for_long(),
+        ..Default::default()
+    };
     let moves = |now| {
         pointhook::coordination::members::moves(
             &north.view,
             &north.rules,
             &north.zones,
-            &seen,
-            &Default::default(),
+            &known,
             false,
             now,
         )
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -15,7 +15,7 @@
 use pointhook::protocol::users::JobSpec;
 use pointhook::protocol::workers::{Commands, Report, ReportAnswer};
 use pointhook::settings::Team;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 pub struct Controller {
     pub view: View,
@@ -134,8 +134,10 @@
             &self.view,
             &self.rules,
             &self.zones,
-            &HashMap::new(),
-            &HashSet::new(),
+            &members::Known {
+                owned: self.owned_for_long(),
+                ..Default::default()
+            },
             true,
             Ms(now),
         );
@@ -150,6 +152,12 @@
         done
     }
 
+    /// All shards, as if they had been here for long.
+    pub fn owned_for_long(&self) -> HashMap<ShardIx, Ms> {
+        let shards = (0..self.view.shards.len()).map(ShardIx::new);
+        shards.map(|s| (s, Ms(0))).collect()
+    }
+
     pub fn owns(&self, shard: usize) -> bool {
         self.rules.owns(&self.view, ShardIx::new(shard))
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -5,7 +5,7 @@
 
 use futures_lite::future::{block_on, poll_once};
 use pointhook::bookkeeping::job::JobState;
-use pointhook::bookkeeping::names::ZoneIx;
+use pointhook::bookkeeping::names::{ShardIx, ZoneIx};
 use pointhook::bookkeeping::units::Ms;
 use pointhook::coordination::node::{self, outage_is_everyones, Ear, PeerSeen, Signal};
 use pointhook::coordination::{members, plan, renting, siblings};
@@ -339,7 +339,7 @@
     old.sync(&store);
     // The hand-over of a shard to s1 is on its way when s1 is killed and back at once.
     let m = pointhook::coordination::members::Move {
-        shard: pointhook::bookkeeping::names::ShardIx(1),
+        shard: ShardIx(1),
         to: "s1".into(),
     };
     let (txn, _) = pointhook::coordination::members::move_transaction(&old.view, &m).unwrap();
@@ -353,10 +353,7 @@
     // The old incarnation's key ends later: that must not take the new one's along.
     store.end_lease(target.lease);
     back.sync(&store);
-    assert!(back
-        .view
-        .live_owner(pointhook::bookkeeping::names::ShardIx(1))
-        .is_some());
+    assert!(back.view.live_owner(ShardIx(1)).is_some());
 }
 
 #[test]
@@ -536,8 +533,12 @@
     c.sync(&store);
     let seen = HashMap::from([("n1", 1), ("s1", 2)].map(|(n, i)| ((n.to_string(), i), Ms(0))));
     let moves = |c: &Controller, deaf: &[&str]| {
-        let deaf = deaf.iter().map(|n| n.to_string()).collect();
-        members::moves(&c.view, &c.rules, &c.zones, &seen, &deaf, false, Ms(10_000))
+        let known = members::Known {
+            seen: seen.clone(),
+            deaf: deaf.iter().map(|n| n.to_string()).collect(),
+            owned: c.owned_for_long(),
+        };
+        members::moves(&c.view, &c.rules, &c.zones, &known, false, Ms(10_000))
     };
     // It owns all; the shard of the other zone goes there in any case.
     let to = |m: Vec<members::Move>| m.into_iter().map(|m| (m.shard.0, m.to)).collect::<Vec<_>>();
@@ -579,3 +580,25 @@
     };
     assert_eq!(limits.of_cut_zone(), 44_000);
 }
+
+#[test]
+fn two_nodes_that_disagree_do_not_hand_a_shard_to_and_fro() {
+    let (mut store, mut c) = one();
+    Controller::start("s1", 2, &mut store, 0);
+    c.sync(&store);
+    let seen = HashMap::from([("n1", 1), ("s1", 2)].map(|(n, i)| ((n.to_string(), i), Ms(0))));
+    // This node has just got the shard, and does not know yet that the other is deaf.
+    let south = ZoneIx(1);
+    assert_eq!(c.view.shard_zone(ShardIx(1)), Some(south));
+    let moves = |c: &Controller, now: u64| {
+        let known = members::Known {
+            seen: seen.clone(),
+            owned: HashMap::from([(ShardIx(1), Ms(10_000))]),
+            ..Default::default()
+        };
+        members::moves(&c.view, &c.rules, &c.zones, &known, false, Ms(now))
+    };
+    assert!(moves(&c, 10_300).is_empty());
+    assert!(moves(&c, 12_000).is_empty());
+    assert_eq!(moves(&c, 12_500).len(), 1);
+}
