--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -3,6 +3,7 @@
 pub mod fleet;
 pub mod job;
 pub mod names;
+pub mod records;
 pub mod tally;
 pub mod units;
 pub mod view;
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -3,6 +3,9 @@
 use super::fleet::{Attempt, Machine, Rig, Seen};
 use super::job::{Job, JobRecord, JobState, Placement, Spec};
 use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
+pub use super::records::{
+    BookingRecord, NodeRecord, ShardRecord, TeamLimits, TeamRecord, Versioned, ROOT,
+};
 use super::tally::Tally;
 use super::units::{Ms, Res};
 use crate::protocol::cloud::Flavors;
@@ -10,118 +13,12 @@
 use crate::protocol::users::{JobSpec, Shape};
 use crate::protocol::workers::TaskState;
 use rmpv::Value;
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// Arrivals remembered for the rate of each class.
 const MAX_ARRIVALS: usize = 1024;
 
-/// All keys of the service start with this.
-pub const ROOT: &str = "ph/";
-
-/// A controller's incarnation, held by a lease.
-#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
-pub struct NodeRecord {
-    /// Number drawn at the start of the process.
-    #[serde(rename = "i")]
-    pub incarnation: u64,
-}
-
-/// Who owns a shard.
-#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
-pub struct ShardRecord {
-    /// Node.
-    #[serde(rename = "o")]
-    pub owner: String,
-    /// Its incarnation.
-    #[serde(rename = "i")]
-    pub incarnation: u64,
-    /// Token; every change of owner raises it.
-    #[serde(rename = "t")]
-    pub token: u64,
-}
-
-/// Shares of a team's limit: shard, processors and graphics processors in thousandths.
-#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
-pub struct TeamRecord {
-    /// Shares.
-    #[serde(rename = "s", default)]
-    pub shares: Vec<(u32, i64, i64)>,
-}
-
-impl TeamRecord {
-    /// A shard's share.
-    pub fn share(&self, shard: ShardIx) -> (i64, i64) {
-        self.shares
-            .iter()
-            .find(|s| s.0 == shard.0)
-            .map_or((0, 0), |s| (s.1, s.2))
-    }
-    /// Sets a shard's share.
-    pub fn set(&mut self, shard: ShardIx, share: (i64, i64)) {
-        self.shares.retain(|s| s.0 != shard.0);
-        if share != (0, 0) {
-            self.shares.push((shard.0, share.0, share.1));
-        }
-    }
-    /// Sum of all shares.
-    pub fn total(&self) -> (i64, i64) {
-        self.shares
-            .iter()
-            .fold((0, 0), |a, s| (a.0 + s.1, a.1 + s.2))
-    }
-}
-
-/// A rental that was asked for and may not show in the list yet.
-#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
-pub struct BookingRecord {
-    /// Type.
-    #[serde(rename = "r")]
-    pub rig: String,
-    /// Zone.
-    #[serde(rename = "z")]
-    pub zone: String,
-    /// Spot.
-    #[serde(rename = "s")]
-    pub spot: bool,
-    /// How many.
-    #[serde(rename = "n")]
-    pub count: u32,
-    /// Machines, once known.
-    #[serde(rename = "h", default)]
-    pub hosts: Vec<String>,
-}
-
-/// A record with its version.
-#[derive(Clone, Debug, Default)]
-pub struct Versioned<T> {
-    /// Version; 0: absent.
-    pub version: u64,
-    /// Record.
-    pub rec: T,
-}
-
-/// A team's settings, in thousandths; 0: none.
-#[derive(Clone, Debug)]
-pub struct TeamLimits {
-    /// Guaranteed processors and graphics processors.
-    pub guaranteed: (i64, i64),
-    /// Limits of both.
-    pub most: (i64, i64),
-}
-
-impl TeamLimits {
-    /// True if nothing limits the team.
-    pub fn unlimited(&self) -> bool {
-        self.most == (0, 0)
-    }
-    /// True if this much stays within the limit.
-    pub fn allows(&self, used: (i64, i64)) -> bool {
-        (self.most.0 == 0 || used.0 <= self.most.0) && (self.most.1 == 0 || used.1 <= self.most.1)
-    }
-}
-
 /// Everything a controller knows.
 #[derive(Default)]
 pub struct View {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::coordination::node::Node;
-use crate::coordination::{intake, members, planner, renting, siblings, store};
+use crate::coordination::{intake, members, planner, reach, renting, siblings, store};
 use crate::protocol::users::{parse_job, JobSpec, JobStatus};
 use crate::settings::{Operator, Platform, SettingsError};
 use crate::transport::{frames, http};
@@ -137,7 +137,7 @@
         node.duty("watch", store::watch);
         node.duty("fresh reads", store::fresh_reads);
         node.duty("members", members::run);
-        node.duty("poke", members::poke);
+        node.duty("poke", reach::poke);
         node.duty("planner", planner::run);
         node.duty("news", siblings::news);
         node.duty("renting", renting::run);
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -3,20 +3,17 @@
 use super::node::{Node, Outside, Peer};
 use super::plan::Rules;
 use super::store::{set, Outcome};
-use crate::bookkeeping::fleet::{LateStart, Machine};
-use crate::bookkeeping::names::{Index, MachineIx, ShardIx, ZoneIx};
-use crate::bookkeeping::units::{ms_of, Ms};
+use crate::bookkeeping::fleet::LateStart;
+use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
+use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
 use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
-use crate::protocol::workers::{Commands, Report};
-use crate::transport::http::Client;
 use http_types::Method;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
 const TICK_MS: u64 = 300;
 const RENEW_MS: u64 = 1000;
-const POKE_MS: u64 = 1000;
 /// A node must have been there this long before it is handed shards of a living one.
 const SETTLED_MS: u64 = 2500;
 
@@ -349,182 +346,3 @@
         _ => Some(lease),
     }
 }
-
-/// Duty: shows a new owner's token to machines that still talk to an older owner.
-///
-/// Without it they would stay with a node that lost its shards unnoticed, for example
-/// because the state service refuses that node alone.
-pub async fn poke(node: Rc<Node>) {
-    let lease_ms = ms_of(node.platform.settings.workers.lease_s);
-    let mut tried = HashMap::new();
-    loop {
-        node.pause(POKE_MS).await;
-        let now = node.now();
-        let quiet = node.rules.silent_ms;
-        let own = |s: ShardIx| {
-            let for_ms = now.since(node.owned_since.borrow().get(&s).copied()?);
-            (for_ms > quiet / 2 && for_ms < POKED_MS).then_some(())
-        };
-        let targets = behind(&node.view.borrow(), &node.rules, &mut tried, now, own);
-        for (mix, addr, token) in targets {
-            let Some(slot) = node.direct() else { break };
-            tried.insert(mix, now);
-            let poke = raise_token(addr, token);
-            node.ex
-                .spawn(async move {
-                    poke.await;
-                    drop(slot);
-                })
-                .detach();
-        }
-        listen_out(&node);
-        let deaf = unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now);
-        for (mix, addr) in deaf {
-            let Some(slot) = node.direct() else { break };
-            let probe = probe(node.clone(), mix, addr);
-            node.ex
-                .spawn(async move {
-                    probe.await;
-                    drop(slot);
-                })
-                .detach();
-        }
-    }
-}
-
-/// Asks a few workers for an answer if none has been heard for a while.
-fn listen_out(node: &Rc<Node>) {
-    let now = node.now();
-    if !node.ear.get().doubts(now) {
-        return;
-    }
-    let addrs: Vec<String> = {
-        let view = node.view.borrow();
-        let up = view
-            .all_machines()
-            .filter(|(_, m)| !m.addr.is_empty() && m.heard.is_some());
-        let some = fastrand::choose_multiple(up, LISTEN_TO);
-        some.into_iter().map(|(_, m)| m.addr.clone()).collect()
-    };
-    for addr in addrs.into_iter().filter_map(|a| a.parse().ok()) {
-        let Some(slot) = node.direct() else { return };
-        let node = node.clone();
-        let ex = node.ex.clone();
-        ex.spawn(async move {
-            let client = Client::new(addr);
-            let answer = client
-                .call(Method::Get, "/status", Vec::new(), PROBE_MS)
-                .await;
-            if answer.is_ok() {
-                node.heard_worker();
-            }
-            drop(slot);
-        })
-        .detach();
-    }
-}
-
-/// Workers that are asked at a time.
-const LISTEN_TO: usize = 4;
-/// Time a worker has to answer.
-const PROBE_MS: u64 = 1500;
-
-/// For how long after a take-over the token is shown to machines.
-const POKED_MS: u64 = 60_000;
-/// Least time between two attempts to show one machine the token.
-const POKE_AGAIN_MS: u64 = 3000;
-
-/// Owned machines that have not shown their owner's token, those first that were tried least
-/// lately: dozens of unreachable ones hold back none of the rest.
-pub fn behind(
-    view: &View,
-    rules: &Rules,
-    tried: &mut HashMap<MachineIx, Ms>,
-    now: Ms,
-    own: impl Fn(ShardIx) -> Option<()>,
-) -> Vec<(MachineIx, String, u64)> {
-    let due: Vec<bool> = rules
-        .owned(view)
-        .into_iter()
-        .enumerate()
-        .map(|(s, owned)| owned && own(ShardIx::new(s)).is_some())
-        .collect();
-    let token = |m: &Machine| view.shards[m.shard.at()].rec.token;
-    tried.retain(|mix, _| {
-        view.machine(*mix)
-            .is_some_and(|m| due[m.shard.at()] && m.token < token(m))
-    });
-    let mut out: Vec<(Option<Ms>, MachineIx, &Machine)> = view
-        .all_machines()
-        .filter(|(_, m)| due[m.shard.at()] && m.token < token(m) && !m.addr.is_empty())
-        .map(|(mix, m)| (tried.get(&mix).copied(), mix, m))
-        .filter(|(last, ..)| last.is_none_or(|t| now.since(t) >= POKE_AGAIN_MS))
-        .collect();
-    out.sort_by_key(|(last, mix, _)| (*last, *mix));
-    out.into_iter()
-        .map(|(_, mix, m)| (mix, m.addr.clone(), token(m)))
-        .collect()
-}
-
-/// Owned machines that seem to hear nothing, to be asked whether they do after all. One that
-/// stays so for a lease counts as faulty, and so is returned.
-pub fn unheard(view: &mut View, rules: &Rules, lease_ms: u64, now: Ms) -> Vec<(MachineIx, String)> {
-    let mut out = Vec::new();
-    for mix in (0..view.machines.len()).map(MachineIx::new) {
-        let owned = view.machine(mix).is_some_and(|m| rules.owns(view, m.shard));
-        let Some(m) = view.machine_mut(mix).filter(|_| owned) else {
-            continue;
-        };
-        let Some(since) = m.deaf else { continue };
-        if now.since(since) > lease_ms && !m.sick {
-            log::warn!("machine {} hears nothing, it is to be returned", m.name);
-            m.sick = true;
-        }
-        if !m.sick {
-            out.push((mix, m.addr.clone()));
-        }
-    }
-    out
-}
-
-async fn probe(node: Rc<Node>, mix: MachineIx, addr: String) {
-    let Ok(addr) = addr.parse() else { return };
-    let client = Client::new(addr);
-    let answer = client
-        .call(Method::Get, "/status", Vec::new(), PROBE_MS)
-        .await;
-    if !answer.is_ok_and(|f| f.status == 200) {
-        return;
-    }
-    if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
-        log::info!("machine {} is reached again", m.name);
-        m.reached(node.now());
-    }
-}
-
-/// Raises the token a worker has seen. What it answers is no evidence: an answer to an
-/// earlier report may still be on its way.
-async fn raise_token(addr: String, token: u64) {
-    let Ok(addr) = addr.parse() else { return };
-    let client = Client::new(addr);
-    let Ok(f) = client
-        .call(Method::Get, "/status", Vec::new(), PROBE_MS)
-        .await
-    else {
-        return;
-    };
-    let Ok(r) = rmp_serde::from_slice::<Report>(&f.body) else {
-        return;
-    };
-    if r.token >= token {
-        return;
-    }
-    let commands = Commands {
-        token,
-        session: r.session,
-        orders: Vec::new(),
-    };
-    if let Ok(body) = rmp_serde::to_vec_named(&commands) {
-        let _ = client.call(Method::Post, "/commands", body, PROBE_MS).await;
-    }
-}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod pace;
 pub mod plan;
 pub mod planner;
+pub mod reach;
 pub mod renting;
 pub mod reports;
 pub mod siblings;
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -98,6 +98,7 @@
                 if now.since(lowered) > 2000 {
                     plan::lower_shares(&view, &node.rules, &mut d);
                     lowered = now;
+                    last_poll.retain(|m, _| view.machine(*m).is_some());
                 }
                 d
             };
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -8,7 +8,7 @@
 use pointhook::bookkeeping::names::{ShardIx, ZoneIx};
 use pointhook::bookkeeping::units::Ms;
 use pointhook::coordination::node::{self, outage_is_everyones, Ear, PeerSeen, Signal};
-use pointhook::coordination::{members, plan, renting, siblings};
+use pointhook::coordination::{members, plan, reach, renting, siblings};
 use pointhook::protocol::peers::MachineNews;
 use pointhook::protocol::users::Shape;
 use pointhook::protocol::workers::Order;
@@ -127,13 +127,13 @@
     c.visit(&mut store, &mut w, 0);
     let mix = c.machine("m1");
     c.view.machine_mut(mix).unwrap().deaf = Some(Ms(1000));
-    let asked = members::unheard(&mut c.view, &c.rules, 10_000, Ms(5000));
+    let asked = reach::unheard(&mut c.view, &c.rules, 10_000, Ms(5000));
     assert_eq!(asked.len(), 1);
     assert!(!c.view.machine(mix).unwrap().sick);
     let mut reached = c.view.machine(mix).unwrap().clone();
     reached.reached(Ms(5000));
     assert!(reached.takes(Ms(500), 4000));
-    members::unheard(&mut c.view, &c.rules, 10_000, Ms(11_500));
+    reach::unheard(&mut c.view, &c.rules, 10_000, Ms(11_500));
     assert!(c.view.machine(mix).unwrap().sick);
 }
 
@@ -430,7 +430,7 @@
     let mut tried = HashMap::new();
     let mut reached = std::collections::HashSet::new();
     for now in [10_000u64, 11_500, 13_000, 14_500, 16_000] {
-        let due = members::behind(&c.view, &c.rules, &mut tried, Ms(now), |_| Some(()));
+        let due = reach::behind(&c.view, &c.rules, &mut tried, Ms(now), |_| Some(()));
         for (mix, ..) in due.into_iter().take(60) {
             tried.insert(mix, Ms(now));
             reached.insert(mix);
@@ -441,7 +441,7 @@
     let mix = c.machine("m299");
     c.view.machine_mut(mix).unwrap().token =
         c.view.shards[0].rec.token.max(c.view.shards[1].rec.token);
-    let due = members::behind(&c.view, &c.rules, &mut tried, Ms(16_500), |_| Some(()));
+    let due = reach::behind(&c.view, &c.rules, &mut tried, Ms(16_500), |_| Some(()));
     assert!(due.iter().all(|(m, ..)| *m != mix));
     assert!(due.len() <= 240);
 }
