The cloud's budget begins full and keeps a request back only while returns wait

Changed: the budget begins full, with two seconds' worth as the protocol allows, and one request is kept only if the last turn had machines to return.

--- a/src/coordination/pace.rs
+++ b/src/coordination/pace.rs
@@ -10,25 +10,28 @@
     at: Option<Ms>,
 }
 
-/// Requests that may be saved up, in seconds' worth.
-const BURST_S: f64 = 1.5;
+/// Requests that may be saved up, in seconds' worth, as the cloud's protocol allows.
+const BURST_S: f64 = 2.0;
 
 impl Pace {
-    /// A budget of `rate` requests a second. It begins with one: who spent the limit until now
-    /// is not known.
+    /// A budget of `rate` requests a second. It begins full: what another may have spent just
+    /// before is refused at worst, and asked for again.
     pub fn new(rate: f64) -> Pace {
         Pace {
             rate,
-            left: 1.0,
+            left: Pace::most(rate),
             at: None,
         }
     }
+    fn most(rate: f64) -> f64 {
+        (rate * BURST_S).max(2.0)
+    }
     /// Takes a request if that leaves `keep` for what matters more.
     pub fn take(&mut self, now: Ms, keep: f64) -> bool {
         let passed = self.at.map_or(0, |at| now.since(at));
         self.at = Some(now);
-        let most = (self.rate * BURST_S).max(2.0);
-        self.left = (self.left + self.rate * passed as f64 / 1000.0).min(most);
+        let filled = self.left + self.rate * passed as f64 / 1000.0;
+        self.left = filled.min(Pace::most(self.rate));
         let good = self.left >= 1.0 + keep;
         if good {
             self.left -= 1.0;
--- a/src/coordination/renting/bookings.rs
+++ b/src/coordination/renting/bookings.rs
@@ -196,9 +196,10 @@
     let mut list = Vec::new();
     desk.needed = plan.needed;
     for (pool, count) in requests(plan.rent) {
-        // One request is left for returns: those who wait for a machine to be proven gone wait
-        // as long as those who need a new one.
-        if !desk.pace.take(node.now(), 1.0) {
+        // While there is something to return one request is left for that: those who wait for a
+        // machine to be proven gone wait as long as those who need a new one.
+        let keep = if desk.returns_due { 1.0 } else { 0.0 };
+        if !desk.pace.take(node.now(), keep) {
             break;
         }
         desk.counter += 1;
--- a/src/coordination/renting/mod.rs
+++ b/src/coordination/renting/mod.rs
@@ -43,6 +43,8 @@
     counter: u64,
     released: HashMap<String, Ms>,
     booked_at: HashMap<String, Ms>,
+    /// The last turn had machines to return.
+    returns_due: bool,
     owner_since: Option<Ms>,
     token: u64,
     needed: HashSet<MachineIx>,
@@ -60,6 +62,7 @@
             counter: 0,
             released: HashMap::new(),
             booked_at: HashMap::new(),
+            returns_due: false,
             owner_since,
             token,
             needed: HashSet::new(),
--- a/src/coordination/renting/returns.rs
+++ b/src/coordination/renting/returns.rs
@@ -196,7 +196,8 @@
         return;
     }
     let (dead, idle) = to_release(node, desk, now);
-    if dead.is_empty() && idle.is_empty() {
+    desk.returns_due = !dead.is_empty() || !idle.is_empty();
+    if !desk.returns_due {
         return;
     }
     // Nothing fences a release but this: an owner that was cut off from the state service
