--- a/src/cli.rs
+++ b/src/cli.rs
@@ -148,6 +148,8 @@
         let serving = http::serve(ex.clone(), users, sockets, move |req| {
             intake::handle(n.clone(), req)
         });
+        // A routine of its own: what `run` is given is polled at each turn of any routine.
+        let serving = ex.spawn(serving);
         ex.run(serving).await;
         Ok(())
     })
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -4,7 +4,7 @@
 use async_dup::Arc;
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -97,6 +97,60 @@
     res
 }
 
+/// Takes one request from a connection and answers it; true if the connection stays open.
+///
+/// The library's parts are put together here instead of by its own server: that one sets a
+/// timer for each request's headers in a second reactor, which has a thread of its own, and
+/// sends head and body of an answer apart.
+async fn exchange<F, Fut>(stream: &Stream, handler: &F) -> Result<bool, http_types::Error>
+where
+    F: Fn(Incoming) -> Fut,
+    Fut: Future<Output = Answer>,
+{
+    let mut stream = stream.clone();
+    // The next request comes seconds later: a try to read at once would find nothing.
+    stream.readable().await?;
+    let (mut req, mut rest) = match async_h1::server::decode(stream.clone()).await {
+        Ok(Some(r)) => r,
+        Ok(None) => return Ok(false),
+        Err(e) => {
+            if e.downcast_ref::<std::io::Error>().is_none() {
+                let refusal = to_response(Answer::bare(400), true);
+                send(&mut stream, refusal, Method::Get).await?;
+            }
+            return Ok(false);
+        }
+    };
+    let method = req.method();
+    let body = within(4000, read_body(&mut req)).await.flatten();
+    // The rest of a body that was not read is not worth draining.
+    let close = body.is_none()
+        || req
+            .header("Connection")
+            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
+    let incoming = Incoming {
+        method,
+        path: req.url().path().to_string(),
+        query: req.url().query().unwrap_or("").to_string(),
+        body,
+    };
+    let response = to_response(handler(incoming).await, close);
+    send(&mut stream, response, method).await?;
+    if !close {
+        // What follows the body of a chunked request.
+        futures_lite::io::copy(&mut rest, &mut futures_lite::io::sink()).await?;
+    }
+    Ok(!close)
+}
+
+/// Sends head and body of an answer as one.
+async fn send(stream: &mut Stream, response: Response, method: Method) -> std::io::Result<()> {
+    let mut bytes = Vec::with_capacity(512);
+    let mut encoder = async_h1::server::Encoder::new(response, method);
+    encoder.read_to_end(&mut bytes).await?;
+    stream.write_all(&bytes).await
+}
+
 /// Accepts connections until the listener fails; one routine each.
 pub async fn serve<F, Fut>(
     ex: Rc<LocalExecutor<'static>>,
@@ -128,29 +182,8 @@
         let handler = handler.clone();
         ex.spawn(async move {
             let stream: Stream = Arc::new(stream);
-            let endpoint = |mut req: Request| {
-                let handler = handler.clone();
-                async move {
-                    let body = within(4000, read_body(&mut req)).await.flatten();
-                    // The rest of a body that was not read is not worth draining.
-                    let close = body.is_none()
-                        || req
-                            .header("Connection")
-                            .is_some_and(|c| c.as_str().eq_ignore_ascii_case("close"));
-                    let incoming = Incoming {
-                        method: req.method(),
-                        path: req.url().path().to_string(),
-                        query: req.url().query().unwrap_or("").to_string(),
-                        body,
-                    };
-                    Ok(to_response(handler(incoming).await, close))
-                }
-            };
-            let mut server = async_h1::server::Server::new(stream, endpoint);
             // Half-open and slow peers end by this deadline.
-            while let Some(Ok(async_h1::server::ConnectionStatus::KeepAlive)) =
-                within(75_000, server.accept_one()).await
-            {}
+            while let Some(Ok(true)) = within(75_000, exchange(&stream, &handler)).await {}
             open.set(open.get() - 1);
         })
         .detach();
@@ -224,7 +257,14 @@
             b.set_mime("application/msgpack");
             req.set_body(b);
         }
-        let mut res = async_h1::connect(stream.clone(), req)
+        // Head and body go out as one, and the answer is waited for before it is read.
+        let mut bytes = Vec::with_capacity(512);
+        let mut encoder = async_h1::client::Encoder::new(req);
+        let lost = |e: std::io::Error| TransportError::Broken(e.to_string());
+        encoder.read_to_end(&mut bytes).await.map_err(lost)?;
+        (&*stream).write_all(&bytes).await.map_err(lost)?;
+        stream.readable().await.map_err(lost)?;
+        let mut res = async_h1::client::decode(stream.clone())
             .await
             .map_err(broken)?;
         let closes = res
