Deadlines and pauses share one timer of the reactor

Cause: each answer waited for, each turn of the planner and each duty's pause set a timer of its own, and setting one wakes the reactor: an event, a wait, a timer and three registrations. Excluded: pauses themselves; duties tick as often as before, an eighth later at most.

--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -8,6 +8,7 @@
 use crate::protocol::state::{Condition, Transaction};
 use crate::protocol::users::{parse_job, valid_id, JobStatus};
 use crate::transport::http::{jittered, Answer, Incoming};
+use crate::transport::pause;
 use http_types::Method;
 use std::rc::Rc;
 
@@ -135,7 +136,7 @@
                 node.refreshed(READ_MS).await;
             }
             Outcome::Refused(429) => {
-                async_io::Timer::after(jittered(60)).await;
+                pause(jittered(60)).await;
             }
             Outcome::Refused(_) => break,
         }
@@ -203,7 +204,7 @@
                 node.refreshed(READ_MS).await;
             }
             Outcome::Refused(429) => {
-                async_io::Timer::after(jittered(60)).await;
+                pause(jittered(60)).await;
             }
             Outcome::Refused(_) => break,
         }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -10,7 +10,7 @@
 use crate::protocol::peers::{Ask, Reply, TaskRef};
 use crate::protocol::workers::{Commands, Report};
 use crate::transport::http::{jittered, Client};
-use crate::transport::TransportError;
+use crate::transport::{pause, TransportError};
 use http_types::Method;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -127,7 +127,7 @@
                 }
                 Outcome::Refused(status) => {
                     log::debug!("state service refused with {status}");
-                    async_io::Timer::after(jittered(150)).await;
+                    pause(jittered(150)).await;
                     break;
                 }
                 Outcome::Unknown => {
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -263,7 +263,7 @@
             node.load_all().await
         };
         if !ok {
-            async_io::Timer::after(jittered(300)).await;
+            pause(jittered(300)).await;
         }
     }
 }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -10,7 +10,6 @@
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
 
 type Stream = Arc<Async<TcpStream>>;
 
@@ -292,7 +291,7 @@
     Async::<TcpListener>::bind(addr)
 }
 
-/// A pause whose length is a little random, so that nodes do not act in step.
-pub fn jittered(ms: u64) -> Duration {
-    Duration::from_millis(ms / 2 + fastrand::u64(0..=ms.max(1)))
+/// A length for a pause, in ms, a little random so that nodes do not act in step.
+pub fn jittered(ms: u64) -> u64 {
+    ms / 2 + fastrand::u64(0..=ms.max(1))
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,11 +1,12 @@
 //! TCP, HTTP, frames, deadlines and limits.
 
+pub mod deadlines;
 pub mod frames;
 pub mod http;
 
+use deadlines::Deadline;
 use futures_lite::FutureExt;
 use std::future::Future;
-use std::time::Duration;
 
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
@@ -25,7 +26,7 @@
 pub async fn within<T>(ms: u64, work: impl Future<Output = T>) -> Option<T> {
     async { Some(work.await) }
         .or(async {
-            async_io::Timer::after(Duration::from_millis(ms)).await;
+            Deadline::after(ms).await;
             None
         })
         .await
@@ -33,5 +34,5 @@
 
 /// Waits.
 pub async fn pause(ms: u64) {
-    async_io::Timer::after(Duration::from_millis(ms)).await;
+    Deadline::after(ms).await;
 }
