Where turns go, by duty, in the log at level debug

Each duty's and each request's turns are counted and timed, with the longest; one line every 15 s. Off unless the level is debug.

--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -23,11 +23,25 @@
 pub async fn handle(node: Rc<Node>, req: Incoming) -> Answer {
     let parts: Vec<&str> = req.path.trim_start_matches('/').split('/').collect();
     match (parts.as_slice(), req.method) {
-        (["up"], Method::Get) => Answer::bare(if node.healthy() { 200 } else { 503 }),
-        (["v1", "report"], Method::Post) => super::reports::handle(&node, req.body).await,
-        (["v1", "jobs"], Method::Post) => submit(&node, req.body).await,
-        (["v1", "jobs", id], Method::Get) => poll(&node, id).await,
-        (["v1", "jobs", id, "withdraw"], Method::Post) => withdraw(&node, id).await,
+        (["up"], Method::Get) => {
+            let up = || Answer::bare(if node.healthy() { 200 } else { 503 });
+            node.meter.time("health", up)
+        }
+        (["v1", "report"], Method::Post) => {
+            let work = super::reports::handle(&node, req.body);
+            node.meter.routine("reports", work).await
+        }
+        (["v1", "jobs"], Method::Post) => {
+            let work = submit(&node, req.body);
+            node.meter.routine("submissions", work).await
+        }
+        (["v1", "jobs", id], Method::Get) => {
+            node.meter.routine("users' polls", poll(&node, id)).await
+        }
+        (["v1", "jobs", id, "withdraw"], Method::Post) => {
+            let work = withdraw(&node, id);
+            node.meter.routine("cancellations", work).await
+        }
         (
             ["up"] | ["v1", "report" | "jobs"] | ["v1", "jobs", _] | ["v1", "jobs", _, "withdraw"],
             _,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod intake;
 pub mod members;
+pub mod meter;
 pub mod node;
 pub mod pace;
 pub mod plan;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1,5 +1,6 @@
 //! One controller: what its duties share.
 
+use super::meter::Meter;
 use super::plan::Rules;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::names::{Index, ShardIx};
@@ -133,6 +134,8 @@
     pub woke: Cell<Option<Ms>>,
     /// Connections to workers that are open now.
     directs: Cell<usize>,
+    /// Where turns go.
+    pub meter: Meter,
     /// Runs the routines.
     pub ex: Rc<LocalExecutor<'static>>,
     started: Instant,
@@ -288,6 +291,7 @@
             ear: Cell::new(Ear::new(ms_of(s.workers.lease_s))),
             woke: Cell::new(None),
             directs: Cell::new(0),
+            meter: Meter::new(log::log_enabled!(log::Level::Debug)),
             ex,
             started: Instant::now(),
             rules,
@@ -311,7 +315,8 @@
         self.ex
             .spawn(async move {
                 loop {
-                    let run = std::panic::AssertUnwindSafe(duty(node.clone()));
+                    let run = node.meter.routine(name, duty(node.clone()));
+                    let run = std::panic::AssertUnwindSafe(run);
                     match futures_lite::FutureExt::catch_unwind(run).await {
                         Ok(()) => log::error!("duty {name} ended, starting it again"),
                         Err(_) => log::error!("duty {name} failed, starting it again"),
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -93,8 +93,11 @@
             let draft = {
                 let view = node.view.borrow();
                 let mut d = Draft::deferring(defer);
-                plan::settle(&view, &node.rules, &mut d, now);
-                idle = plan::claim(&view, &node.rules, &mut d, now, wall_ms());
+                let meter = &node.meter;
+                meter.time("- settle", || plan::settle(&view, &node.rules, &mut d, now));
+                idle = meter.time("- claim", || {
+                    plan::claim(&view, &node.rules, &mut d, now, wall_ms())
+                });
                 if now.since(lowered) > 2000 {
                     plan::lower_shares(&view, &node.rules, &mut d);
                     lowered = now;
@@ -143,8 +146,9 @@
         for w in waiters {
             let _ = w.try_send(true);
         }
-        push_starts(&node);
-        pull(&node, &idle, &mut last_poll);
+        node.meter.time("- pushes", || push_starts(&node));
+        node.meter
+            .time("- pulls", || pull(&node, &idle, &mut last_poll));
     }
 }
 
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -22,6 +22,9 @@
         node.pause(NEWS_MS).await;
         if turn % SURVEY_TURNS == 0 {
             survey(&node);
+            if let Some(line) = node.meter.line() {
+                log::debug!("turns: {line}");
+            }
         }
         planner::sweep_queues(&node);
         hold_for_gangs(&node);
@@ -224,6 +227,15 @@
 
 /// Answers a peer. Everything in here is a hint; nothing starts or ends by it.
 pub fn handle(node: &Rc<Node>, ask: Ask) -> Reply {
+    let name = match ask {
+        Ask::News { .. } => "peer's news",
+        Ask::Poll { .. } => "peer's poll",
+        _ => "peer's other asks",
+    };
+    node.meter.time(name, || answer(node, ask))
+}
+
+fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
     let now = node.now();
     match ask {
         Ask::News {
