Duties tick together once a second and are rung for news

Changed: news, tokens, membership and renting of nodes that do not own it tick at whole seconds of the process; changes of nodes, shards and the renting owner ring. Test: the one timer is set anew only for what is due earlier.

--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -12,8 +12,12 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
-const TICK_MS: u64 = 300;
-const RENEW_MS: u64 = 1000;
+/// Longest time between two looks; news of nodes and shards ring.
+const BEAT_MS: u64 = 1000;
+/// Time after which a move that failed is tried again.
+const AGAIN_MS: u64 = 300;
+/// Age at which the lease is renewed: a little under a beat, so that none is missed.
+const RENEW_MS: u64 = 900;
 /// A node must have been there this long before it is handed shards of a living one.
 const SETTLED_MS: u64 = 2500;
 
@@ -196,9 +200,11 @@
     let mut known = Known::default();
     loop {
         let now = node.now();
+        let mut again = !node.view.borrow().loaded;
         if node.view.borrow().loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
             lease = keep_lease(&node, lease, ttl_ms).await;
             renewed = now;
+            again = lease.is_none();
         }
         let may_raise = now.since(raised) >= RAISE_MS;
         if may_raise {
@@ -242,14 +248,22 @@
                 }
                 Outcome::Conflict(_) => {
                     node.refreshed(1500).await;
+                    again = true;
+                    break;
+                }
+                _ => {
+                    again = true;
                     break;
                 }
-                _ => break,
             }
         }
         note_owned(&node);
         node.note_served(Outside::State, node.store_ok());
-        node.pause(TICK_MS).await;
+        if again {
+            node.pause(AGAIN_MS).await;
+        } else {
+            node.beat(BEAT_MS, Some(&node.members)).await;
+        }
     }
 }
 
@@ -282,6 +296,9 @@
                 s.0,
                 view.shards[s.at()].rec.token
             );
+            if s == view.renting() {
+                node.rent.ring();
+            }
             now
         });
     }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -9,7 +9,7 @@
 use crate::settings::{Objective, Operator, Platform};
 use crate::transport::frames::PeerClient;
 use crate::transport::http::Client;
-use crate::transport::within;
+use crate::transport::{within, within_beat};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use std::cell::{Cell, RefCell};
@@ -83,6 +83,10 @@
     pub async fn rung(&self, ms: u64) {
         let _ = within(ms, self.rx.recv()).await;
     }
+    /// Waits for a ring, until the next beat of `ms` at most.
+    pub async fn rung_by_beat(&self, ms: u64) {
+        let _ = within_beat(ms, self.rx.recv()).await;
+    }
     /// Rings and waits for the outcome of a turn that began afterwards; `None` after `ms`.
     pub async fn turn(&self, ms: u64) -> Option<bool> {
         let (tx, rx) = async_channel::bounded(1);
@@ -118,6 +122,10 @@
     pub plan: Signal,
     /// Asks for a read of the newest changes.
     pub fresh: Signal,
+    /// Wakes the duty that keeps the node's key and shards.
+    pub members: Signal,
+    /// Wakes the renting duty.
+    pub rent: Signal,
     /// Last time the view was brought up to date.
     pub current: Cell<Option<Ms>>,
     /// Last time the state service served a request.
@@ -283,6 +291,8 @@
             peers,
             plan: Signal::default(),
             fresh: Signal::default(),
+            members: Signal::default(),
+            rent: Signal::default(),
             current: Cell::new(None),
             store_served: Cell::new(None),
             served: [Cell::new(false), Cell::new(false)],
@@ -350,6 +360,26 @@
     pub async fn pause(&self, ms: u64) {
         let before = self.now();
         crate::transport::pause(ms).await;
+        self.note_stop(before, ms);
+    }
+
+    /// Waits for the next beat of `ms`, or for a ring; notes if this process stood still.
+    ///
+    /// Each turn costs, however little there is to do: duties that tick at the same rate do so
+    /// in one, and what should happen sooner rings.
+    pub async fn beat(&self, ms: u64, ring: Option<&Signal>) {
+        let before = self.now();
+        match ring {
+            Some(ring) => ring.rung_by_beat(ms).await,
+            None => {
+                let never = futures_lite::future::pending::<()>();
+                let _ = within_beat(ms, never).await;
+            }
+        }
+        self.note_stop(before, ms);
+    }
+
+    fn note_stop(&self, before: Ms, ms: u64) {
         let now = self.now();
         if now.since(before) > ms + STOOD_STILL_MS {
             // All duties find out at once; one line tells.
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -23,7 +23,7 @@
     let lease_ms = ms_of(node.platform.settings.workers.lease_s);
     let mut tried = HashMap::new();
     loop {
-        node.pause(POKE_MS).await;
+        node.beat(POKE_MS, None).await;
         let now = node.now();
         let quiet = node.rules.silent_ms;
         let own = |s: ShardIx| {
--- a/src/coordination/renting/mod.rs
+++ b/src/coordination/renting/mod.rs
@@ -26,6 +26,8 @@
 pub use returns::*;
 
 const TICK_MS: u64 = 250;
+/// Time between two looks of a node that does not own the duty; a change of owner rings.
+const OTHERS_MS: u64 = 1000;
 
 const CALL_MS: u64 = 3000;
 
@@ -75,7 +77,15 @@
     let rps = node.platform.settings.cloud.rps;
     let mut desk = Desk::new(rps, 0, None);
     loop {
-        node.pause(TICK_MS).await;
+        let idle = desk.owner_since.is_none() && {
+            let view = node.view.borrow();
+            view.loaded && !view.rigs.is_empty() && view.flavors_version > 0
+        };
+        if idle {
+            node.beat(OTHERS_MS, Some(&node.rent)).await;
+        } else {
+            node.pause(TICK_MS).await;
+        }
         if !node.view.borrow().loaded {
             continue;
         }
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -19,7 +19,7 @@
 /// Duty: tells the others about the own machines, and holds machines for gangs.
 pub async fn news(node: Rc<Node>) {
     for turn in 0u64.. {
-        node.pause(NEWS_MS).await;
+        node.beat(NEWS_MS, None).await;
         if turn % SURVEY_TURNS == 0 {
             survey(&node);
             if let Some(line) = node.meter.line() {
@@ -247,7 +247,9 @@
             if let Some(p) = node.peer(&from) {
                 p.heard.set(Some(now));
                 p.store_ok.set(store_ok);
-                p.hears_workers.set(hears_workers);
+                if p.hears_workers.replace(hears_workers) != hears_workers {
+                    node.members.ring();
+                }
             }
             take_news(
                 &mut node.view.borrow_mut(),
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::names::{Index, JobIx};
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{View, ROOT};
-use crate::protocol::state::{Changes, Committed, Condition, Page, Transaction, Write};
+use crate::protocol::state::{Changes, Committed, Condition, Event, Page, Transaction, Write};
 use crate::transport::http::{jittered, Fetched};
 use crate::transport::{pause, TransportError};
 use http_types::Method;
@@ -170,6 +170,9 @@
                 self.view
                     .borrow_mut()
                     .take_changes(from, c.revision, &c.events);
+                if c.events.iter().any(tells_of_members) {
+                    self.members.ring();
+                }
                 self.current.set(Some(self.now()));
                 if !c.events.is_empty() {
                     self.plan.ring();
@@ -185,6 +188,13 @@
     }
 }
 
+/// True for changes of nodes and shards.
+fn tells_of_members(e: &Event) -> bool {
+    let key = e.set.as_ref().or(e.remove.as_ref());
+    let kind = key.and_then(|k| k.strip_prefix(ROOT)?.split_once('/'));
+    matches!(kind, Some(("node" | "shard", _)))
+}
+
 /// True if the view was current so long ago that much may have been missed.
 pub fn behind_for_long(current: Option<Ms>, now: Ms) -> bool {
     current.is_some_and(|t| now.since(t) > BEHIND_MS)
--- a/src/transport/deadlines.rs
+++ b/src/transport/deadlines.rs
@@ -30,6 +30,10 @@
         let step = 1u64 << (ms / 8).max(1).ilog2();
         (now + ms).div_ceil(step) * step
     }
+    /// The next beat of `ms`: duties that tick at the same rate tick in one turn.
+    pub fn next_beat(now: u64, ms: u64) -> u64 {
+        (now / ms.max(1) + 1) * ms.max(1)
+    }
     /// Adds a waiting routine.
     pub fn add(&mut self, at: u64, waker: Waker) -> Key {
         self.next += 1;
@@ -126,13 +130,26 @@
 /// Ends after some time; see [`Table::due_at`] for how exactly.
 pub struct Deadline {
     ms: u64,
+    beat: bool,
     key: Option<Key>,
 }
 
 impl Deadline {
     /// A deadline in `ms` from the moment it is first waited for.
     pub fn after(ms: u64) -> Deadline {
-        Deadline { ms, key: None }
+        Deadline {
+            ms,
+            beat: false,
+            key: None,
+        }
+    }
+    /// A deadline at the next multiple of `ms`, counted from the start of the process.
+    pub fn beat(ms: u64) -> Deadline {
+        Deadline {
+            ms,
+            beat: true,
+            key: None,
+        }
     }
 }
 
@@ -147,7 +164,11 @@
             self.key = None;
             return Poll::Ready(());
         }
-        let at = Table::due_at(s.now(), self.ms);
+        let at = if self.beat {
+            Table::next_beat(s.now(), self.ms)
+        } else {
+            Table::due_at(s.now(), self.ms)
+        };
         self.key = Some(s.lock().0.add(at, cx.waker().clone()));
         s.arm();
         Poll::Pending
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -32,6 +32,16 @@
         .await
 }
 
+/// Runs `work` until the next beat of `ms` milliseconds at most.
+pub async fn within_beat<T>(ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    async { Some(work.await) }
+        .or(async {
+            Deadline::beat(ms).await;
+            None
+        })
+        .await
+}
+
 /// Waits.
 pub async fn pause(ms: u64) {
     Deadline::after(ms).await;
--- a/tests/costs.rs
+++ b/tests/costs.rs
@@ -3,6 +3,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use pointhook::transport::deadlines::Table;
 use pointhook::transport::http::{listen, serve, Answer, Incoming};
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
@@ -115,3 +116,36 @@
         }
     }));
 }
+
+struct Nobody;
+
+impl std::task::Wake for Nobody {
+    fn wake(self: std::sync::Arc<Self>) {}
+}
+
+// Every deadline had a timer of its own, and setting one woke the reactor.
+#[test]
+fn the_timer_is_set_anew_only_for_what_is_due_earlier() {
+    let nobody = || std::task::Waker::from(std::sync::Arc::new(Nobody));
+    let mut t = Table::default();
+    let first = t.add(Table::due_at(0, 1000), nobody());
+    assert_eq!(t.to_arm(), Some(1024), "an eighth later at most");
+    let mut answered = Vec::new();
+    for i in 0..100 {
+        answered.push(t.add(Table::due_at(i, 1500), nobody()));
+        assert_eq!(t.to_arm(), None, "request {i}");
+    }
+    for key in answered {
+        t.remove(key);
+    }
+    let early = t.add(Table::due_at(5, 60), nobody());
+    assert_eq!(t.to_arm(), Some(68));
+    assert!(t.waits(early, &nobody()));
+    assert_eq!(t.take_due(67).len(), 0);
+    assert_eq!(t.take_due(68).len(), 1);
+    assert!(!t.waits(early, &nobody()) && t.waits(first, &nobody()));
+    assert_eq!(t.to_arm(), Some(1024), "the next one");
+    // Duties of one rate tick together, whenever each of them ended.
+    let beats: Vec<u64> = [7000, 7001, 7999].map(|t| Table::next_beat(t, 1000)).into();
+    assert_eq!(beats, [8000, 8000, 8000]);
+}
