Requests whose senders have gone are dropped before they are parsed

Cause: a node that falls behind finds requests in its sockets whose senders timed out and went to another node; it parsed and answered them all the same.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 with MessagePack bodies, server and client.
 
+use super::opened::Opened;
 use super::{within, TransportError};
 use async_dup::Arc;
 use async_executor::LocalExecutor;
@@ -129,9 +130,12 @@
 }
 
 /// Reads one request, and whether its connection is to be closed after the answer; `None` at
-/// the end of the stream.
+/// the end of the stream, or if nobody waits for the answer any more.
 async fn take(stream: &Stream) -> Result<Option<(Incoming, bool)>, http_types::Error> {
-    let Some((mut req, _)) = async_h1::server::decode(stream.clone()).await? else {
+    let Some(opened) = Opened::read(stream).await? else {
+        return Ok(None);
+    };
+    let Some((mut req, _)) = async_h1::server::decode(opened).await? else {
         return Ok(None);
     };
     let body = within(4000, read_body(&mut req)).await.flatten();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod deadlines;
 pub mod frames;
 pub mod http;
+mod opened;
 
 use deadlines::Deadline;
 use futures_lite::FutureExt;
