--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,8 +4,8 @@
 use crate::coordination::{intake, members, planner, reach, renting, siblings, store};
 use crate::protocol::users::{parse_job, JobSpec, JobStatus};
 use crate::settings::{Operator, Platform, SettingsError};
+use crate::transport::lanes::Lanes;
 use crate::transport::{frames, http};
-use async_executor::LocalExecutor;
 use clap::{Args, Parser, Subcommand};
 use http_types::Method;
 use std::net::SocketAddr;
@@ -121,7 +121,8 @@
         .filter_module("async_h1", log::LevelFilter::Off)
         .format_target(false)
         .init();
-    let ex = Rc::new(LocalExecutor::new());
+    let lanes = Lanes::default();
+    let ex = lanes.duties.clone();
     let door = |addr| http::listen(addr).map_err(|source| CliError::Listen { addr, source });
     async_io::block_on(async {
         let users = door(platform.bind)?;
@@ -145,12 +146,13 @@
         let answering = frames::serve(ex.clone(), peers, move |ask| siblings::handle(&n, ask));
         ex.spawn(answering).detach();
         let n = node.clone();
-        let serving = http::serve(ex.clone(), users, sockets, move |req| {
+        let (l, of_worker) = (lanes.clone(), intake::of_worker);
+        let serving = http::serve_in(l, of_worker, users, sockets, move |req| {
             intake::handle(n.clone(), req)
         });
         // A routine of its own: what `run` is given is polled at each turn of any routine.
         let serving = ex.spawn(serving);
-        ex.run(serving).await;
+        lanes.run(serving).await;
         Ok(())
     })
 }
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -19,6 +19,11 @@
 /// When to come back after a request that was given up.
 const COME_BACK_S: u32 = 1;
 
+/// True for the path of workers' reports.
+pub fn of_worker(path: &str) -> bool {
+    path == "/v1/report"
+}
+
 /// Answers users, workers and health checks.
 pub async fn handle(node: Rc<Node>, req: Incoming) -> Answer {
     let parts: Vec<&str> = req.path.trim_start_matches('/').split('/').collect();
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 with MessagePack bodies, server and client.
 
+use super::lanes::Lanes;
 use super::opened::Opened;
 use super::{within, TransportError};
 use async_dup::Arc;
@@ -101,32 +102,48 @@
     res
 }
 
-/// Takes one request from a connection and answers it; true if the connection stays open.
+/// What becomes of a connection after an answer.
+enum Next {
+    Wait,
+    HandOver,
+    Close,
+}
+
+/// Takes one request from a connection and answers it.
 ///
 /// The library's parts are put together here instead of by its own server: that one sets a
 /// timer for each request's headers in a second reactor, which has a thread of its own, and
 /// sends head and body of an answer apart. What reading needs, some 40 KB, is gone before the
 /// answer is worked on, so that hundreds of requests that wait fit into a small machine.
-async fn exchange<F, Fut>(stream: &Stream, handler: &F) -> Result<bool, http_types::Error>
+async fn exchange<F, Fut>(
+    stream: &Stream,
+    handler: &F,
+    wanted: fn(&str) -> bool,
+) -> Result<Next, http_types::Error>
 where
     F: Fn(Incoming) -> Fut,
     Fut: Future<Output = Answer>,
 {
     let (incoming, close) = match Box::pin(take(stream)).await {
         Ok(Some(taken)) => taken,
-        Ok(None) => return Ok(false),
+        Ok(None) => return Ok(Next::Close),
         Err(e) => {
             if e.downcast_ref::<std::io::Error>().is_none() {
                 let refusal = to_response(Answer::bare(400), true);
                 send(stream, refusal, Method::Get).await?;
             }
-            return Ok(false);
+            return Ok(Next::Close);
         }
     };
     let method = incoming.method;
+    let found = wanted(&incoming.path);
     let response = to_response(handler(incoming).await, close);
     send(stream, response, method).await?;
-    Ok(!close)
+    Ok(match (close, found) {
+        (true, _) => Next::Close,
+        (_, true) => Next::HandOver,
+        _ => Next::Wait,
+    })
 }
 
 /// Reads one request, and whether its connection is to be closed after the answer; `None` at
@@ -170,6 +187,26 @@
 ) where
     F: Fn(Incoming) -> Fut + Clone + 'static,
     Fut: Future<Output = Answer> + 'static,
+{
+    let lanes = Lanes {
+        users: ex.clone(),
+        workers: ex,
+        ..Lanes::default()
+    };
+    serve_in(lanes, |_| false, listener, max_connections, handler).await;
+}
+
+/// The same in two lanes: a connection goes to the workers' once a request on it was one of
+/// theirs, by its path.
+pub async fn serve_in<F, Fut>(
+    lanes: Lanes,
+    of_worker: fn(&str) -> bool,
+    listener: Async<TcpListener>,
+    max_connections: usize,
+    handler: F,
+) where
+    F: Fn(Incoming) -> Fut + Clone + 'static,
+    Fut: Future<Output = Answer> + 'static,
 {
     let open = Rc::new(Cell::new(0usize));
     loop {
@@ -188,23 +225,52 @@
         }
         let _ = stream.get_ref().set_nodelay(true);
         open.set(open.get() + 1);
-        let open = open.clone();
-        let handler = handler.clone();
-        ex.spawn(async move {
-            let stream: Stream = Arc::new(stream);
-            // A connection at rest, as nearly all are, holds a socket and a deadline only: what a
-            // request needs is set up when there is one. Half-open and slow peers end by these
-            // deadlines.
-            while let Some(Ok(())) = within(REST_MS, stream.readable()).await {
-                let turn = Box::pin(exchange(&stream, &handler));
-                if !matches!(within(REQUEST_MS, turn).await, Some(Ok(true))) {
-                    break;
+        let counted = Counted(open.clone());
+        let stream: Stream = Arc::new(stream);
+        let (handler, workers) = (handler.clone(), lanes.workers.clone());
+        lanes
+            .users
+            .spawn(async move {
+                if converse(&stream, &handler, of_worker).await {
+                    workers
+                        .spawn(async move {
+                            converse(&stream, &handler, |_| false).await;
+                            drop(counted);
+                        })
+                        .detach();
                 }
-            }
-            open.set(open.get() - 1);
-        })
-        .detach();
+            })
+            .detach();
+    }
+}
+
+/// A connection that counts against the limit until this is dropped.
+struct Counted(Rc<Cell<usize>>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Answers requests until the connection ends, or until one is `wanted`: then true.
+///
+/// A connection at rest, as nearly all are, holds a socket and a deadline only: what a request
+/// needs is set up when there is one. Half-open and slow peers end by these deadlines.
+async fn converse<F, Fut>(stream: &Stream, handler: &F, wanted: fn(&str) -> bool) -> bool
+where
+    F: Fn(Incoming) -> Fut,
+    Fut: Future<Output = Answer>,
+{
+    while let Some(Ok(())) = within(REST_MS, stream.readable()).await {
+        let turn = Box::pin(exchange(stream, handler, wanted));
+        match within(REQUEST_MS, turn).await {
+            Some(Ok(Next::Wait)) => {}
+            Some(Ok(Next::HandOver)) => return true,
+            _ => return false,
+        }
     }
+    false
 }
 
 /// A client of one address with kept-alive connections.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,6 +3,7 @@
 pub mod deadlines;
 pub mod frames;
 pub mod http;
+pub mod lanes;
 mod opened;
 
 use deadlines::Deadline;
