What is being given up is not started while its removal is on its way

Cause of the task started twice: a lease that was over had its placement removed by a transaction that took long, since the node was seconds late; meanwhile the machine reported in a new session, and the answer told it to start what the view still showed as placed. The record then gave the task to another machine. Changed: a draft's removals are marked as given up before it is sent, and such attempts get no start any more; an answer to an overtaken report counts for the lease that it renews. Excluded: late direct starts (bound to token and session), answers to older reports (no newer report without them), deletions (neither machine was deleted), two owners (each draft rests on its shard's record). Tests: both fail without their guard.

--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -88,6 +88,8 @@
     ///
     /// A report under an older token may be a late copy and proves no life.
     pub heard: Option<Ms>,
+    /// Last time a report of it was answered here.
+    pub answered: Option<Ms>,
     /// It has shown its owner's token since that took over, as the owner told.
     pub sure: bool,
     /// Newest message with a task list taken here, be it a report or an answer.
@@ -106,7 +108,7 @@
     pub start_sent: HashMap<Attempt, Stamp>,
     /// Direct starts that may be delivered late, or once more, with what they are bound to.
     pub late_starts: HashMap<Attempt, LateStart>,
-    /// Attempts that were seen here in a report.
+    /// Attempts that were seen here in a report, or are given up: they are not started again.
     pub shown: HashSet<Attempt>,
     /// Gang tasks whose wait ran out here before the others had come, and how often.
     pub alone: HashMap<Attempt, u8>,
@@ -155,6 +157,7 @@
             shard,
             known: now,
             heard: None,
+            answered: None,
             sure: false,
             stamp: (0, 0),
             reported: (0, 0),
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen};
 use crate::bookkeeping::job::Job;
-use crate::bookkeeping::names::Index;
+use crate::bookkeeping::names::{Index, MachineIx};
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::View;
 use crate::protocol::users::Shape;
@@ -45,6 +45,26 @@
     m.shown.contains(&a) || m.deaf.is_some()
 }
 
+/// Notes that the placements which a draft removes are given up: call it before the draft is
+/// sent.
+///
+/// What proves an attempt gone holds for as long as no start for it goes out. While the
+/// transaction is on its way, which may take seconds, the machine may report again, lacking the
+/// attempt: to start it then would have it there when the record says that it is not.
+pub fn give_up(view: &mut View, draft: &Draft) {
+    let mut gone: Vec<(MachineIx, Attempt)> = Vec::new();
+    for (ix, job) in &draft.jobs {
+        let before = view.jobs[ix.at()].placements.iter();
+        let removed = before.filter(|p| !job.placements.contains(p));
+        gone.extend(removed.map(|p| (p.machine, (*ix, p.task, p.attempt))));
+    }
+    for (mix, a) in gone {
+        if let Some(m) = view.machine_mut(mix) {
+            m.shown.insert(a);
+        }
+    }
+}
+
 /// How often a gang's task whose wait ran out is started again in its place.
 const WAITS: u8 = 3;
 
@@ -64,7 +84,10 @@
 /// younger owner would make the transaction fail that rests on this. Its tasks are dead and
 /// whatever was sent to its session runs no more. For a new owner time alone proves nothing.
 pub fn lease_over(m: &Machine, token: u64, dead_ms: u64, now: Ms) -> bool {
-    token > 0 && m.token == token && m.heard.is_some_and(|h| now.since(h) > dead_ms)
+    // A report that an answer to a direct command has overtaken shows nothing new, but its
+    // answer renews the lease all the same.
+    let renewed = m.heard.max(m.answered);
+    token > 0 && m.token == token && renewed.is_some_and(|h| now.since(h) > dead_ms)
 }
 
 /// True if a direct start may still take effect, late or once more.
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -52,7 +52,8 @@
         answering(-1);
     }
     let mut view = node.view.borrow_mut();
-    match reply(&mut view, &node.rules, &report, (mix, token, taken)) {
+    let now = node.now();
+    match reply(&mut view, &node.rules, &report, (mix, token, taken), now) {
         Some(answer) => Answer::of(200, &answer),
         None => elsewhere(None),
     }
@@ -103,11 +104,15 @@
     rules: &Rules,
     report: &Report,
     (mix, token, taken): (MachineIx, u64, Taken),
+    now: Ms,
 ) -> Option<ReportAnswer> {
     let m = view.machine(mix)?;
     if !rules.owns(view, m.shard) || view.shards[m.shard.at()].rec.token != token {
         return None;
     }
+    let m = view.machine_mut(mix)?;
+    m.answered = Some(now);
+    let m = &*m;
     // A late copy is not what its worker waits for: no order in this answer would arrive.
     let newest = taken != Taken::Old && m.stamp == (report.session, report.seq);
     let orders = if newest {
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -80,6 +80,7 @@
 
     /// Commits a draft and takes it over into the view.
     pub async fn commit_draft(&self, draft: &Draft) -> Outcome {
+        super::plan::give_up(&mut self.view.borrow_mut(), draft);
         let txn = transaction(&self.view.borrow(), draft);
         let outcome = self.commit(&txn).await;
         conclude(&mut self.view.borrow_mut(), draft, &outcome);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -885,3 +885,59 @@
     assert_eq!(c.job("job-2").placements.len(), 2);
     assert!(c.job("job-3").placements.is_empty());
 }
+
+// Seen on a day that a node was seconds late: while the removal of a placement was on its way,
+// the machine reported in a new session and was told to start what the record then gave away.
+#[test]
+fn what_is_being_given_up_is_not_started_while_the_transaction_is_on_its_way() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    c.submit(&mut store, job("job-1", 1), 100);
+    let r = w.report(500);
+    let lost = c.report(&mut store, &r, 500).unwrap();
+    assert_eq!(starts(&lost.orders), 1, "an answer that never arrives");
+    // Nobody answers the machine for longer than a lease: its tasks are proven dead.
+    let now = 500 + c.rules.dead_ms + 10;
+    let draft = c.draft(now);
+    let ix = c.job_ix("job-1");
+    assert!(draft.jobs[&ix].placements.is_empty());
+    plan::give_up(&mut c.view, &draft);
+    let on_its_way = transaction(&c.view, &draft);
+    let r = w.report(now + 20);
+    assert_eq!(r.session, 2);
+    let got = reports::receive(&mut c.view, &c.rules, &r, 10_000, Ms(now + 20));
+    let reports::Received::Taken(mix, token, taken) = got else {
+        panic!("not taken");
+    };
+    let taken = (mix, token, taken);
+    let answer = reports::reply(&mut c.view, &c.rules, &r, taken, Ms(now + 20)).unwrap();
+    assert_eq!(starts(&answer.orders), 0);
+    assert!(c.pushes(now + 20).is_empty());
+    let out = Controller::send(&mut store, &on_its_way, now + 50);
+    assert!(matches!(out, Outcome::Done(_)));
+    conclude(&mut c.view, &draft, &out);
+    play(&mut c, &mut store, &mut [&mut w], now + 500, now + 20_000);
+    assert_eq!(w.started, [("job-1/0".to_string(), 2)]);
+    assert_eq!(c.job("job-1").state, JobState::Done);
+}
+
+#[test]
+fn an_answer_to_an_overtaken_report_renews_the_lease_all_the_same() {
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    w.run_ms = 60_000;
+    c.submit(&mut store, job("job-1", 1), 0);
+    play(&mut c, &mut store, &mut [&mut w], 0, 1500);
+    let ix = c.job_ix("job-1");
+    let heard = c.view.machine(c.machine("m1")).unwrap().heard.unwrap();
+    // The report waits in a socket while an answer to a direct command is read.
+    let late = w.report(9000);
+    let newer = w.report(9100);
+    let mix = c.machine("m1");
+    reports::take(&mut c.view, mix, &newer, Ms(9100), None);
+    assert!(c.report(&mut store, &late, 9200).is_some());
+    let over = heard.plus(c.rules.dead_ms + 10).0;
+    assert!(!c.draft(over).jobs.contains_key(&ix), "answered since");
+    assert!(c.draft(9200 + c.rules.dead_ms + 10).jobs.contains_key(&ix));
+}
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -219,6 +219,7 @@
             if draft.is_empty() {
                 return;
             }
+            plan::give_up(&mut self.view, &draft);
             let out = Self::send(store, &transaction(&self.view, &draft), now);
             conclude(&mut self.view, &draft, &out);
             if !matches!(out, Outcome::Done(_)) && !self.sync(store) {
@@ -241,7 +242,7 @@
             return None;
         };
         self.plan(store, now);
-        reports::reply(&mut self.view, &self.rules, r, (mix, token, taken))
+        reports::reply(&mut self.view, &self.rules, r, (mix, token, taken), Ms(now))
     }
 
     /// One report of a worker, answered and executed at once; false for 421. A worker that
