--- a/tests/costs.rs
+++ b/tests/costs.rs
@@ -5,6 +5,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use pointhook::transport::deadlines::Table;
 use pointhook::transport::http::{listen, serve, Answer, Incoming};
+use pointhook::transport::lanes::Lanes;
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::cell::Cell;
@@ -149,3 +150,65 @@
     let beats: Vec<u64> = [7000, 7001, 7999].map(|t| Table::next_beat(t, 1000)).into();
     assert_eq!(beats, [8000, 8000, 8000]);
 }
+
+// A node that fell behind read the answer to its lease's renewal after hundreds of reports, lost
+// the lease, and its shards went from one late node to the next.
+#[test]
+fn an_answer_to_a_duty_is_read_amid_hundreds_of_requests() {
+    let _alone = alone();
+    let lanes = Lanes::default();
+    let door = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let addr = door.local_addr().unwrap();
+    async_io::block_on(lanes.run(async {
+        let ours = Async::<TcpStream>::connect(addr).await.unwrap();
+        let (mut theirs, _) = door.accept().unwrap();
+        let turns = Rc::new(Cell::new(0));
+        let (sent, when) = (async_channel::bounded::<()>(1), turns.clone());
+        let duty = lanes.duties.spawn(async move {
+            sent.1.recv().await.unwrap();
+            (&ours).read_exact(&mut [0; 2]).await.unwrap();
+            when.get()
+        });
+        for lane in [&lanes.users, &lanes.workers] {
+            for _ in 0..150 {
+                let turns = turns.clone();
+                let work = async move { turns.set(turns.get() + 1) };
+                lane.spawn(work).detach();
+            }
+        }
+        sent.0.send(()).await.unwrap();
+        std::io::Write::write_all(&mut theirs, b"ok").unwrap();
+        let before = duty.await;
+        assert!(before <= 32, "{before} turns of requests came first");
+        while turns.get() < 300 {
+            futures_lite::future::yield_now().await;
+        }
+    }));
+}
+
+#[test]
+fn a_request_whose_sender_has_gone_costs_its_handler_nothing() {
+    let _alone = alone();
+    let ex = Rc::new(LocalExecutor::new());
+    let door = listen(([127, 0, 0, 1], 0).into()).unwrap();
+    let addr = door.get_ref().local_addr().unwrap();
+    // Sent and closed before the node gets to it.
+    let mut gone = TcpStream::connect(addr).unwrap();
+    std::io::Write::write_all(&mut gone, b"GET /gone HTTP/1.1\r\nHost: here\r\n\r\n").unwrap();
+    drop(gone);
+    let handled = Rc::new(Cell::new(0));
+    let count = handled.clone();
+    let serving = serve(ex.clone(), door, 10, move |req: Incoming| {
+        count.set(count.get() + u32::from(req.path == "/gone"));
+        async { Answer::bare(200) }
+    });
+    ex.spawn(serving).detach();
+    async_io::block_on(ex.run(async {
+        for _ in 0..3 {
+            let c = Async::<TcpStream>::connect(addr).await.unwrap();
+            ask(&c, "/").await;
+            assert_eq!(status(&c).await, "200");
+        }
+    }));
+    assert_eq!(handled.get(), 0);
+}
