--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -114,13 +114,12 @@
                 let late = || {
                     let token = view.shards[shard.at()].rec.token;
                     view.all_machines().any(|(_, m)| {
+                        // Those of older tokens can't run any more, though a silent machine
+                        // keeps them: to count them would raise the token again and again.
                         let open = |l: &&LateStart| l.token >= token;
-                        m.shard == shard
-                            && (m.late_starts.len() > KEPT_EXITS
-                                || m.late_starts
-                                    .values()
-                                    .filter(open)
-                                    .any(|l| !l.answered && now.since(l.sent) > LATE_MS))
+                        let kept = || m.late_starts.values().filter(open);
+                        let unanswered = |l: &LateStart| !l.answered && now.since(l.sent) > LATE_MS;
+                        m.shard == shard && (kept().count() > KEPT_EXITS || kept().any(unanswered))
                     })
                 };
                 let held = || {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -941,3 +941,46 @@
     assert!(!c.draft(over).jobs.contains_key(&ix), "answered since");
     assert!(c.draft(9200 + c.rules.dead_ms + 10).jobs.contains_key(&ix));
 }
+
+// A silent machine keeps the direct starts of older tokens until it goes. Counted like open ones
+// they raised their shard's token every few seconds.
+#[test]
+fn only_direct_starts_that_may_still_run_raise_the_token() {
+    use pointhook::bookkeeping::fleet::LateStart;
+    let (mut store, mut c) = one();
+    let mut w = Worker::new("m1", "north", 0);
+    c.visit(&mut store, &mut w, 0);
+    c.submit(&mut store, job("job-1", 1), 10);
+    let (ix, mix) = (c.job_ix("job-1"), c.machine("m1"));
+    let shard = c.view.machine(mix).unwrap().shard;
+    let token = c.view.shards[shard.at()].rec.token;
+    let kept = |c: &mut Controller, token: u64| {
+        let late = LateStart {
+            token,
+            session: 1,
+            sent: Ms(10),
+            answered: true,
+        };
+        let m = c.view.machine_mut(mix).unwrap();
+        m.late_starts = (0..250).map(|i| ((ix, 0, i), late)).collect();
+    };
+    let raised = |c: &Controller| {
+        let known = pointhook::coordination::members::Known {
+            owned: c.owned_for_long(),
+            ..Default::default()
+        };
+        let moves = pointhook::coordination::members::moves(
+            &c.view,
+            &c.rules,
+            &c.zones,
+            &known,
+            true,
+            Ms(20_000),
+        );
+        moves.iter().any(|m| m.shard == shard)
+    };
+    kept(&mut c, token);
+    assert!(raised(&c), "too many exits are kept with the worker");
+    kept(&mut c, token - 1);
+    assert!(!raised(&c), "none of them can run any more");
+}
