--- a/tests/costs.rs
+++ b/tests/costs.rs
@@ -9,7 +9,7 @@
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::cell::Cell;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -30,6 +30,13 @@
 
 const CONNECTIONS: usize = 150;
 
+/// An executor, and a door on loopback with its address.
+fn open_door() -> (Rc<LocalExecutor<'static>>, Async<TcpListener>, SocketAddr) {
+    let door = listen(([127, 0, 0, 1], 0).into()).unwrap();
+    let addr = door.get_ref().local_addr().unwrap();
+    (Rc::new(LocalExecutor::new()), door, addr)
+}
+
 async fn ask(mut stream: &Async<TcpStream>, path: &str) {
     let head = format!("GET {path} HTTP/1.1\r\nHost: here\r\nContent-Length: 0\r\n\r\n");
     stream.write_all(head.as_bytes()).await.unwrap();
@@ -50,9 +57,7 @@
 #[test]
 fn connections_at_rest_and_requests_that_wait_hold_a_few_kilobytes() {
     let _alone = alone();
-    let ex = Rc::new(LocalExecutor::new());
-    let door = listen(([127, 0, 0, 1], 0).into()).unwrap();
-    let addr = door.get_ref().local_addr().unwrap();
+    let (ex, door, addr) = open_door();
     let entered = Rc::new(Cell::new(0));
     let (go, wait) = async_channel::bounded::<()>(1);
     let (count, gate) = (entered.clone(), wait.clone());
@@ -99,9 +104,7 @@
 #[test]
 fn what_is_not_http_gets_400_and_its_connection_is_closed() {
     let _alone = alone();
-    let ex = Rc::new(LocalExecutor::new());
-    let door = listen(([127, 0, 0, 1], 0).into()).unwrap();
-    let addr = door.get_ref().local_addr().unwrap();
+    let (ex, door, addr) = open_door();
     let serving = serve(ex.clone(), door, 10, |_| async { Answer::bare(200) });
     ex.spawn(serving).detach();
     async_io::block_on(ex.run(async {
@@ -157,7 +160,7 @@
 fn an_answer_to_a_duty_is_read_amid_hundreds_of_requests() {
     let _alone = alone();
     let lanes = Lanes::default();
-    let door = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let door = TcpListener::bind(("127.0.0.1", 0)).unwrap();
     let addr = door.local_addr().unwrap();
     async_io::block_on(lanes.run(async {
         let ours = Async::<TcpStream>::connect(addr).await.unwrap();
@@ -190,9 +193,7 @@
 #[test]
 fn a_request_whose_sender_has_gone_costs_its_handler_nothing() {
     let _alone = alone();
-    let ex = Rc::new(LocalExecutor::new());
-    let door = listen(([127, 0, 0, 1], 0).into()).unwrap();
-    let addr = door.get_ref().local_addr().unwrap();
+    let (ex, door, addr) = open_door();
     // Sent and closed before the node gets to it.
     let mut gone = TcpStream::connect(addr).unwrap();
     std::io::Write::write_all(&mut gone, b"GET /gone HTTP/1.1\r\nHost: here\r\n\r\n").unwrap();
