Tidy: counted connections, one send, one deadline and one question to workers serve all

One guard counts connections of peers, users and workers at the doors; head and body of requests and answers go out by one function; within and within_beat share their body; three questions for a worker's status and two pairs of spawn-and-count are one each; the rest amid a row of requests has its name and reason.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -443,6 +443,19 @@
         })
     }
 
+    /// Runs work that needs one connection to a worker; false if all places are taken.
+    pub fn spawn_direct(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) -> bool {
+        let Some(slot) = self.direct() else {
+            return false;
+        };
+        let counted = async move {
+            work.await;
+            drop(slot);
+        };
+        self.ex.spawn(counted).detach();
+        true
+    }
+
     /// Logs when a service outside goes and comes back.
     pub fn note_served(&self, who: Outside, served: bool) {
         let name = match who {
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
 use crate::protocol::workers::{Commands, Report};
-use crate::transport::http::Client;
+use crate::transport::http::{Client, Fetched};
 use http_types::Method;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -32,27 +32,17 @@
         };
         let targets = behind(&node.view.borrow(), &node.rules, &mut tried, now, own);
         for (mix, addr, token) in targets {
-            let Some(slot) = node.direct() else { break };
+            if !node.spawn_direct(raise_token(addr, token)) {
+                break;
+            }
             tried.insert(mix, now);
-            let poke = raise_token(addr, token);
-            node.ex
-                .spawn(async move {
-                    poke.await;
-                    drop(slot);
-                })
-                .detach();
         }
         listen_out(&node);
         let deaf = unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now);
         for (mix, addr) in deaf {
-            let Some(slot) = node.direct() else { break };
-            let probe = probe(node.clone(), mix, addr);
-            node.ex
-                .spawn(async move {
-                    probe.await;
-                    drop(slot);
-                })
-                .detach();
+            if !node.spawn_direct(probe(node.clone(), mix, addr)) {
+                break;
+            }
         }
     }
 }
@@ -71,21 +61,16 @@
         let some = fastrand::choose_multiple(up, LISTEN_TO);
         some.into_iter().map(|(_, m)| m.addr.clone()).collect()
     };
-    for addr in addrs.into_iter().filter_map(|a| a.parse().ok()) {
-        let Some(slot) = node.direct() else { return };
-        let node = node.clone();
-        let ex = node.ex.clone();
-        ex.spawn(async move {
-            let client = Client::new(addr);
-            let answer = client
-                .call(Method::Get, "/status", Vec::new(), PROBE_MS)
-                .await;
-            if answer.is_ok() {
-                node.heard_worker();
+    for addr in addrs {
+        let asker = node.clone();
+        let ask = async move {
+            if status(&addr).await.is_some() {
+                asker.heard_worker();
             }
-            drop(slot);
-        })
-        .detach();
+        };
+        if !node.spawn_direct(ask) {
+            return;
+        }
     }
 }
 
@@ -152,13 +137,16 @@
     out
 }
 
+/// Asks a worker for its status; its answer, whatever it is, and the client that got it.
+async fn status(addr: &str) -> Option<(Fetched, Client)> {
+    let client = Client::new(addr.parse().ok()?);
+    let answer = client.call(Method::Get, "/status", Vec::new(), PROBE_MS);
+    let answer = answer.await.ok()?;
+    Some((answer, client))
+}
+
 async fn probe(node: Rc<Node>, mix: MachineIx, addr: String) {
-    let Ok(addr) = addr.parse() else { return };
-    let client = Client::new(addr);
-    let answer = client
-        .call(Method::Get, "/status", Vec::new(), PROBE_MS)
-        .await;
-    if !answer.is_ok_and(|f| f.status == 200) {
+    if status(&addr).await.is_none_or(|(f, _)| f.status != 200) {
         return;
     }
     if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
@@ -170,12 +158,7 @@
 /// Raises the token a worker has seen. What it answers is no evidence: an answer to an
 /// earlier report may still be on its way.
 async fn raise_token(addr: String, token: u64) {
-    let Ok(addr) = addr.parse() else { return };
-    let client = Client::new(addr);
-    let Ok(f) = client
-        .call(Method::Get, "/status", Vec::new(), PROBE_MS)
-        .await
-    else {
+    let Some((f, client)) = status(&addr).await else {
         return;
     };
     let Ok(r) = rmp_serde::from_slice::<Report>(&f.body) else {
--- a/src/transport/frames.rs
+++ b/src/transport/frames.rs
@@ -1,6 +1,6 @@
 //! Length-prefixed frames between controllers.
 
-use super::{within, TransportError};
+use super::{within, Counted, TransportError};
 use crate::protocol::peers::{self, Ask, Reply, MAX_FRAME, VERSION};
 use crate::settings::PEER_CONNECTIONS;
 use async_executor::LocalExecutor;
@@ -47,12 +47,11 @@
             super::pause(100).await;
             continue;
         };
-        if open.get() >= PEER_CONNECTIONS {
+        let Some(counted) = Counted::new(&open, PEER_CONNECTIONS) else {
             continue;
-        }
+        };
         let _ = stream.get_ref().set_nodelay(true);
-        open.set(open.get() + 1);
-        let (open, handler) = (open.clone(), handler.clone());
+        let handler = handler.clone();
         ex.spawn(async move {
             let mut s = &stream;
             while let Some(Ok(body)) = within(IDLE_MS, read(&mut s)).await {
@@ -67,7 +66,7 @@
                     break;
                 }
             }
-            open.set(open.get() - 1);
+            drop(counted);
         })
         .detach();
     }
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -2,11 +2,12 @@
 
 use super::lanes::Lanes;
 use super::opened::Opened;
-use super::{within, TransportError};
+use super::{within, Counted, TransportError};
 use async_dup::Arc;
 use async_executor::LocalExecutor;
+use async_h1::server::Encoder;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use http_types::{Body, Method, Request, Response, StatusCode, Url};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -130,7 +131,7 @@
         Err(e) => {
             if e.downcast_ref::<std::io::Error>().is_none() {
                 let refusal = to_response(Answer::bare(400), true);
-                send(stream, refusal, Method::Get).await?;
+                send(stream, Encoder::new(refusal, Method::Get)).await?;
             }
             return Ok(Next::Close);
         }
@@ -138,7 +139,7 @@
     let method = incoming.method;
     let found = wanted(&incoming.path);
     let response = to_response(handler(incoming).await, close);
-    send(stream, response, method).await?;
+    send(stream, Encoder::new(response, method)).await?;
     Ok(match (close, found) {
         (true, _) => Next::Close,
         (_, true) => Next::HandOver,
@@ -170,11 +171,10 @@
     Ok(Some((incoming, close)))
 }
 
-/// Sends head and body of an answer as one.
-async fn send(stream: &Stream, response: Response, method: Method) -> std::io::Result<()> {
+/// Sends head and body of a message as one.
+async fn send(stream: &Stream, mut message: impl AsyncRead + Unpin) -> std::io::Result<()> {
     let mut bytes = Vec::with_capacity(512);
-    let mut encoder = async_h1::server::Encoder::new(response, method);
-    encoder.read_to_end(&mut bytes).await?;
+    message.read_to_end(&mut bytes).await?;
     (&**stream).write_all(&bytes).await
 }
 
@@ -219,13 +219,10 @@
                 continue;
             }
         };
-        if open.get() >= max_connections {
-            drop(stream);
+        let Some(counted) = Counted::new(&open, max_connections) else {
             continue;
-        }
+        };
         let _ = stream.get_ref().set_nodelay(true);
-        open.set(open.get() + 1);
-        let counted = Counted(open.clone());
         let stream: Stream = Arc::new(stream);
         let (handler, workers) = (handler.clone(), lanes.workers.clone());
         lanes
@@ -244,15 +241,6 @@
     }
 }
 
-/// A connection that counts against the limit until this is dropped.
-struct Counted(Rc<Cell<usize>>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Answers requests until the connection ends, or until one is `wanted`: then true.
 ///
 /// A connection at rest, as nearly all are, holds a socket and a deadline only: what a request
@@ -341,12 +329,10 @@
             b.set_mime("application/msgpack");
             req.set_body(b);
         }
-        // Head and body go out as one, and the answer is waited for before it is read.
-        let mut bytes = Vec::with_capacity(512);
-        let mut encoder = async_h1::client::Encoder::new(req);
         let lost = |e: std::io::Error| TransportError::Broken(e.to_string());
-        encoder.read_to_end(&mut bytes).await.map_err(lost)?;
-        (&*stream).write_all(&bytes).await.map_err(lost)?;
+        let message = async_h1::client::Encoder::new(req);
+        send(&stream, message).await.map_err(lost)?;
+        // The answer is waited for before it is read: a try at once would find nothing.
         stream.readable().await.map_err(lost)?;
         let mut res = async_h1::client::decode(stream.clone())
             .await
--- a/src/transport/lanes.rs
+++ b/src/transport/lanes.rs
@@ -21,6 +21,11 @@
 
 /// Turns of users' and workers' routines, each, before duties and sockets are looked at again.
 const SHARE: usize = 4;
+/// Looks in a row that found requests, after which the process rests.
+const ROW: usize = 4;
+/// Length of that rest, ms: a core of which the process has a small share charges what came
+/// before in small parts, so that no duty is late by all of a burst.
+const REST_MS: u64 = 1;
 
 impl Lanes {
     /// Runs all routines until `end` is done.
@@ -38,9 +43,9 @@
                 any |= self.workers.try_tick();
             }
             busy = if any { busy + 1 } else { 0 };
-            if busy >= 4 {
+            if busy >= ROW {
                 busy = 0;
-                super::pause(1).await;
+                super::pause(REST_MS).await;
             } else if any {
                 // The sockets are looked at now, so that an answer to a duty is not late.
                 yield_now().await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,7 +8,9 @@
 
 use deadlines::Deadline;
 use futures_lite::FutureExt;
+use std::cell::Cell;
 use std::future::Future;
+use std::rc::Rc;
 
 /// Why an exchange failed.
 #[derive(Debug, thiserror::Error)]
@@ -26,24 +28,42 @@
 
 /// Runs `work` for `ms` milliseconds at most.
 pub async fn within<T>(ms: u64, work: impl Future<Output = T>) -> Option<T> {
-    async { Some(work.await) }
-        .or(async {
-            Deadline::after(ms).await;
-            None
-        })
-        .await
+    until(Deadline::after(ms), work).await
 }
 
 /// Runs `work` until the next beat of `ms` milliseconds at most.
 pub async fn within_beat<T>(ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    until(Deadline::beat(ms), work).await
+}
+
+async fn until<T>(end: Deadline, work: impl Future<Output = T>) -> Option<T> {
     async { Some(work.await) }
         .or(async {
-            Deadline::beat(ms).await;
+            end.await;
             None
         })
         .await
 }
 
+/// One of those that count against a limit, until it is dropped.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Counts one more; `None` if `most` are there already.
+    fn new(open: &Rc<Cell<usize>>, most: usize) -> Option<Counted> {
+        (open.get() < most).then(|| {
+            open.set(open.get() + 1);
+            Counted(open.clone())
+        })
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// Waits.
 pub async fn pause(ms: u64) {
     Deadline::after(ms).await;
