--- /dev/null
+++ b/src/bookkeeping/knowledge.rs
@@ -0,0 +1,86 @@
+//! Up to which moment this node knows all confirmed cancellations. Pure, no I/O.
+
+use super::units::Ms;
+
+/// What another controller last told of the cancellations it knows.
+#[derive(Clone, Copy, Debug)]
+struct Vouched {
+    /// When it was asked; what it knew then, it told.
+    asked: Ms,
+    /// The latest at which its process can have begun: it vouches for nothing before.
+    born: Ms,
+}
+
+/// Up to which moment the knowledge of confirmed cancellations is complete: every cancellation
+/// that any node confirmed to a user before it is known here.
+///
+/// A confirmation follows a write to the state service, so a read shows all of those before it
+/// began, be it this node's or that of another node which passes on what it knows. And a
+/// confirmation is made by some node, which knows it from then on; so when every node has told
+/// what it knows, nothing from before is missing, unless one of them has restarted since the
+/// moment up to which knowledge was complete: what its predecessor confirmed last, it can't tell.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// Start of this process: what its predecessor confirmed it knows no better than others do.
+    born: Ms,
+    upto: Option<Ms>,
+    peers: Vec<Option<Vouched>>,
+}
+
+impl Knowledge {
+    /// Of a node with this many peers, whose process began then.
+    pub fn new(peers: usize, born: Ms) -> Knowledge {
+        Knowledge {
+            born,
+            upto: None,
+            peers: vec![None; peers],
+        }
+    }
+
+    /// A read of the records that began then has brought all changes.
+    pub fn read(&mut self, began: Ms) {
+        self.upto = self.upto.max(Some(began));
+        self.follow();
+    }
+
+    /// A peer that was asked at `asked` has told all unsettled cancellations it knows; its own
+    /// knowledge was complete `age_ms` before, and its process has run for `up_ms`.
+    pub fn told(&mut self, peer: usize, asked: Ms, now: Ms, up_ms: u64, age_ms: Option<u64>) {
+        if let Some(slot) = self.peers.get_mut(peer) {
+            // Answers may cross; the later question counts.
+            if slot.is_none_or(|v| v.asked <= asked) {
+                // Whole milliseconds, and clocks that drift: never too early.
+                let born = Ms(now.0.saturating_sub(up_ms - up_ms / 1000)).plus(2);
+                *slot = Some(Vouched { asked, born });
+            }
+        }
+        if let Some(age) = age_ms {
+            let age = age.saturating_add(age / 1000 + 1);
+            let complete = asked.0.checked_sub(age).map(Ms);
+            self.upto = self.upto.max(complete.filter(|t| *t >= self.born));
+        }
+        self.follow();
+    }
+
+    /// Moves on to where all peers have told what they know.
+    fn follow(&mut self) {
+        let Some(upto) = self.upto else { return };
+        let vouches = |v: &Option<Vouched>| v.filter(|v| v.born <= upto).map(|v| v.asked);
+        let all: Option<Vec<Ms>> = self.peers.iter().map(vouches).collect();
+        self.upto = self.upto.max(all.and_then(|a| a.into_iter().min()));
+    }
+
+    /// Up to when knowledge is complete; `None` before the records were read. A node without
+    /// peers confirms all that is confirmed, and so always knows it.
+    pub fn upto(&self, now: Ms) -> Option<Ms> {
+        match (self.upto, self.peers.is_empty()) {
+            (_, true) => Some(now),
+            (upto, false) => upto,
+        }
+    }
+
+    /// How old the knowledge is.
+    pub fn age_ms(&self, now: Ms) -> Option<u64> {
+        self.upto(now).map(|t| now.since(t))
+    }
+}
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod job;
+pub mod knowledge;
 pub mod names;
 pub mod records;
 pub mod tally;
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::{Attempt, Machine, Rig, Seen};
 use super::job::{Job, JobRecord, JobState, Placement, Spec};
+use super::knowledge::Knowledge;
 use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
 pub use super::records::{
     BookingRecord, NodeRecord, ShardRecord, TeamLimits, TeamRecord, Versioned, ROOT,
@@ -16,6 +17,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
+/// Cancellations kept in mind that no record here shows yet.
+const MOST_TOLD: usize = 10_000;
 /// Arrivals remembered for the rate of each class.
 const MAX_ARRIVALS: usize = 1024;
 
@@ -60,6 +63,12 @@
     pub bookings: BTreeMap<String, Versioned<BookingRecord>>,
     /// Jobs whose last transaction has an unknown outcome.
     pub suspects: HashSet<JobIx>,
+    /// Teams whose last transaction has an unknown outcome.
+    pub suspect_teams: HashSet<TeamIx>,
+    /// Up to when all confirmed cancellations are known here.
+    pub knowledge: Knowledge,
+    /// Jobs that others told are cancelled, until a record says so.
+    told: HashSet<Rc<str>>,
     /// Per job: machines on which it failed, and the earliest next try.
     pub failures: HashMap<JobIx, (HashSet<MachineIx>, Ms)>,
     /// Jobs that came lately: time of day, ms, and description.
@@ -401,10 +410,19 @@
                 }
             }
         }
+        let id = self.job_names.name(ix).clone();
+        // Cancelled is final: an older record, by whatever way it comes, takes nothing back.
+        let state = match rec.state {
+            JobState::Open if self.told.contains(&id) => JobState::Cancelled,
+            state => {
+                self.told.remove(&id);
+                state
+            }
+        };
         let job = Job {
-            id: self.job_names.name(ix).clone(),
+            id,
             version,
-            state: rec.state,
+            state,
             submitted: rec.submitted,
             spec,
             done: rec.done.clone(),
@@ -414,6 +432,45 @@
         self.store_job(ix, job);
     }
 
+    /// Takes the news that a job's cancellation was confirmed to its user; true if it is new.
+    ///
+    /// It holds whatever the record known here says, which may not be readable for minutes. What
+    /// rests on that record fails all the same, since the newest one has another version.
+    pub fn learn_cancelled(&mut self, id: &str) -> bool {
+        let known = self.job(id).map(|(ix, job)| (ix, job.clone()));
+        if known.as_ref().is_some_and(|(_, job)| !job.open())
+            || self.told.len() >= MOST_TOLD
+            || !self.told.insert(id.into())
+        {
+            return false;
+        }
+        if let Some((ix, job)) = known {
+            let doubtful = self.suspects.contains(&ix);
+            let state = JobState::Cancelled;
+            self.store_job(ix, Job { state, ..job });
+            // What it may have been given by a late transaction is not known any better now.
+            if doubtful {
+                self.suspects.insert(ix);
+            }
+        }
+        true
+    }
+
+    /// Cancelled jobs of which tasks may be left, by what is known here.
+    pub fn cancelled(&self) -> impl Iterator<Item = (JobIx, &Job)> {
+        let cancelled = |(_, j): &(JobIx, &Job)| j.state == JobState::Cancelled;
+        self.active_jobs().filter(cancelled)
+    }
+
+    /// Names of cancelled jobs of which tasks may be left. Of one whose cancelled record was not
+    /// read here nothing is known of its tasks, so all those are among them.
+    pub fn cancelled_names(&self) -> Vec<String> {
+        let read = self.cancelled().map(|(_, j)| &j.id);
+        let read = read.filter(|id| !self.told.contains(*id));
+        let all = read.chain(&self.told);
+        all.map(|id| id.to_string()).collect()
+    }
+
     fn store_job(&mut self, ix: JobIx, job: Job) {
         if job.settled() {
             self.active.remove(&ix.0);
@@ -440,6 +497,15 @@
         }
     }
 
+    /// Puts a team's shares of this version into the view. Older versions change nothing.
+    pub fn put_team(&mut self, team: TeamIx, version: u64, rec: TeamRecord) {
+        let slot = &mut self.teams[team.at()];
+        if slot.version < version {
+            *slot = Versioned { version, rec };
+            self.suspect_teams.remove(&team);
+        }
+    }
+
     /// Takes one put key.
     pub fn put(&mut self, key: &str, version: u64, v: &Value) {
         let Some((kind, name)) = key.strip_prefix(ROOT).and_then(|k| k.split_once('/')) else {
@@ -475,7 +541,7 @@
             }),
             "team" => read::<TeamRecord>(v).map(|rec| {
                 if let Some(t) = self.team_names.find(name) {
-                    newer(&mut self.teams[t.at()], version, rec);
+                    self.put_team(t, version, rec);
                 }
             }),
             "book" => read::<BookingRecord>(v).map(|rec| {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,9 @@
 //! The command line.
 
 use crate::coordination::node::Node;
-use crate::coordination::{intake, members, planner, reach, renting, siblings, store};
+use crate::coordination::{
+    cancellations, intake, members, planner, reach, renting, siblings, store,
+};
 use crate::protocol::users::{parse_job, JobSpec, JobStatus};
 use crate::settings::{Operator, Platform, SettingsError};
 use crate::transport::lanes::Lanes;
@@ -92,7 +94,12 @@
     let cli = Cli::parse();
     let result = match cli.command {
         None => load(&cli.serve).and_then(|(p, o)| serve(p, o)),
-        Some(Command::Check(files)) => load(&files).map(|_| println!("settings are good")),
+        Some(Command::Check(files)) => load(&files).map(|(p, _)| {
+            if let Some(w) = p.settings.workers.warning() {
+                println!("warning: {w}");
+            }
+            println!("settings are good");
+        }),
         Some(Command::Job { action }) => job(action),
     };
     match result {
@@ -134,12 +141,16 @@
             platform.domain,
             platform.bind
         );
+        if let Some(w) = platform.settings.workers.warning() {
+            log::warn!("{w}");
+        }
         let node = Rc::new(Node::new(platform, operator, ex.clone()));
         node.duty("watch", store::watch);
         node.duty("fresh reads", store::fresh_reads);
         node.duty("members", members::run);
         node.duty("poke", reach::poke);
         node.duty("planner", planner::run);
+        node.duty("cancellations", cancellations::run);
         node.duty("news", siblings::news);
         node.duty("renting", renting::run);
         let n = node.clone();
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -1,8 +1,8 @@
 //! The users' door.
 
 use super::node::{wall_ms, Node};
-use super::planner;
 use super::store::{set, Outcome};
+use super::{cancellations, planner};
 use crate::bookkeeping::job::{Job, JobRecord, JobState, Ranges};
 use crate::bookkeeping::view::View;
 use crate::protocol::state::{Condition, Transaction};
@@ -217,6 +217,7 @@
         match node.commit_draft(&draft).await {
             Outcome::Done(_) => {
                 log::info!("job {id} cancelled by its user");
+                cancellations::tell(node);
                 node.plan.ring();
             }
             Outcome::Conflict(_) | Outcome::Unknown => {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Membership, queues and pull, gangs, renting, cancellation.
 
+pub mod cancellations;
 pub mod intake;
 pub mod members;
 pub mod meter;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -3,6 +3,7 @@
 use super::meter::Meter;
 use super::plan::Rules;
 use crate::bookkeeping::fleet::Machine;
+use crate::bookkeeping::knowledge::Knowledge;
 use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
@@ -24,6 +25,10 @@
     pub name: String,
     /// Connection.
     pub client: PeerClient,
+    /// Connection for cancellations, which wait for no other frames.
+    pub teller: PeerClient,
+    /// Where telling it of cancellations stands.
+    pub telling: Cell<Telling>,
     /// Last time it sent news.
     pub heard: Cell<Option<Ms>>,
     /// It reaches the state service, by its last news.
@@ -34,6 +39,18 @@
     pub hears_workers: Cell<bool>,
 }
 
+/// Whether a peer is being told of cancellations.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+pub enum Telling {
+    /// It is not.
+    #[default]
+    Idle,
+    /// It is.
+    Busy,
+    /// It is, and there is more to tell since that began.
+    More,
+}
+
 /// What a node knows of another's state.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerSeen {
@@ -267,6 +284,8 @@
             headroom_ordinary: operator.headroom_ordinary,
             // Clocks differ by up to 0.05%; the rest is for delivery and for timers that fire late.
             dead_ms: ms_of(s.workers.lease_s * 1.002) + 2000,
+            renew_ms: s.workers.renew_ms(),
+            cancel_ms: ms_of(s.workers.cancel_s),
             finish_within: finish_times(&s.objectives),
             txn_ops: s.state.txn_ops,
             value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
@@ -277,14 +296,18 @@
             .map(|p| Peer {
                 name: p.node.clone(),
                 client: PeerClient::new(p.addr),
+                teller: PeerClient::new(p.addr),
+                telling: Cell::default(),
                 heard: Cell::new(None),
                 store_ok: Cell::new(false),
                 refuses: Cell::new(false),
                 hears_workers: Cell::new(true),
             })
             .collect();
+        let mut view = View::new(&s.zones, &s.teams, operator.shards_per_zone);
+        view.knowledge = Knowledge::new(platform.siblings.len(), Ms(0));
         Node {
-            view: RefCell::new(View::new(&s.zones, &s.teams, operator.shards_per_zone)),
+            view: RefCell::new(view),
             store: Client::new(platform.outside.state),
             watcher: Client::new(platform.outside.state),
             cloud: Client::new(platform.outside.cloud),
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -124,6 +124,13 @@
 /// Takes what reports and deletions prove into the draft.
 pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
     let own = rules.owned(view);
+    for team in &view.suspect_teams {
+        // The same for shares: writing them once more shuts the late transaction out.
+        if draft.has_room(rules, 1) {
+            let rec = view.teams[team.at()].rec.clone();
+            draft.teams.insert(*team, rec);
+        }
+    }
     for (ix, job) in view.active_jobs() {
         if view.suspects.contains(&ix) {
             // A write with an unknown outcome may still be applied: writing the
@@ -146,6 +153,9 @@
             let token = view.shards[m.shard.at()].rec.token;
             let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
             let exit = exit.filter(|_| !waits_again(job, m, a));
+            // An attempt whose wait ran out is the only one that starts again under its number:
+            // a copy of an old report may show that end to a new owner.
+            let exit = exit.filter(|s| s.why != Some(Why::Alone) || m.token == token);
             let absent = proven_absent(m, token, a) && (unwanted(job, m, a) || given_up(m, a));
             let lost = exit.is_none() && (absent || lease_over(m, token, rules.dead_ms, now));
             if exit.is_none() && !lost || draft.defer && deferred(view, job, ix, m, a) {
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::bookkeeping::job::{Job, Placement};
 use crate::bookkeeping::names::{Index, JobIx, ShardIx, TeamIx};
+use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{TeamRecord, View};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -50,6 +51,11 @@
     pub headroom_ordinary: f64,
     /// Silence after which a worker that only this owner answered has killed its tasks, ms.
     pub dead_ms: u64,
+    /// Age of the knowledge of cancellations from which on no lease of a machine with tasks is
+    /// renewed, ms.
+    pub renew_ms: u64,
+    /// Time in which a cancelled job's tasks have to be gone, ms.
+    pub cancel_ms: u64,
     /// Times in which jobs of a class are expected to finish, ms, the shortest first.
     pub finish_within: HashMap<String, Vec<u64>>,
     /// Changes in a transaction.
@@ -58,6 +64,9 @@
     pub value_bytes: usize,
 }
 
+/// Age of the knowledge of cancellations up to which tasks are started: above the wait of a watch.
+const START_MS: u64 = 6500;
+
 /// Most bytes of records in a transaction.
 const TXN_BYTES: usize = 48 * 1024;
 
@@ -70,6 +79,21 @@
         let r = &view.shards[shard.at()].rec;
         r.owner == self.node && r.incarnation == self.incarnation
     }
+    /// True if an owner may renew the leases of machines with tasks: a task whose cancellation it
+    /// has not heard of by then would outlive the time for cancellations.
+    ///
+    /// An owner that reaches neither the state service nor its peers may have missed some. Its
+    /// answer gives a worker one more lease, so it gives the last one while enough time is left.
+    pub fn may_renew(&self, view: &View, now: Ms) -> bool {
+        let age = view.knowledge.age_ms(now);
+        age.is_some_and(|age| age <= self.renew_ms)
+    }
+    /// True if tasks may be started: their jobs' records, read a moment ago, may be out of date,
+    /// but not by more than it takes to hear of a cancellation.
+    pub fn may_start(&self, view: &View, now: Ms) -> bool {
+        let age = view.knowledge.age_ms(now);
+        age.is_some_and(|age| age <= START_MS.min(self.renew_ms))
+    }
     /// The same for all shards, by index: for loops over machines and placements.
     pub fn owned(&self, view: &View) -> Vec<bool> {
         let shards = (0..view.shards.len()).map(ShardIx::new);
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -9,7 +9,7 @@
 use crate::protocol::workers::{Order, TaskState, Why};
 
 /// Orders for a machine in answer to its newest report. Notes the starts it sends.
-pub fn orders(view: &mut View, rules: &Rules, mix: MachineIx) -> Vec<Order> {
+pub fn orders(view: &mut View, rules: &Rules, mix: MachineIx, now: Ms) -> Vec<Order> {
     let Some(m) = view.machine(mix) else {
         return Vec::new();
     };
@@ -17,6 +17,7 @@
         return Vec::new();
     }
     let token = view.shards[m.shard.at()].rec.token;
+    let starts = rules.may_start(view, now);
     let mut out = Vec::new();
     let mut again = Vec::new();
     for s in &m.tasks {
@@ -41,7 +42,7 @@
             (TaskState::Exited, true) => {
                 let Some((ix, job)) = known else { continue };
                 let a = (ix, s.task, attempt);
-                if waits_again(job, m, a) && !unanswered_start(m, token, a) {
+                if starts && waits_again(job, m, a) && !unanswered_start(m, token, a) {
                     out.push(Order::Forget { piece, attempt });
                     out.push(start(view, a));
                     again.push(a);
@@ -74,7 +75,10 @@
         }
     }
     let reported = m.reported;
-    let missing = missing_starts(view, mix, m);
+    let missing = match starts {
+        true => missing_starts(view, mix, m),
+        false => Vec::new(),
+    };
     out.extend(missing.iter().map(|a| start(view, *a)));
     for a in missing.into_iter().chain(again) {
         if let Some(m) = view.machine_mut(mix) {
@@ -128,6 +132,9 @@
     mut place: impl FnMut() -> bool,
 ) -> Vec<Push> {
     let mut out = Vec::new();
+    if !rules.may_start(view, now) {
+        return out;
+    }
     let own = rules.owned(view);
     for i in 0..view.machines.len() {
         let mix = MachineIx::new(i);
@@ -175,6 +182,33 @@
     out
 }
 
+/// How direct starts went.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Pushed {
+    /// They were executed.
+    Executed,
+    /// They never left, or the worker refused them.
+    Refused,
+    /// There was no answer: they may run at any time until the token has risen.
+    Unknown,
+}
+
+/// Notes how direct starts went.
+pub fn note_pushed(view: &mut View, p: &Push, how: Pushed) {
+    let Some(m) = view.machine_mut(p.machine) else {
+        return;
+    };
+    for a in &p.attempts {
+        match (how, m.late_starts.get_mut(a)) {
+            (Pushed::Unknown, _) | (_, None) => {}
+            (Pushed::Executed, Some(l)) => l.answered = true,
+            (Pushed::Refused, Some(_)) => {
+                m.late_starts.remove(a);
+            }
+        }
+    }
+}
+
 /// Attempts that should leave a machine that goes, with the time to save.
 pub fn on_notice(view: &View, mix: MachineIx) -> Vec<(Attempt, f64)> {
     let Some(m) = view.machine(mix).filter(|m| m.leaves.is_some()) else {
--- a/src/coordination/plan/shares.rs
+++ b/src/coordination/plan/shares.rs
@@ -81,13 +81,15 @@
     if limits.unlimited() {
         return true;
     }
-    // A claim of unknown outcome may still take what looks free.
-    let doubtful = view.suspects.iter().any(|j| {
-        view.jobs[j.at()]
-            .spec
-            .as_ref()
-            .is_some_and(|s| s.team == team)
-    });
+    // A claim of unknown outcome may still take what looks free, and a share that is lowered by
+    // one may be less than it looks: what fits into a share is claimed without its record.
+    let doubtful = view.suspect_teams.contains(&team)
+        || view.suspects.iter().any(|j| {
+            view.jobs[j.at()]
+                .spec
+                .as_ref()
+                .is_some_and(|s| s.team == team)
+        });
     if doubtful {
         return false;
     }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -1,7 +1,7 @@
 //! The planning duty: passes, their commits, and the pull between controllers.
 
 use super::node::{wall_ms, Direct, Node};
-use super::plan::{self, Draft, Push};
+use super::plan::{self, Draft, Push, Pushed};
 use super::store::Outcome;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::Placement;
@@ -205,7 +205,7 @@
     let commands = Commands {
         token: p.token,
         session: p.session,
-        orders: p.orders,
+        orders: p.orders.clone(),
     };
     let Ok(body) = rmp_serde::to_vec_named(&commands) else {
         return;
@@ -216,30 +216,24 @@
         .await;
     let unsent = matches!(sent, Err(TransportError::Connect(_)));
     let answer = sent.ok().filter(|f| matches!(f.status, 200 | 409));
-    if !unsent && answer.is_none() {
+    let how = match &answer {
+        Some(f) if f.status == 200 => Pushed::Executed,
+        Some(_) => Pushed::Refused,
+        None if unsent => Pushed::Refused,
+        None => Pushed::Unknown,
+    };
+    if how == Pushed::Unknown {
         // It may run minutes later: the token of this shard has to be raised.
         log::info!("no answer to direct starts at {}", p.addr);
-        return;
     }
     if answer.is_some() {
         node.heard_worker();
     }
-    let executed = answer.as_ref().is_some_and(|f| f.status == 200);
     let mut view = node.view.borrow_mut();
-    let view = &mut *view;
-    if let Some(m) = view.machine_mut(p.machine) {
-        for a in &p.attempts {
-            match m.late_starts.get_mut(a) {
-                Some(l) if executed => l.answered = true,
-                _ => {
-                    m.late_starts.remove(a);
-                }
-            }
-        }
-    }
+    plan::note_pushed(&mut view, &p, how);
     let report = answer.and_then(|f| rmp_serde::from_slice::<Report>(&f.body).ok());
     if let Some(r) = report {
-        super::reports::take(view, p.machine, &r, node.now(), None);
+        super::reports::take(&mut view, p.machine, &r, node.now(), None);
     }
 }
 
--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -138,7 +138,7 @@
 }
 
 /// Asks a worker for its status; its answer, whatever it is, and the client that got it.
-async fn status(addr: &str) -> Option<(Fetched, Client)> {
+pub(super) async fn status(addr: &str) -> Option<(Fetched, Client)> {
     let client = Client::new(addr.parse().ok()?);
     let answer = client.call(Method::Get, "/status", Vec::new(), PROBE_MS);
     let answer = answer.await.ok()?;
@@ -172,7 +172,12 @@
         session: r.session,
         orders: Vec::new(),
     };
-    if let Ok(body) = rmp_serde::to_vec_named(&commands) {
+    command(&client, &commands).await;
+}
+
+/// Sends direct commands; what is answered proves nothing and is dropped.
+pub(super) async fn command(client: &Client, commands: &Commands) {
+    if let Ok(body) = rmp_serde::to_vec_named(commands) {
         let _ = client.call(Method::Post, "/commands", body, PROBE_MS).await;
     }
 }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -59,6 +59,13 @@
     }
 }
 
+/// True if this answer would renew the lease of a machine with tasks although some of them may
+/// have been cancelled too long ago, see [`Rules::may_renew`]. One without tasks loses nothing.
+fn outdated(view: &View, rules: &Rules, report: &Report, mix: MachineIx, now: Ms) -> bool {
+    let runs = report.tasks.iter().any(|t| t.state != TaskState::Exited);
+    (runs || !view.placed_on(mix).is_empty()) && !rules.may_renew(view, now)
+}
+
 /// What becomes of a report.
 #[derive(Debug)]
 pub enum Received {
@@ -98,7 +105,8 @@
     Received::Taken(mix, token, taken)
 }
 
-/// The answer to a taken report; `None` if ownership went while the planner was waited for.
+/// The answer to a taken report; `None` if ownership went while the planner was waited for, or
+/// if too little is known of cancellations to renew the lease.
 pub fn reply(
     view: &mut View,
     rules: &Rules,
@@ -110,13 +118,20 @@
     if !rules.owns(view, m.shard) || view.shards[m.shard.at()].rec.token != token {
         return None;
     }
+    let outdated = outdated(view, rules, report, mix, now);
     let m = view.machine_mut(mix)?;
+    if outdated {
+        // The session will end for that, and not because nothing reaches the machine.
+        m.answered_since = Some(now);
+        log::info!("{}: no answer, cancellations may have been missed", m.name);
+        return None;
+    }
     m.answered = Some(now);
     let m = &*m;
     // A late copy is not what its worker waits for: no order in this answer would arrive.
     let newest = taken != Taken::Old && m.stamp == (report.session, report.seq);
     let orders = if newest {
-        plan::orders(view, rules, mix)
+        plan::orders(view, rules, mix, now)
     } else {
         Vec::new()
     };
--- a/src/coordination/siblings.rs
+++ b/src/coordination/siblings.rs
@@ -2,8 +2,8 @@
 
 use super::node::Node;
 use super::plan::Rules;
-use super::{plan, planner};
-use crate::bookkeeping::names::Index;
+use super::{cancellations, plan, planner};
+use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{Ms, Res};
 use crate::bookkeeping::view::View;
 use crate::protocol::peers::{Ask, MachineNews, Reply};
@@ -30,25 +30,9 @@
         hold_for_gangs(&node);
         planner::make_room(&node);
         let now = node.now();
-        let machines: Vec<MachineNews> = {
-            let view = node.view.borrow();
-            view.all_machines()
-                .filter(|(_, m)| node.rules.owns(&view, m.shard))
-                .map(|(_, m)| MachineNews {
-                    name: m.name.to_string(),
-                    addr: m.addr.clone(),
-                    rig: view.rig_names.name(m.rig).to_string(),
-                    zone: view.zone_names.name(m.zone).to_string(),
-                    spot: m.spot,
-                    silent_ms: silence(m.heard, m.known, node.listened_since(m.shard), now),
-                    heard: m.heard.is_some(),
-                    sure: m.token == view.shards[m.shard.at()].rec.token,
-                    queued: m.queue.len().min(255) as u8,
-                    closed: m.closed || m.leaves.is_some() || m.deaf.is_some(),
-                    sick: m.sick,
-                })
-                .collect()
-        };
+        let machines = own_news(&node.view.borrow(), &node.rules, now, |s| {
+            node.listened_since(s)
+        });
         let asks: Rc<[Ask]> = tell(
             &node.rules.node,
             node.store_ok(),
@@ -76,6 +60,32 @@
     }
 }
 
+/// What an owner tells of its machines; `listened`: since when a shard's could be heard.
+pub fn own_news(
+    view: &View,
+    rules: &Rules,
+    now: Ms,
+    listened: impl Fn(ShardIx) -> Option<Ms>,
+) -> Vec<MachineNews> {
+    let own = rules.owned(view);
+    view.all_machines()
+        .filter(|(_, m)| own[m.shard.at()])
+        .map(|(_, m)| MachineNews {
+            name: m.name.to_string(),
+            addr: m.addr.clone(),
+            rig: view.rig_names.name(m.rig).to_string(),
+            zone: view.zone_names.name(m.zone).to_string(),
+            spot: m.spot,
+            silent_ms: silence(m.heard, m.known, listened(m.shard), now),
+            heard: m.heard.is_some(),
+            sure: m.token == view.shards[m.shard.at()].rec.token,
+            queued: m.queue.len().min(255) as u8,
+            closed: m.closed || m.leaves.is_some() || m.deaf.is_some(),
+            sick: m.sick,
+        })
+        .collect()
+}
+
 /// Machines in one frame of news: a frame with all of a large fleet would be refused.
 const NEWS_MACHINES: usize = 128;
 
@@ -295,6 +305,7 @@
             gone(node, &machines);
             Reply::Noted
         }
+        Ask::Cancelled { jobs } => cancellations::answer(node, &jobs),
     }
 }
 
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -93,6 +93,7 @@
     }
 
     async fn load_all(&self) -> bool {
+        let began = self.now();
         let mut fleeting = HashSet::new();
         let mut keys = 0;
         let mut revision = None;
@@ -117,6 +118,7 @@
         }
         let mut view = self.view.borrow_mut();
         view.end_read(&fleeting, revision.unwrap_or(0));
+        view.knowledge.read(began);
         self.current.set(Some(self.now()));
         log::info!(
             "records read: {keys} keys, {} open jobs, revision {}",
@@ -146,6 +148,7 @@
                 None => return false,
             }
         }
+        let began = self.now();
         let from = self.view.borrow().revision;
         let path = format!("/watch?prefix={ROOT}&from={from}&wait_ms={wait_ms}");
         let answer = if wait_ms == 0 {
@@ -168,9 +171,11 @@
                     log::warn!("state service: unreadable answer to a watch");
                     return false;
                 };
-                self.view
-                    .borrow_mut()
-                    .take_changes(from, c.revision, &c.events);
+                {
+                    let mut view = self.view.borrow_mut();
+                    view.take_changes(from, c.revision, &c.events);
+                    view.knowledge.read(began);
+                }
                 if c.events.iter().any(tells_of_members) {
                     self.members.ring();
                 }
@@ -234,11 +239,7 @@
                 view.put_job(&job.id, *revision, &rec);
             }
             for (t, rec) in &draft.teams {
-                let slot = &mut view.teams[t.at()];
-                if slot.version < *revision {
-                    slot.version = *revision;
-                    slot.rec = rec.clone();
-                }
+                view.put_team(*t, *revision, rec.clone());
             }
         }
         // It may still be applied, until the records have other versions.
@@ -251,6 +252,7 @@
                 .map(|(ix, _)| *ix)
                 .collect();
             view.suspects.extend(doubtful);
+            view.suspect_teams.extend(draft.teams.keys());
         }
         Outcome::Conflict(_) | Outcome::Refused(_) => {}
     }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -3,6 +3,9 @@
 //! A frame is a length (4 bytes, big endian), a version byte and an `rkyv`
 //! archive, which is validated before it is looked at. Queue traffic is a
 //! hint: a frame that is lost, doubled or refused breaks nothing.
+//!
+//! New kinds of frames go to the end of their enum and may be no larger than the largest there
+//! and need no wider alignment, so that the older ones keep their form in both versions.
 
 // rkyv's derive makes archived twins whose fields carry no docs of their own.
 #![allow(missing_docs)]
@@ -13,6 +16,8 @@
 pub const VERSION: u8 = 3;
 /// Largest frame.
 pub const MAX_FRAME: usize = 64 * 1024;
+/// Names of jobs in a frame; ids are short.
+pub const MAX_JOBS: usize = 1500;
 
 /// A task by name.
 #[derive(Archive, Serialize, Deserialize, Clone, PartialEq, Debug)]
@@ -93,6 +98,14 @@
         /// Machines.
         machines: Vec<String>,
     },
+    /// Cancelled jobs of which tasks may be left; the other tells those it knows.
+    ///
+    /// Unlike the rest this is no hint: a cancelled job stays cancelled, whoever tells of it.
+    /// Nodes of version 0.1 know neither this nor its reply and close the connection.
+    Cancelled {
+        /// Jobs.
+        jobs: Vec<String>,
+    },
 }
 
 /// A reply.
@@ -104,6 +117,15 @@
     Task(Option<TaskRef>),
     /// Machines that are closed and empty.
     Closed(Vec<String>),
+    /// All cancelled jobs known of which tasks may be left.
+    Cancelled {
+        /// For how long this process has run, ms.
+        up_ms: u32,
+        /// How long ago its knowledge of cancellations was complete, ms; `u32::MAX`: it never was.
+        age_ms: u32,
+        /// Jobs.
+        jobs: Vec<String>,
+    },
 }
 
 /// Encodes a frame's content.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -72,6 +72,34 @@
     pub cancel_s: f64,
 }
 
+/// What the end of a lease may be late by: timers of workers, delivery.
+const LATE_S: f64 = 1.5;
+/// Least age of the knowledge of cancellations at which leases are still renewed. Less would
+/// take leases away whenever the state service answers slowly.
+const LEAST_RENEW_S: f64 = 6.5;
+
+impl Workers {
+    /// What is left of the time for cancellations after a lease; clocks drift by up to 0.05%.
+    fn room_s(&self) -> f64 {
+        self.cancel_s * 0.999 - self.lease_s * 1.001 - LATE_S
+    }
+    /// Age of the knowledge of cancellations up to which leases are renewed, ms.
+    pub fn renew_ms(&self) -> u64 {
+        crate::bookkeeping::units::ms_of(self.room_s().max(LEAST_RENEW_S))
+    }
+    /// What an operator should know of these times.
+    pub fn warning(&self) -> Option<String> {
+        (self.room_s() < LEAST_RENEW_S).then(|| {
+            format!(
+                "settings.workers: cancel_s ({}) leaves too little beyond lease_s ({}): tasks on \
+                 machines of a controller that is cut off from all others may stay longer than \
+                 cancel_s after their job was cancelled",
+                self.cancel_s, self.lease_s
+            )
+        })
+    }
+}
+
 /// Limits of the state service.
 #[derive(Deserialize, Clone, Debug)]
 pub struct StateLimits {
--- /dev/null
+++ b/tests/meetings.rs
@@ -0,0 +1,462 @@
+//! Two troubles at a time: several controllers, scripted workers, a state service that fails in
+//! parts, and one checker of the rules.
+
+mod support;
+
+use pointhook::bookkeeping::job::JobState;
+use pointhook::bookkeeping::knowledge::Knowledge;
+use pointhook::bookkeeping::units::Ms;
+use pointhook::protocol::users::Shape;
+use support::controller::{CANCEL_MS, LEASE_MS, RENEW_MS};
+use support::job;
+use support::world::World;
+
+/// A world in which two jobs run for long on machines of both zones; with the controller that
+/// owns the machine of the first job's first task, and another.
+fn busy() -> (World, usize, usize) {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 200_000;
+    }
+    assert!(w.submit(0, job("job-1", 6)));
+    assert!(w.submit(1, job("job-2", 6)));
+    w.run(5000);
+    assert!(w.runs("job-1") && w.runs("job-2"));
+    let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
+    let leader = w.owner_of(host.unwrap()).unwrap();
+    let other = (0..3).find(|at| *at != leader).unwrap();
+    (w, leader, other)
+}
+
+/// The state service refuses the leader, and a moment after the confirmation everybody.
+fn gap(w: &mut World, leader: usize, other: usize, id: &str) {
+    w.trouble[leader].refused = true;
+    w.run(1000);
+    assert!(w.cancel(other, id));
+    w.outage = true;
+}
+
+fn over(w: &mut World) {
+    w.outage = false;
+    w.trouble = Default::default();
+    w.run(20_000);
+}
+
+#[test]
+fn what_another_confirms_while_the_leader_is_refused_is_gone_in_time() {
+    let (mut w, leader, other) = busy();
+    gap(&mut w, leader, other, "job-1");
+    w.run(CANCEL_MS);
+    assert!(!w.runs("job-1"));
+    assert!(w.runs("job-2"), "the outage cost other work");
+    over(&mut w);
+    w.keeps_the_rules();
+    // All of it once more.
+    assert!(w.submit(other, job("job-3", 6)));
+    w.run(6000);
+    assert!(w.runs("job-3"));
+    gap(&mut w, leader, other, "job-3");
+    w.run(CANCEL_MS + 4000);
+    assert!(!w.runs("job-3"));
+    over(&mut w);
+    assert!(w.runs("job-2"));
+    w.keeps_the_rules();
+}
+
+#[test]
+fn an_outage_for_all_costs_no_work_while_the_nodes_hear_each_other() {
+    let (mut w, ..) = busy();
+    w.outage = true;
+    w.run(5 * CANCEL_MS);
+    for host in &w.hosts {
+        assert_eq!(host.worker.session, 1);
+    }
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_leader_cut_from_store_and_peers_renews_no_lease_for_longer_than_cancellations_allow() {
+    let (mut w, leader, other) = busy();
+    w.trouble[leader].refused = true;
+    w.trouble[leader].alone = true;
+    w.run(1000);
+    // Machines of the leader can't be reached from elsewhere; they go on reporting to it.
+    for h in &mut w.hosts {
+        h.ill.loses_answers = true;
+    }
+    assert!(w.cancel(other, "job-1"));
+    w.outage = true;
+    w.run(CANCEL_MS);
+    w.keeps_nothing_of("job-1");
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_controller_that_ends_right_after_its_answer_leaves_the_rest_in_doubt_only() {
+    let (mut w, leader, other) = busy();
+    w.trouble[leader].refused = true;
+    w.run(1000);
+    // Cut from all others, it confirms, and ends.
+    w.trouble[other].alone = true;
+    assert!(w.cancel(other, "job-1"));
+    w.end(other);
+    w.outage = true;
+    w.run(CANCEL_MS);
+    w.keeps_nothing_of("job-1");
+    w.outage = false;
+    w.start(other);
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_controller_that_restarts_within_a_second_does_not_vouch_for_what_it_confirmed_before() {
+    let (mut w, leader, other) = busy();
+    w.trouble[leader].refused = true;
+    w.run(1000);
+    w.trouble[other].alone = true;
+    assert!(w.cancel(other, "job-1"));
+    // It is back at once and reaches its peers, but the state service is out for all.
+    w.end(other);
+    w.outage = true;
+    w.start_unread(other);
+    w.trouble[other].alone = false;
+    w.run(CANCEL_MS);
+    w.keeps_nothing_of("job-1");
+    w.end(other);
+    w.outage = false;
+    w.start(other);
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_cancellation_of_what_a_deaf_mute_or_hanging_machine_runs_is_carried_out_in_time() {
+    for ill in 0..3 {
+        let (mut w, leader, other) = busy();
+        let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
+        let h = &mut w.hosts[host.unwrap()];
+        match ill {
+            0 => h.ill.deaf = true,
+            1 => h.ill.mute = true,
+            _ => h.ill.hangs = true,
+        }
+        gap(&mut w, leader, other, "job-1");
+        w.run(LEASE_MS / 2);
+        w.hosts[host.unwrap()].ill.hangs = false;
+        w.run(CANCEL_MS - LEASE_MS / 2);
+        w.keeps_nothing_of("job-1");
+        w.hosts[host.unwrap()].ill = Default::default();
+        over(&mut w);
+        w.keeps_the_rules();
+    }
+}
+
+#[test]
+fn a_mute_machine_is_stopped_by_whoever_knows() {
+    let (mut w, leader, other) = busy();
+    let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
+    let host = host.unwrap();
+    // Its lease is far longer than the time for cancellations, so that nothing else ends it.
+    w.hosts[host].worker.lease_ms = 10 * CANCEL_MS;
+    w.hosts[host].ill.mute = true;
+    w.end(leader);
+    assert!(w.cancel(other, "job-1"));
+    w.run(CANCEL_MS);
+    w.keeps_nothing_of("job-1");
+}
+
+#[test]
+fn a_cancellation_meets_a_claim_in_flight_and_a_direct_start_without_answer() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 200_000;
+        h.ill.loses_answers = true;
+    }
+    assert!(w.submit(1, job("job-2", 2)));
+    w.run(4000);
+    // The claims are carried out late, their starts get no answer.
+    assert!(w.submit(0, job("job-1", 6)));
+    w.store.late_ms = Some(3000);
+    w.run(1500);
+    w.store.late_ms = None;
+    assert!(w.cancel(1, "job-1"));
+    w.run(1000);
+    w.outage = true;
+    w.run(CANCEL_MS);
+    w.keeps_nothing_of("job-1");
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_cancellation_holds_while_its_machines_change_hands_twice() {
+    let (mut w, leader, other) = busy();
+    gap(&mut w, leader, other, "job-1");
+    w.run(3000);
+    w.outage = false;
+    w.run(1000);
+    w.end(leader);
+    w.run(7000);
+    w.start(leader);
+    w.run(CANCEL_MS - 11_000);
+    w.keeps_nothing_of("job-1");
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn news_of_a_cancellation_outlive_older_records() {
+    let (mut w, leader, other) = busy();
+    w.trouble[leader].refused = true;
+    w.run(500);
+    let before = w.node(leader).job("job-1").version;
+    assert!(w.cancel(other, "job-1"));
+    let c = w.node(leader);
+    assert_eq!(c.job("job-1").state, JobState::Cancelled);
+    assert_eq!(c.job("job-1").version, before);
+    // A newer record that is still open, from a read that began before.
+    let rec = pointhook::bookkeeping::job::JobRecord {
+        state: JobState::Open,
+        ..c.view.record(&c.job("job-1").clone())
+    };
+    c.view.put_job("job-1", before + 1, &rec);
+    assert_eq!(c.job("job-1").state, JobState::Cancelled);
+    assert_eq!(c.job("job-1").version, before + 1);
+    // A job whose record was not read here yet.
+    assert!(c.view.learn_cancelled("job-77"));
+    assert!(!c.view.learn_cancelled("job-77"));
+    c.view.put_job("job-77", 1, &rec);
+    assert_eq!(c.job("job-77").state, JobState::Cancelled);
+    assert!(c.view.cancelled_names().contains(&"job-77".to_string()));
+}
+
+#[test]
+fn knowledge_is_complete_up_to_reads_and_to_what_all_have_told() {
+    let mut k = Knowledge::new(2, Ms(100));
+    assert_eq!(k.upto(Ms(5)), None);
+    k.read(Ms(1000));
+    assert_eq!(k.upto(Ms(2000)), Some(Ms(1000)));
+    // One peer alone vouches for nothing but its own read.
+    k.told(0, Ms(3000), Ms(3010), 60_000, None);
+    assert_eq!(k.upto(Ms(4000)), Some(Ms(1000)));
+    k.told(0, Ms(3000), Ms(3010), 60_000, Some(1500));
+    assert_eq!(k.upto(Ms(4000)), Some(Ms(1498)));
+    // Both have told: complete up to when the first of them was asked.
+    k.told(1, Ms(3500), Ms(3510), 60_000, None);
+    assert_eq!(k.upto(Ms(4000)), Some(Ms(3000)));
+    // One restarts after that and can't vouch for what it confirmed before.
+    k.told(0, Ms(6000), Ms(6010), 500, None);
+    k.told(1, Ms(6000), Ms(6010), 60_000, None);
+    assert_eq!(k.upto(Ms(7000)), Some(Ms(3000)));
+    // A read later than its start makes up for that.
+    k.read(Ms(5600));
+    assert_eq!(k.upto(Ms(7000)), Some(Ms(6000)));
+    // Answers that cross take nothing back.
+    k.told(0, Ms(5000), Ms(7000), 90_000, None);
+    assert_eq!(k.upto(Ms(7000)), Some(Ms(6000)));
+    // What another knows of the time before this process began says nothing of what this node
+    // confirmed itself before it restarted.
+    let mut k = Knowledge::new(1, Ms(5000));
+    k.told(0, Ms(6000), Ms(6001), 60_000, Some(2000));
+    assert_eq!(k.upto(Ms(7000)), None);
+    k.told(0, Ms(8000), Ms(8001), 60_000, Some(2000));
+    assert_eq!(k.upto(Ms(9000)), Some(Ms(8000)));
+    // A node without peers confirms everything itself.
+    assert_eq!(Knowledge::new(0, Ms(0)).upto(Ms(9)), Some(Ms(9)));
+}
+
+#[test]
+fn the_time_for_cancellations_is_checked_against_the_lease() {
+    let workers = |lease_s, cancel_s| pointhook::settings::Workers {
+        report_s: 3.0,
+        lease_s,
+        gang_wait_s: 30.0,
+        gang_peer_s: 8.0,
+        cancel_s,
+    };
+    let w = workers(30.0, 55.0);
+    assert!(w.warning().is_none());
+    assert!((23_000..24_000).contains(&w.renew_ms()));
+    // A lease that leaves no room: told, and work still runs.
+    let w = workers(30.0, 30.0);
+    assert!(w.warning().unwrap().contains("cancel_s"));
+    assert!(w.renew_ms() > 6000);
+    let (lease_s, cancel_s) = (LEASE_MS as f64 / 1000.0, CANCEL_MS as f64 / 1000.0);
+    assert_eq!(workers(lease_s, cancel_s).renew_ms(), RENEW_MS);
+}
+
+#[test]
+fn a_share_lowered_late_is_not_claimed_from_meanwhile() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 200_000;
+        h.worker.fetch_ms = 500;
+    }
+    let small = |id: &str, tasks| pointhook::protocol::users::JobSpec {
+        team: "mixers".into(),
+        ..job(id, tasks)
+    };
+    // One controller holds the whole of the team's limit, and its tasks end.
+    let (north, south) = (0, 2);
+    let mut first = small("job-1", 2);
+    first.zone = Some("north".into());
+    assert!(w.submit(north, first));
+    w.run(5000);
+    assert!(w.runs("job-1"));
+    assert!(w.cancel(north, "job-1"));
+    w.run(6000);
+    assert!(!w.runs("job-1"));
+    // Something of the team waits, so that shares are lowered.
+    let mut waits = small("job-9", 1);
+    waits.vcpus = 1000.0;
+    let c = w.owner_of_zone("north");
+    assert!(w.submit(c, waits));
+    let team = pointhook::bookkeeping::names::TeamIx(1);
+    let lowered = {
+        let c = w.node(c);
+        let mut d = pointhook::coordination::plan::Draft::default();
+        pointhook::coordination::plan::lower_shares(&c.view, &c.rules, &mut d);
+        assert!(d.teams.contains_key(&team));
+        d
+    };
+    // Nothing is heard of it, and it is carried out after what comes next.
+    let late = pointhook::coordination::store::transaction(&w.node(c).view, &lowered);
+    let unknown = pointhook::coordination::store::Outcome::Unknown;
+    pointhook::coordination::store::conclude(&mut w.node(c).view, &lowered, &unknown);
+    let mut second = small("job-2", 2);
+    second.zone = Some("north".into());
+    assert!(w.submit(north, second));
+    w.run(3000);
+    w.store.commit(&late, w.now);
+    assert!(w.submit(south, small("job-3", 2)));
+    w.run(10_000);
+    assert!(w.runs("job-2"));
+    w.keeps_the_rules();
+}
+
+#[test]
+fn an_old_report_of_a_wait_that_ran_out_proves_nothing_to_a_new_owner() {
+    let (mut store, mut c) = support::controller::one();
+    let mut worker = support::worker::Worker::new("m1", "north", 0);
+    let mut gang = job("job-1", 1);
+    gang.shape = pointhook::protocol::users::Shape::Gang;
+    c.submit(&mut store, gang, 0);
+    support::controller::play(&mut c, &mut store, &mut [&mut worker], 0, 1500);
+    assert!(worker.has("job-1/0"));
+    worker.give_up_waiting();
+    let old = worker.report(1500);
+    // It waits again in its place, under the same attempt.
+    c.visit(&mut store, &mut worker, 2000);
+    assert!(worker.has("job-1/0"));
+    // A new owner gets a copy of the report from before; the job has been cancelled.
+    store.end_lease(c.lease);
+    let mut new = support::controller::Controller::start("s1", 2, &mut store, 2500);
+    assert_eq!(new.members(&mut store, 2500), 3);
+    new.cancel(&mut store, "job-1", 2600);
+    let _ = new.report(&mut store, &old, 2700);
+    assert_eq!(new.job("job-1").placements.len(), 1);
+}
+
+/// One seeded day: troubles of all kinds at random, then a while without any.
+fn random_day(seed: u64) -> (World, u32) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut w = World::new(6);
+    let mut jobs = 0;
+    let mut told = 0;
+    for h in &mut w.hosts {
+        h.worker.run_ms = rng.u64(4000..20_000);
+    }
+    for _ in 0..200 {
+        w.run(500);
+        let at = rng.usize(..3);
+        match rng.u32(..24) {
+            0..=4 => {
+                jobs += 1;
+                let mut spec = job(&format!("job-{jobs}"), rng.u32(1..5));
+                if rng.bool() {
+                    spec.team = "mixers".into();
+                    spec.tasks = spec.tasks.min(2);
+                }
+                spec.one_zone = rng.bool();
+                spec.shape = match rng.u8(..6) {
+                    0 => Shape::Gang,
+                    1 => Shape::Service,
+                    _ => Shape::Array,
+                };
+                w.submit(at, spec);
+            }
+            5..=8 if jobs > 0 => {
+                let id = format!("job-{}", rng.u32(1..=jobs));
+                told += u32::from(w.cancel(at, &id));
+                let other = rng.usize(..3);
+                w.poll(other, &id);
+            }
+            9 => w.outage = true,
+            10 | 11 => w.outage = false,
+            12 => w.trouble[at].refused = !w.trouble[at].refused,
+            13 => w.trouble[at].alone = !w.trouble[at].alone,
+            14 => w.end(at),
+            15 | 16 if w.nodes[at].is_none() => w.start(at),
+            17 => w.store.late_ms = rng.bool().then_some(4000),
+            18 => w.store.loses_answers = rng.bool(),
+            19 => {
+                let h = rng.usize(..w.hosts.len());
+                let ill = &mut w.hosts[h].ill;
+                ill.deaf = rng.u8(..4) == 0;
+                ill.mute = rng.u8(..4) == 0;
+                ill.hangs = rng.u8(..4) == 0;
+                ill.loses_answers = rng.bool();
+                ill.slow = rng.u8(..4) == 0;
+            }
+            20 | 21 => {
+                let h = rng.usize(..w.hosts.len());
+                let which = rng.usize(..w.hosts[h].sent.len().max(1));
+                w.deliver_old(h, which, at);
+            }
+            _ if jobs > 0 => {
+                let id = format!("job-{}", rng.u32(1..=jobs));
+                w.poll(at, &id);
+            }
+            _ => {}
+        }
+    }
+    w.outage = false;
+    w.trouble = Default::default();
+    w.store.late_ms = None;
+    w.store.loses_answers = false;
+    for h in &mut w.hosts {
+        h.ill = Default::default();
+    }
+    w.run(6000);
+    for at in 0..3 {
+        if w.nodes[at].is_none() {
+            w.start(at);
+        }
+    }
+    w.run(120_000);
+    // A service runs until it is cancelled.
+    for id in w.services() {
+        w.cancel(0, &id);
+    }
+    w.run(120_000);
+    (w, told)
+}
+
+#[test]
+fn random_troubles_break_no_rule_and_every_job_ends() {
+    let (mut cancelled, mut started) = (0, 0);
+    for seed in 1..=24 {
+        let (mut w, told) = random_day(seed);
+        cancelled += told;
+        let broken = std::mem::take(&mut w.broken);
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        assert_eq!(w.over(), w.accepted(), "seed {seed}: jobs are left");
+        w.keeps_the_rules();
+        started += w.started();
+    }
+    assert!(started > 150, "too few starts: {started}");
+    assert!(cancelled > 15, "too few cancellations: {cancelled}");
+}
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -4,9 +4,11 @@
 use super::store::Store;
 use super::worker::Worker;
 use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
+use pointhook::bookkeeping::knowledge::Knowledge;
 use pointhook::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
 use pointhook::bookkeeping::units::Ms;
 use pointhook::bookkeeping::view::{NodeRecord, View, ROOT};
+use pointhook::coordination::cancellations::{self, Leftovers};
 use pointhook::coordination::plan::{self, Draft, Push, Rules};
 use pointhook::coordination::store::{conclude, set, transaction, Outcome};
 use pointhook::coordination::{members, reports};
@@ -22,8 +24,22 @@
     pub rules: Rules,
     pub lease: u64,
     pub zones: BTreeMap<String, ZoneIx>,
+    /// Names of the others, by the index of what they vouch for.
+    pub peers: Vec<String>,
+    pub began: u64,
+    pub left: Leftovers,
+    /// Since when its shards and other nodes are there, as membership keeps it.
+    pub known: members::Known,
+    raised: u64,
 }
 
+/// Time for cancellations.
+pub const CANCEL_MS: u64 = 24_000;
+/// Workers' lease.
+pub const LEASE_MS: u64 = 10_000;
+/// What is left of both, as the settings reckon it.
+pub const RENEW_MS: u64 = CANCEL_MS - LEASE_MS - 1534;
+
 pub fn team(name: &str, gpus_max: f64) -> Team {
     Team {
         name: name.into(),
@@ -73,6 +89,8 @@
             headroom: 0.0,
             headroom_ordinary: 0.0,
             dead_ms: 12_020,
+            renew_ms: RENEW_MS,
+            cancel_ms: CANCEL_MS,
             finish_within: HashMap::new(),
             txn_ops: store.txn_ops,
             value_bytes: store.value_bytes * 9 / 10,
@@ -82,6 +100,11 @@
             view,
             rules,
             lease: store.grant(4000, now),
+            peers: Vec::new(),
+            began: now,
+            left: Leftovers::default(),
+            known: members::Known::default(),
+            raised: 0,
         };
         c.view.set_flavors(&Flavors {
             types: vec![flavor()],
@@ -124,6 +147,7 @@
         match store.commit(txn, now) {
             (200, Some(c)) => Outcome::Done(c.revision),
             (409, Some(c)) => Outcome::Conflict(c.failed),
+            (0, _) => Outcome::Unknown,
             (s, _) => Outcome::Refused(s),
         }
     }
@@ -222,6 +246,10 @@
             plan::give_up(&mut self.view, &draft);
             let out = Self::send(store, &transaction(&self.view, &draft), now);
             conclude(&mut self.view, &draft, &out);
+            if out == Outcome::Unknown {
+                self.sync(store);
+                return;
+            }
             if !matches!(out, Outcome::Done(_)) && !self.sync(store) {
                 return;
             }
@@ -264,6 +292,89 @@
         }
     }
 
+    /// One of several controllers: it knows of the others.
+    pub fn among(mut self, names: &[&str], zones: &[(&str, u32)]) -> Controller {
+        let others = names.iter().filter(|n| **n != self.rules.node);
+        self.peers = others.map(|n| n.to_string()).collect();
+        self.view.knowledge = Knowledge::new(self.peers.len(), Ms(self.began));
+        self.zones = zones
+            .iter()
+            .map(|(n, z)| (n.to_string(), ZoneIx(*z)))
+            .collect();
+        self
+    }
+
+    /// Keeps its key, takes and hands over shards, with the times that the duty keeps.
+    pub fn keep_shards(&mut self, store: &mut Store, now: u64) {
+        let me = self.rules.node.clone();
+        if !store.down && !store.touch(self.lease, now) {
+            self.lease = store.grant(4000, now);
+        }
+        let mine = self.view.nodes.get(&me).map(|r| r.rec.incarnation);
+        if !store.down && mine != Some(self.rules.incarnation) {
+            let key = format!("{ROOT}node/{me}");
+            let rec = NodeRecord {
+                incarnation: self.rules.incarnation,
+            };
+            let txn = Transaction {
+                conditions: vec![Condition {
+                    version: self.view.nodes.get(&me).map_or(0, |n| n.version),
+                    key: key.clone(),
+                }],
+                writes: set(key, &rec, Some(self.lease)).into_iter().collect(),
+            };
+            Self::send(store, &txn, now);
+            self.sync(store);
+            return;
+        }
+        let view = &self.view;
+        let nodes = &view.nodes;
+        let there = |n: &String, i: u64| nodes.get(n).is_some_and(|r| r.rec.incarnation == i);
+        self.known.seen.retain(|(n, i), _| there(n, *i));
+        for (n, r) in nodes {
+            let key = (n.clone(), r.rec.incarnation);
+            self.known.seen.entry(key).or_insert(Ms(now));
+        }
+        for s in (0..view.shards.len()).map(ShardIx::new) {
+            if self.rules.owns(view, s) {
+                self.known.owned.entry(s).or_insert(Ms(now));
+            } else {
+                self.known.owned.remove(&s);
+            }
+        }
+        if mine != Some(self.rules.incarnation) {
+            return;
+        }
+        let may_raise = now >= self.raised + 5000;
+        if may_raise {
+            self.raised = now;
+        }
+        let moves = members::moves(
+            view,
+            &self.rules,
+            &self.zones,
+            &self.known,
+            may_raise,
+            Ms(now),
+        );
+        for m in moves {
+            let txn = members::move_transaction(&self.view, &m);
+            if let Some((txn, _)) = txn {
+                Self::send(store, &txn, now);
+            }
+            self.sync(store);
+        }
+    }
+
+    /// Asks a peer for the cancellations it knows, telling those known here.
+    pub fn ask(&mut self, peer: &mut Controller, now: u64) {
+        cancellations::learn(&mut peer.view, &cancellations::names(&self.view));
+        let reply = cancellations::tells(&peer.view, Ms(now), now - peer.began);
+        let at = self.peers.iter().position(|p| *p == peer.rules.node);
+        let at = at.expect("a peer of its own");
+        cancellations::take(&mut self.view, at, Ms(now), Ms(now), &reply);
+    }
+
     pub fn pushes(&mut self, now: u64) -> Vec<Push> {
         plan::pushes(&mut self.view, &self.rules, Ms(now), || true)
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod controller;
 pub mod store;
 pub mod worker;
+pub mod world;
 
 use pointhook::protocol::users::{JobSpec, Rank, Shape};
 
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -26,6 +26,11 @@
     pub writes_per_s: f64,
     budget: (u64, f64),
     pub down: bool,
+    /// Transactions are carried out, but their answers are lost.
+    pub loses_answers: bool,
+    /// Transactions get no answer and are carried out this much later, after newer ones.
+    pub late_ms: Option<u64>,
+    late: Vec<(u64, Transaction)>,
 }
 
 impl Default for Store {
@@ -43,6 +48,9 @@
             writes_per_s: f64::MAX,
             budget: (0, 0.0),
             down: false,
+            loses_answers: false,
+            late_ms: None,
+            late: Vec::new(),
         }
     }
 }
@@ -69,11 +77,34 @@
         })
     }
 
-    /// Status and body of `POST /commit`.
+    /// Status and body of `POST /commit`; 0: no answer.
     pub fn commit(&mut self, txn: &Transaction, now_ms: u64) -> (u16, Option<Committed>) {
         if self.down {
             return (503, None);
         }
+        if let Some(late_ms) = self.late_ms {
+            self.late.push((now_ms + late_ms, txn.clone()));
+            return (0, None);
+        }
+        let answer = self.execute(txn, now_ms);
+        if self.loses_answers {
+            return (0, None);
+        }
+        answer
+    }
+
+    /// Carries out the late transactions that are due.
+    pub fn deliver_late(&mut self, now_ms: u64) {
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _)| *at <= now_ms);
+        self.late = later;
+        for (_, txn) in due {
+            self.execute(&txn, now_ms);
+        }
+    }
+
+    fn execute(&mut self, txn: &Transaction, now_ms: u64) -> (u16, Option<Committed>) {
         let size = |v: &Value| v.to_string().len();
         let bad = txn.writes.len() > self.txn_ops
             || txn.conditions.len() > 4 * self.txn_ops
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -55,13 +55,18 @@
         }
     }
 
-    /// Lets time pass.
-    pub fn advance(&mut self, now: u64) {
+    /// Ends the session if its lease is over: a machine that hangs resumes within it or not at all.
+    pub fn lapse(&mut self, now: u64) {
         if now > self.renewed + self.lease_ms {
             self.tasks.clear();
             self.session += 1;
             self.renewed = now;
         }
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: u64) {
+        self.lapse(now);
         for t in &mut self.tasks {
             if t.state == TaskState::Fetching && now >= t.until {
                 t.state = TaskState::Running;
@@ -166,6 +171,15 @@
         }
     }
 
+    /// Tasks that take room here: those on the machine, with their image, and all others that
+    /// have not exited.
+    pub fn on_machine(&self) -> (Vec<&str>, usize) {
+        let on = |t: &&Task| matches!(t.state, TaskState::Running | TaskState::Saving);
+        let names = self.tasks.iter().filter(on).map(|t| t.name.as_str());
+        let all = self.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        (names.collect(), all.count())
+    }
+
     /// True if the task is here and has not exited.
     pub fn has(&self, task: &str) -> bool {
         self.tasks
--- /dev/null
+++ b/tests/support/world.rs
@@ -0,0 +1,555 @@
+//! Several controllers, workers and their users around one state service, with the troubles
+//! that days bring, and one checker of the rules on what really ran where.
+
+use super::controller::{commands, Controller, CANCEL_MS};
+use super::store::Store;
+use super::worker::Worker;
+use pointhook::bookkeeping::job::JobState;
+use pointhook::bookkeeping::names::{Index, TeamIx};
+use pointhook::bookkeeping::units::Ms;
+use pointhook::bookkeeping::view::View;
+use pointhook::coordination::cancellations;
+use pointhook::coordination::plan::{self, Pushed};
+use pointhook::coordination::reports::{self, Received};
+use pointhook::coordination::siblings;
+use pointhook::coordination::store::Outcome;
+use pointhook::protocol::users::{JobSpec, Shape};
+use pointhook::protocol::workers::{Commands, Report};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub const NAMES: [&str; 3] = ["n1", "n2", "s1"];
+const ZONES: [(&str, u32); 3] = [("n1", 0), ("n2", 0), ("s1", 1)];
+const STEP_MS: u64 = 500;
+const REPORT_MS: u64 = 2000;
+/// How late commands to a slow machine arrive.
+const SLOW_MS: u64 = 6000;
+/// Age of what a controller knows up to which it starts tasks, with a step of this clock.
+const STARTS_MS: u64 = 7000;
+
+/// What stands between a controller and the rest, or a worker and the controllers.
+#[derive(Default, Clone, Copy, PartialEq)]
+pub struct Trouble {
+    /// The state service refuses this controller.
+    pub refused: bool,
+    /// It hears no peer, and none hears it.
+    pub alone: bool,
+}
+
+#[derive(Default, Clone, Copy, PartialEq)]
+pub struct Ill {
+    /// Its reports arrive, answers and commands don't.
+    pub deaf: bool,
+    /// Its reports don't arrive, commands do.
+    pub mute: bool,
+    /// It stands still; commands are held until it goes on.
+    pub hangs: bool,
+    /// Answers to direct commands are lost.
+    pub loses_answers: bool,
+    /// Direct commands arrive seconds late.
+    pub slow: bool,
+}
+
+pub struct Host {
+    pub worker: Worker,
+    pub ill: Ill,
+    /// The controller it reports to.
+    to: usize,
+    next: u64,
+    /// Direct commands on their way, with the time at which they arrive.
+    held: Vec<(u64, Commands)>,
+    /// Reports of the past, to be delivered again.
+    pub sent: Vec<Report>,
+}
+
+/// All of it.
+pub struct World {
+    pub store: Store,
+    pub nodes: Vec<Option<Controller>>,
+    pub trouble: [Trouble; 3],
+    pub outage: bool,
+    pub hosts: Vec<Host>,
+    pub now: u64,
+    incarnation: u64,
+    /// By job: when its user was told that it is cancelled.
+    pub cancelled: BTreeMap<String, u64>,
+    /// By job: its tasks and what its user was told last.
+    told: BTreeMap<String, (JobSpec, &'static str)>,
+    starts: HashMap<String, u64>,
+    pub broken: Vec<String>,
+}
+
+impl World {
+    /// Three controllers that have their shards, and machines in turn of both zones.
+    pub fn new(machines: usize) -> World {
+        let mut w = World {
+            store: Store::default(),
+            nodes: vec![None, None, None],
+            trouble: [Trouble::default(); 3],
+            outage: false,
+            hosts: Vec::new(),
+            now: 0,
+            incarnation: 1,
+            cancelled: BTreeMap::new(),
+            told: BTreeMap::new(),
+            starts: HashMap::new(),
+            broken: Vec::new(),
+        };
+        w.store.txn_ops = 16;
+        for at in 0..3 {
+            w.start(at);
+        }
+        for i in 0..machines {
+            w.boot(["north", "south"][i % 2]);
+        }
+        w.run(6000);
+        w
+    }
+
+    /// A machine comes up.
+    pub fn boot(&mut self, zone: &str) -> usize {
+        let name = format!("m{}", self.hosts.len() + 1);
+        self.hosts.push(Host {
+            worker: Worker::new(&name, zone, self.now),
+            ill: Ill::default(),
+            to: self.hosts.len() % 3,
+            next: self.now,
+            held: Vec::new(),
+            sent: Vec::new(),
+        });
+        self.hosts.len() - 1
+    }
+
+    /// A controller starts, or starts again.
+    pub fn start(&mut self, at: usize) {
+        if self.outage || self.trouble[at].refused {
+            // It knows no records yet and answers nobody.
+            return;
+        }
+        self.door(at);
+        self.incarnation += 1;
+        // The predecessor's key may still be there: a new start replaces it. It goes on trying
+        // until it has its key, which is a start that came later.
+        let late = (self.store.late_ms.take(), self.store.loses_answers);
+        self.store.loses_answers = false;
+        let c = Controller::start(NAMES[at], self.incarnation, &mut self.store, self.now);
+        (self.store.late_ms, self.store.loses_answers) = late;
+        let mut c = c.among(&NAMES, &ZONES);
+        c.view.knowledge.read(Ms(self.now));
+        self.nodes[at] = Some(c);
+    }
+
+    /// A controller starts during an outage: it knows no records, and tells what it knows.
+    pub fn start_unread(&mut self, at: usize) {
+        let mut elsewhere = Store::default();
+        self.incarnation += 1;
+        let c = Controller::start(NAMES[at], self.incarnation, &mut elsewhere, self.now);
+        self.nodes[at] = Some(c.among(&NAMES, &ZONES));
+    }
+
+    /// A controller ends.
+    pub fn end(&mut self, at: usize) {
+        self.nodes[at] = None;
+    }
+
+    pub fn node(&mut self, at: usize) -> &mut Controller {
+        self.nodes[at].as_mut().expect("a live controller")
+    }
+
+    /// The controller that owns a host's machine, by its own view.
+    pub fn owner_of(&self, host: usize) -> Option<usize> {
+        let name = &self.hosts[host].worker.name;
+        (0..3).find(|at| {
+            self.nodes[*at].as_ref().is_some_and(|c| {
+                let m = c.view.machine_names.find(name);
+                let m = m.and_then(|m| c.view.machine(m));
+                m.is_some_and(|m| c.rules.owns(&c.view, m.shard))
+            })
+        })
+    }
+
+    /// The controller that owns the first shard of a zone, by its own view.
+    pub fn owner_of_zone(&self, zone: &str) -> usize {
+        let host = self.hosts.iter().position(|h| h.worker.zone == zone);
+        self.owner_of(host.expect("a machine")).expect("an owner")
+    }
+
+    fn door(&mut self, at: usize) {
+        self.store.down = self.outage || self.trouble[at].refused;
+    }
+
+    /// A user submits at a controller; true if it was accepted.
+    pub fn submit(&mut self, at: usize, spec: JobSpec) -> bool {
+        self.door(at);
+        let now = self.now;
+        let Some(mut c) = self.nodes[at].take() else {
+            return false;
+        };
+        let taken = matches!(
+            c.submit(&mut self.store, spec.clone(), now),
+            Outcome::Done(_)
+        );
+        self.nodes[at] = Some(c);
+        if taken {
+            self.told.insert(spec.id.clone(), (spec, "pending"));
+        }
+        taken
+    }
+
+    /// A user cancels at a controller; true if that was confirmed.
+    pub fn cancel(&mut self, at: usize, id: &str) -> bool {
+        self.door(at);
+        let now = self.now;
+        let Some(mut c) = self.nodes[at].take() else {
+            return false;
+        };
+        let known = c.sync(&self.store) && c.view.job(id).is_some_and(|(_, j)| j.open());
+        let done = known && matches!(c.cancel(&mut self.store, id, now), Outcome::Done(_));
+        if done {
+            self.note_cancelled(id);
+            // Told at once, whoever can be reached; the answer does not wait for it.
+            self.exchange_of(&mut c, at);
+        }
+        self.nodes[at] = Some(c);
+        done
+    }
+
+    fn note_cancelled(&mut self, id: &str) {
+        self.cancelled.entry(id.into()).or_insert(self.now);
+        if let Some(t) = self.told.get_mut(id) {
+            if t.1 == "done" {
+                self.broken.push(format!("{id} went back from done"));
+            }
+            t.1 = "aborted";
+        }
+    }
+
+    /// A user asks a controller; what it answers must not be older than what any has told.
+    pub fn poll(&mut self, at: usize, id: &str) -> Option<&'static str> {
+        self.door(at);
+        let c = self.nodes[at].as_mut()?;
+        let settled = c.view.job(id).is_some_and(|(_, j)| !j.open());
+        if !settled && !c.sync(&self.store) {
+            return None;
+        }
+        let Some((_, job)) = c.view.job(id) else {
+            if self.told.contains_key(id) {
+                self.broken.push(format!("{id} is not known at {at}"));
+            }
+            return None;
+        };
+        let word = View::status(job).0;
+        let last = self.told.get_mut(id)?;
+        if matches!(last.1, "done" | "aborted") && word != last.1 {
+            self.broken
+                .push(format!("{id} went back from {} to {word}", last.1));
+        }
+        last.1 = word;
+        if word == "aborted" {
+            self.cancelled.entry(id.into()).or_insert(self.now);
+        }
+        Some(word)
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        !self.trouble[a].alone && !self.trouble[b].alone
+    }
+
+    fn exchange_of(&mut self, c: &mut Controller, at: usize) {
+        for b in 0..3 {
+            if b == at || !self.reaches(at, b) {
+                continue;
+            }
+            let now = self.now;
+            if let Some(peer) = self.nodes[b].as_mut() {
+                c.ask(peer, now);
+                let owned = |s| c.known.owned.get(&s).copied();
+                let news = siblings::own_news(&c.view, &c.rules, Ms(now), owned);
+                siblings::take_news(&mut peer.view, &peer.rules, NAMES[at], news, Ms(now));
+            }
+        }
+    }
+
+    /// Delivers an old report of a host once more, to any controller.
+    pub fn deliver_old(&mut self, host: usize, which: usize, at: usize) {
+        let Some(r) = self.hosts[host].sent.get(which).cloned() else {
+            return;
+        };
+        self.door(at);
+        let now = self.now;
+        if let Some(mut c) = self.nodes[at].take() {
+            let _ = c.report(&mut self.store, &r, now);
+            self.nodes[at] = Some(c);
+        }
+    }
+
+    /// Lets time pass, half a second at a time.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        self.store.deliver_late(now);
+        if !self.outage {
+            self.store.expire(now);
+        }
+        for at in 0..3 {
+            self.door(at);
+            let Some(mut c) = self.nodes[at].take() else {
+                continue;
+            };
+            if c.sync(&self.store) {
+                c.view.knowledge.read(Ms(now));
+            }
+            c.keep_shards(&mut self.store, now);
+            if now % 1000 == 0 {
+                self.exchange_of(&mut c, at);
+            }
+            self.nodes[at] = Some(c);
+        }
+        for h in 0..self.hosts.len() {
+            self.host(h);
+        }
+        for at in 0..3 {
+            self.door(at);
+            let Some(mut c) = self.nodes[at].take() else {
+                continue;
+            };
+            c.plan(&mut self.store, now);
+            for p in c.pushes(now) {
+                let name = c.view.machine_names.name(p.machine).clone();
+                let how = self.command(&name, commands(&p));
+                plan::note_pushed(&mut c.view, &p, how);
+            }
+            self.poke(&c);
+            for left in c.left.due(&c.view, &c.rules, Ms(now)) {
+                self.stop_directly(&left);
+            }
+            self.nodes[at] = Some(c);
+        }
+        self.check();
+    }
+
+    fn host(&mut self, h: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[h];
+        if host.ill.hangs {
+            host.worker.lapse(now);
+            return;
+        }
+        let (due, later) = std::mem::take(&mut host.held)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        host.held = later;
+        for (_, c) in due {
+            host.worker.command(&c, now);
+        }
+        host.worker.advance(now);
+        if now < host.next {
+            return;
+        }
+        let report = host.worker.report(now);
+        host.next = now + REPORT_MS;
+        host.sent.push(report.clone());
+        if host.ill.mute {
+            return;
+        }
+        let at = host.to;
+        let deaf = host.ill.deaf;
+        self.door(at);
+        let Some(mut c) = self.nodes[at].take() else {
+            self.next_node(h);
+            return;
+        };
+        let received = reports::receive(&mut c.view, &c.rules, &report, 10_000, Ms(now));
+        let answer = match received {
+            Received::Taken(mix, token, taken) => {
+                c.plan(&mut self.store, now);
+                let got = (mix, token, taken);
+                let answer = reports::reply(&mut c.view, &c.rules, &report, got, Ms(now));
+                answer.ok_or(None)
+            }
+            Received::Elsewhere(owner) => Err(owner),
+        };
+        self.nodes[at] = Some(c);
+        let host = &mut self.hosts[h];
+        if deaf {
+            return;
+        }
+        match answer {
+            Ok(a) => {
+                let before = host.worker.token;
+                host.worker.answered(&a, report.session, now, now);
+                if host.worker.token > before {
+                    host.next = now + STEP_MS;
+                }
+            }
+            Err(Some(owner)) => {
+                host.to = NAMES.iter().position(|n| *n == owner).unwrap_or(0);
+                host.next = now + STEP_MS;
+            }
+            Err(None) => self.next_node(h),
+        }
+    }
+
+    fn next_node(&mut self, h: usize) {
+        let host = &mut self.hosts[h];
+        host.to = (host.to + 1) % 3;
+        host.next = self.now + 1000;
+    }
+
+    fn command(&mut self, name: &str, c: Commands) -> Pushed {
+        let now = self.now;
+        let Some(host) = self.hosts.iter_mut().find(|h| h.worker.name == name) else {
+            return Pushed::Unknown;
+        };
+        if host.ill.hangs || host.ill.slow {
+            let late_ms = if host.ill.slow { SLOW_MS } else { 0 };
+            host.held.push((now + late_ms, c));
+            return Pushed::Unknown;
+        }
+        if host.ill.deaf {
+            return Pushed::Unknown;
+        }
+        match host.worker.command(&c, now) {
+            _ if host.ill.loses_answers => Pushed::Unknown,
+            200 => Pushed::Executed,
+            _ => Pushed::Refused,
+        }
+    }
+
+    /// Shows the owner's token to machines that still have an older one.
+    fn poke(&mut self, c: &Controller) {
+        let now = self.now;
+        for host in &mut self.hosts {
+            let m = c.view.machine_names.find(&host.worker.name);
+            let Some(m) = m.and_then(|m| c.view.machine(m)) else {
+                continue;
+            };
+            let token = c.view.shards[m.shard.at()].rec.token;
+            let due = c.rules.owns(&c.view, m.shard) && host.worker.token < token;
+            if due && !host.ill.deaf && !host.ill.hangs {
+                let show = Commands {
+                    token,
+                    session: host.worker.session,
+                    orders: Vec::new(),
+                };
+                host.worker.command(&show, now);
+                host.next = now;
+            }
+        }
+    }
+
+    fn stop_directly(&mut self, left: &cancellations::Leftover) {
+        let now = self.now;
+        // All stand-ins have the same address; the tasks tell whose it is.
+        for host in &mut self.hosts {
+            let deaf = host.ill.deaf || host.ill.hangs;
+            if deaf || !left.tasks.iter().any(|(t, _)| host.worker.has(t)) {
+                continue;
+            }
+            let status = host.worker.report(now);
+            if let Some(c) = cancellations::stops(&status, &left.tasks) {
+                host.worker.command(&c, now);
+            }
+        }
+    }
+
+    /// PROTOCOL's rules, on what really runs.
+    fn check(&mut self) {
+        let mut seen: BTreeSet<String> = BTreeSet::new();
+        let mut gpus: BTreeMap<String, f64> = BTreeMap::new();
+        let now = self.now;
+        for host in &self.hosts {
+            let name = &host.worker.name;
+            for task in host.worker.on_machine().0 {
+                let id = task.split('/').next().unwrap_or_default();
+                if !seen.insert(task.to_string()) {
+                    self.broken.push(format!("{now}: {task} runs twice"));
+                }
+                if let Some((spec, _)) = self.told.get(id) {
+                    *gpus.entry(spec.team.clone()).or_default() += spec.gpus;
+                }
+                let since = self.cancelled.get(id).map(|t| now - t);
+                if since.is_some_and(|t| t > CANCEL_MS) {
+                    self.broken
+                        .push(format!("{now}: {task} on {name} though cancelled"));
+                }
+            }
+            for (task, _) in host.worker.started.iter() {
+                let at = *self.starts.entry(format!("{name} {task}")).or_insert(now);
+                let id = task.split('/').next().unwrap_or_default();
+                let late = self.cancelled.get(id).is_some_and(|t| at > t + STARTS_MS);
+                if late && at == now {
+                    self.broken
+                        .push(format!("{now}: {task} started on {name} though cancelled"));
+                }
+            }
+        }
+        for (team, used) in gpus {
+            let c = self.nodes.iter().flatten().next();
+            let most = c.and_then(|c| {
+                let t: TeamIx = c.view.team_names.find(&team)?;
+                Some(c.view.team_limits[t.at()].most.1 as f64 / 1000.0)
+            });
+            if most.is_some_and(|m| m > 0.0 && used > m) {
+                self.broken.push(format!("{now}: {team} uses {used}"));
+            }
+        }
+    }
+
+    /// Nothing of a cancelled job is left.
+    pub fn keeps_nothing_of(&self, id: &str) {
+        assert!(!self.runs(id), "{id} still runs");
+    }
+
+    /// True if a task of the job is on any machine, image there or not.
+    pub fn runs(&self, id: &str) -> bool {
+        let of = |h: &Host| (0..400).any(|t| h.worker.has(&format!("{id}/{t}")));
+        self.hosts.iter().any(of)
+    }
+
+    /// All rules held; once troubles are over each accepted job is over or known everywhere.
+    pub fn keeps_the_rules(&mut self) {
+        for at in 0..3 {
+            let ids: Vec<String> = self.told.keys().cloned().collect();
+            for id in ids {
+                self.poll(at, &id);
+            }
+        }
+        assert!(self.broken.is_empty(), "{:#?}", self.broken);
+    }
+
+    /// Services that are open, those accepted by a transaction without an answer included.
+    pub fn services(&self) -> Vec<String> {
+        let c = self.nodes.iter().flatten().next().expect("a controller");
+        let service = |s: &JobSpec| s.shape == Shape::Service;
+        let open = c.view.active_jobs().filter(|(_, j)| j.open());
+        let open = open.filter(|(_, j)| j.spec.as_ref().is_some_and(|s| service(&s.wire)));
+        open.map(|(_, j)| j.id.to_string()).collect()
+    }
+
+    /// How many starts were executed.
+    pub fn started(&self) -> usize {
+        let starts = self.hosts.iter().map(|h| h.worker.started.len());
+        starts.sum()
+    }
+
+    /// How many of the accepted jobs are over.
+    pub fn over(&mut self) -> usize {
+        let c = self.nodes.iter().flatten().next().expect("a controller");
+        let over = |id: &&String| {
+            let job = c.view.job(id);
+            job.is_some_and(|(_, j)| j.state != JobState::Open)
+        };
+        self.told.keys().filter(over).count()
+    }
+
+    pub fn accepted(&self) -> usize {
+        self.told.len()
+    }
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -374,7 +374,7 @@
     assert_eq!(c.job("job-1").state, JobState::Done);
     // A repeated start after the end of a job has no placement to rest on.
     let mix = c.machine("m1");
-    assert!(plan::orders(&mut c.view, &c.rules, mix)
+    assert!(plan::orders(&mut c.view, &c.rules, mix, Ms(0))
         .iter()
         .all(|o| !matches!(o, Order::Start { .. })));
     assert_eq!(w.started.len(), 1);
