--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -9,6 +9,7 @@
 use crate::bookkeeping::view::View;
 use crate::protocol::peers::{Ask, Reply, MAX_JOBS};
 use crate::protocol::workers::{Commands, Order, Report, TaskState};
+use crate::transport::TransportError;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -16,6 +17,8 @@
 const BEAT_MS: u64 = 1000;
 /// Time that a peer has to answer.
 const PEER_MS: u64 = 900;
+/// Longest time for which a peer that closes the connection is left alone.
+const LONGEST_MS: u64 = 8000;
 /// Part of the time for cancellations after which others than the owner stop tasks as well.
 const DIRECT_PART: u64 = 4;
 /// Least time between two attempts at one machine.
@@ -42,6 +45,9 @@
 /// for as long as tasks of the job may be left.
 pub fn tell(node: &Rc<Node>) {
     for (at, peer) in node.peers.iter().enumerate() {
+        if node.now() < peer.untold.get().0 {
+            continue;
+        }
         if peer.telling.get() != Telling::Idle {
             peer.telling.set(Telling::More);
             continue;
@@ -65,9 +71,23 @@
     let asked = node.now();
     let jobs = names(&node.view.borrow());
     let reply = peer.teller.ask(&Ask::Cancelled { jobs }, PEER_MS).await;
-    let Ok(reply) = reply else {
-        return false;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(e) => {
+            // One that closes the connection may be of a version that does not know the question,
+            // and complains of it in its log.
+            let closed = matches!(e, TransportError::Broken(_));
+            let wait = peer.untold.get().1;
+            let wait = if closed {
+                (wait * 2).clamp(1000, LONGEST_MS)
+            } else {
+                0
+            };
+            peer.untold.set((node.now().plus(wait), wait));
+            return false;
+        }
     };
+    peer.untold.set((Ms(0), 0));
     let news = take(&mut node.view.borrow_mut(), at, asked, node.now(), &reply);
     note(node, &news);
     true
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -140,6 +140,12 @@
                     planner::bind_job(node, ix);
                 }
                 log::debug!("job {id} accepted at {revision}");
+                // Another node may have told more of it by now, and this one have read that.
+                let view = node.view.borrow();
+                let newer = view.job(&id).filter(|(_, j)| j.version > revision);
+                if let Some((_, job)) = newer {
+                    return status(201, job);
+                }
                 return Answer::of(
                     201,
                     &JobStatus {
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -29,6 +29,8 @@
     pub teller: PeerClient,
     /// Where telling it of cancellations stands.
     pub telling: Cell<Telling>,
+    /// After this it is told again, and how long it was left alone before.
+    pub untold: Cell<(Ms, u64)>,
     /// Last time it sent news.
     pub heard: Cell<Option<Ms>>,
     /// It reaches the state service, by its last news.
@@ -298,6 +300,7 @@
                 client: PeerClient::new(p.addr),
                 teller: PeerClient::new(p.addr),
                 telling: Cell::default(),
+                untold: Cell::default(),
                 heard: Cell::new(None),
                 store_ok: Cell::new(false),
                 refuses: Cell::new(false),
--- /dev/null
+++ b/tests/compat.rs
@@ -0,0 +1,252 @@
+//! Both versions serve side by side: what either writes, the other reads.
+
+use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
+use pointhook::bookkeeping::names::ShardIx;
+use pointhook::bookkeeping::records::{BookingRecord, NodeRecord, ShardRecord, TeamRecord};
+use pointhook::protocol::peers::{self, Ask, MachineNews, Reply, TaskRef};
+use pointhook::protocol::users::{JobSpec, Rank, Shape};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Bytes that the production version made, by name.
+fn sample(name: &str) -> Vec<u8> {
+    let all = include_str!("data/production.txt");
+    let line = all
+        .lines()
+        .find_map(|l| l.strip_prefix(&format!("{name} ")));
+    let hex = line.unwrap_or_else(|| panic!("no sample {name}"));
+    let byte = |i| u8::from_str_radix(&hex[i..i + 2], 16).expect("hex");
+    (0..hex.len()).step_by(2).map(byte).collect()
+}
+
+/// The record of a sample is this one, and this version writes it in the same form.
+fn same_record<T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug>(name: &str, rec: &T) {
+    let bytes = sample(name);
+    assert_eq!(&rmp_serde::from_slice::<T>(&bytes).expect(name), rec);
+    assert_eq!(rmp_serde::to_vec_named(rec).expect(name), bytes, "{name}");
+}
+
+fn names() -> Vec<String> {
+    vec!["n-000231".into(), "n-000007".into()]
+}
+
+#[test]
+fn records_have_one_form_in_both_versions() {
+    let spec = JobSpec {
+        id: "job-000412".into(),
+        class: "train".into(),
+        team: "vision".into(),
+        shape: Shape::Gang,
+        priority: Rank::High,
+        tasks: 4,
+        vcpus: 8.0,
+        gpus: 1.0,
+        mem_gb: 64.0,
+        image: "img-07".into(),
+        image_gb: 6.2,
+        types: Some(vec!["g8".into()]),
+        zone: None,
+        one_zone: true,
+        spread: false,
+        spot: true,
+        estimate_s: 240.0,
+        checkpoint_s: 30.0,
+        save_s: 4.0,
+        deadline_s: Some(900.0),
+    };
+    let mut done = Ranges::default();
+    for t in [0, 1, 3] {
+        done.add(t);
+    }
+    let open = JobRecord {
+        spec: Some(spec),
+        state: JobState::Open,
+        submitted: 1_764_650_000_123,
+        done,
+        placements: vec![
+            (2, 7, "n-000231".into(), 1, 0),
+            (4, 8, "n-000007".into(), 3, 3),
+        ],
+        next_attempt: 9,
+    };
+    same_record("record/job/open", &open);
+    let over = JobRecord {
+        spec: None,
+        state: JobState::Cancelled,
+        submitted: 1_764_650_000_123,
+        done: Ranges::default(),
+        placements: Vec::new(),
+        next_attempt: 2,
+    };
+    same_record("record/job/over", &over);
+    let incarnation = 1_234_567;
+    same_record("record/node", &NodeRecord { incarnation });
+    let shard = ShardRecord {
+        owner: "stoker-1".into(),
+        incarnation,
+        token: 41,
+    };
+    same_record("record/shard", &shard);
+    let mut team = TeamRecord::default();
+    team.set(ShardIx(1), (8000, 2000));
+    same_record("record/team", &team);
+    let booking = BookingRecord {
+        rig: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        count: 12,
+        hosts: vec!["n-000231".into()],
+    };
+    same_record("record/book", &booking);
+}
+
+#[test]
+fn frames_of_all_kinds_that_the_old_version_knows_have_one_form() {
+    assert_eq!(peers::VERSION, 3);
+    let machine = MachineNews {
+        name: "n-000231".into(),
+        addr: "10.1.0.232:9000".into(),
+        rig: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+        silent_ms: 1500,
+        heard: true,
+        sure: false,
+        queued: 2,
+        closed: false,
+        sick: true,
+    };
+    let task = TaskRef {
+        job: "job-000412".into(),
+        task: 3,
+    };
+    let job = || "job-000412".to_string();
+    let asks = [
+        (
+            "news",
+            Ask::News {
+                node: "stoker-1".into(),
+                store_ok: true,
+                hears_workers: false,
+                machines: vec![machine],
+            },
+        ),
+        (
+            "bind",
+            Ask::Bind {
+                tasks: vec![("n-000231".into(), task.clone())],
+            },
+        ),
+        (
+            "poll",
+            Ask::Poll {
+                idle: "n-000231".into(),
+                machines: names(),
+            },
+        ),
+        (
+            "hold",
+            Ask::Hold {
+                job: job(),
+                machines: names(),
+            },
+        ),
+        ("close", Ask::Close { machines: names() }),
+        ("gone", Ask::Gone { machines: names() }),
+    ];
+    for (name, ask) in asks {
+        let bytes = sample(&format!("ask/{name}"));
+        assert_eq!(peers::decode_ask(&bytes), Some(ask.clone()), "{name}");
+        // Padding within a frame has no set value, so what this version makes is compared by
+        // its length and by what it says.
+        let made = peers::encode(&ask).expect(name);
+        assert_eq!(made.len(), bytes.len(), "{name}");
+        assert_eq!(old::decode_ask(&made), old::decode_ask(&bytes), "{name}");
+        assert!(old::decode_ask(&made).is_some(), "{name}");
+    }
+    let replies = [
+        ("noted", Reply::Noted),
+        ("task", Reply::Task(Some(task))),
+        ("none", Reply::Task(None)),
+        ("closed", Reply::Closed(names())),
+    ];
+    for (name, reply) in replies {
+        let bytes = sample(&format!("reply/{name}"));
+        assert_eq!(peers::decode_reply(&bytes), Some(reply.clone()), "{name}");
+        let made = peers::encode(&reply).expect(name);
+        assert_eq!(made.len(), bytes.len(), "{name}");
+        let read = old::decode_reply(&made);
+        assert_eq!(read, old::decode_reply(&bytes), "{name}");
+        assert!(read.is_some(), "{name}");
+    }
+}
+
+#[test]
+fn the_old_version_refuses_frames_that_it_does_not_know() {
+    let jobs = vec!["job-1".to_string()];
+    let ask = peers::encode(&Ask::Cancelled { jobs: jobs.clone() }).unwrap();
+    assert!(peers::decode_ask(&ask).is_some());
+    assert_eq!(old::decode_ask(&ask), None);
+    let told = peers::encode(&Reply::Cancelled {
+        up_ms: 1,
+        age_ms: 2,
+        jobs,
+    })
+    .unwrap();
+    assert!(peers::decode_reply(&told).is_some());
+    assert_eq!(old::decode_reply(&told), None);
+}
+
+/// The frames as version 0.1 declares them.
+mod old {
+    use super::{MachineNews, TaskRef};
+    use rkyv::{rancor::Error, util::AlignedVec, Archive, Deserialize, Serialize};
+
+    #[derive(Archive, Serialize, Deserialize, PartialEq, Debug)]
+    pub enum Ask {
+        News {
+            node: String,
+            store_ok: bool,
+            hears_workers: bool,
+            machines: Vec<MachineNews>,
+        },
+        Bind {
+            tasks: Vec<(String, TaskRef)>,
+        },
+        Poll {
+            idle: String,
+            machines: Vec<String>,
+        },
+        Hold {
+            job: String,
+            machines: Vec<String>,
+        },
+        Close {
+            machines: Vec<String>,
+        },
+        Gone {
+            machines: Vec<String>,
+        },
+    }
+
+    #[derive(Archive, Serialize, Deserialize, PartialEq, Debug)]
+    pub enum Reply {
+        Noted,
+        Task(Option<TaskRef>),
+        Closed(Vec<String>),
+    }
+
+    fn aligned(bytes: &[u8]) -> AlignedVec {
+        let mut out: AlignedVec = AlignedVec::new();
+        out.extend_from_slice(bytes);
+        out
+    }
+
+    pub fn decode_ask(bytes: &[u8]) -> Option<Ask> {
+        rkyv::from_bytes::<Ask, Error>(&aligned(bytes)).ok()
+    }
+
+    pub fn decode_reply(bytes: &[u8]) -> Option<Reply> {
+        rkyv::from_bytes::<Reply, Error>(&aligned(bytes)).ok()
+    }
+}
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -460,3 +460,529 @@
     assert!(started > 150, "too few starts: {started}");
     assert!(cancelled > 15, "too few cancellations: {cancelled}");
 }
+
+/// A world whose small team is at its limit, with a job that waits for it.
+fn at_the_limit() -> World {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 60_000;
+    }
+    for (id, zone) in [("job-1", "north"), ("job-2", "south")] {
+        let mut spec = job(id, 1);
+        spec.team = "mixers".into();
+        spec.zone = Some(zone.into());
+        assert!(w.submit(0, spec));
+    }
+    w.run(4000);
+    let mut waits = job("job-3", 2);
+    waits.team = "mixers".into();
+    assert!(w.submit(1, waits));
+    w.run(5000);
+    assert!(w.runs("job-1") && w.runs("job-2") && !w.runs("job-3"));
+    w
+}
+
+#[test]
+fn a_team_at_its_limit_keeps_it_while_cancelled_tasks_are_cut_off_and_the_leader_changes() {
+    for ill in 0..3 {
+        let mut w = at_the_limit();
+        let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
+        let host = host.unwrap();
+        let leader = w.owner_of(host).unwrap();
+        let h = &mut w.hosts[host].ill;
+        match ill {
+            0 => h.mute = true,
+            1 => h.hangs = true,
+            _ => (h.deaf, h.loses_answers) = (true, true),
+        }
+        w.end(leader);
+        w.run(1000);
+        let other = (leader + 1) % 3;
+        assert!(w.cancel(other, "job-1"));
+        w.run(8000);
+        w.start(leader);
+        w.run(CANCEL_MS);
+        w.hosts[host].ill = Default::default();
+        w.run(160_000);
+        assert_eq!(w.over(), 3, "{ill}: work is left");
+        w.keeps_the_rules();
+    }
+}
+
+#[test]
+fn machines_that_are_up_at_once_get_work_once_while_writes_lag_and_the_leader_ends() {
+    let mut w = World::new(2);
+    w.store.late_ms = Some(3000);
+    assert!(!w.submit(0, job("job-1", 4)), "its answer is lost");
+    w.run(4000);
+    let host = w.boot("north");
+    w.run(1000);
+    w.boot("north");
+    w.run(2000);
+    let leader = w.owner_of(host).unwrap_or(0);
+    w.end(leader);
+    w.run(3000);
+    w.store.late_ms = None;
+    let other = (leader + 1) % 3;
+    // The user sends it again, and it is known.
+    assert!(!w.submit(other, job("job-1", 4)));
+    w.told_again("job-1", job("job-1", 4));
+    w.run(9000);
+    w.start(leader);
+    w.run(40_000);
+    assert_eq!(w.poll(other, "job-1"), Some("done"));
+    w.keeps_the_rules();
+}
+
+#[test]
+fn commands_held_for_seconds_start_nothing_twice_and_nothing_that_was_cancelled() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.ill.slow = true;
+        h.worker.run_ms = 8000;
+    }
+    for i in 1..=6 {
+        assert!(w.submit(i % 3, job(&format!("job-{i}"), 3)));
+        w.run(1500);
+        if i % 2 == 0 {
+            assert!(w.cancel((i + 1) % 3, &format!("job-{i}")));
+        }
+        let h = &mut w.hosts[i % 4].ill;
+        h.hangs = !h.hangs;
+    }
+    w.run(8000);
+    for h in &mut w.hosts {
+        h.ill = Default::default();
+    }
+    w.run(60_000);
+    assert_eq!(w.over(), 6);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn jobs_bound_to_one_zone_stay_in_it_when_their_machines_are_lost() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 20_000;
+    }
+    for (id, shape) in [("job-1", Shape::Array), ("job-2", Shape::Gang)] {
+        let mut spec = job(id, 3);
+        spec.one_zone = true;
+        spec.shape = shape;
+        assert!(w.submit(0, spec));
+    }
+    w.run(5000);
+    let on = |w: &World, t: &str| w.hosts.iter().position(|h| h.worker.has(t));
+    let lost = on(&w, "job-1/0").unwrap();
+    w.hosts[lost].ill.hangs = true;
+    w.hosts[lost].ill.mute = true;
+    w.run(15_000);
+    w.hosts[lost].ill = Default::default();
+    w.run(120_000);
+    assert_eq!(w.over(), 2);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn users_of_a_leader_that_is_cut_off_get_nothing_old_from_it() {
+    let (mut w, leader, other) = busy();
+    w.trouble[leader].refused = true;
+    w.trouble[leader].alone = true;
+    w.run(3000);
+    assert!(w.cancel(other, "job-1"));
+    for _ in 0..40 {
+        assert_eq!(w.poll(other, "job-1"), Some("aborted"));
+        assert_eq!(w.poll(leader, "job-1"), None);
+        assert!(!w.cancel(leader, "job-2"));
+        w.run(1000);
+    }
+    assert!(w.runs("job-2"));
+    over(&mut w);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn leaders_that_change_ten_times_in_two_minutes_also_in_an_outage_lose_nothing() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 15_000;
+    }
+    for i in 0..10 {
+        let at = i % 3;
+        let next = (at + 1) % 3;
+        let id = format!("job-{}", i + 1);
+        w.submit(at, job(&id, 3));
+        w.run(3000);
+        w.outage = i % 4 == 2;
+        w.end(at);
+        w.run(4000);
+        if i % 3 == 1 {
+            w.cancel(next, &id);
+        }
+        w.run(2000);
+        w.outage = false;
+        w.start(at);
+        w.run(3000);
+    }
+    w.run(90_000);
+    assert_eq!(w.over(), w.accepted());
+    w.keeps_the_rules();
+}
+
+#[test]
+fn tasks_that_end_far_apart_across_a_change_of_leader_end_once() {
+    let mut w = World::new(4);
+    for (h, ms) in w.hosts.iter_mut().zip([4000, 12_000, 20_000, 28_000]) {
+        h.worker.run_ms = ms;
+        // One task each, so that the job's tasks are on different machines.
+        h.worker.fetch_ms = 500;
+    }
+    let mut spec = job("job-1", 3);
+    spec.gpus = 4.0;
+    assert!(w.submit(0, spec));
+    w.run(6000);
+    let host = w.hosts.iter().position(|h| h.worker.has("job-1/1"));
+    let leader = w.owner_of(host.unwrap()).unwrap();
+    w.end(leader);
+    w.run(8000);
+    w.start(leader);
+    w.run(60_000);
+    assert_eq!(w.poll((leader + 1) % 3, "job-1"), Some("done"));
+    assert_eq!(w.started(), 3);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn old_reports_that_reach_every_controller_as_a_new_leader_begins_prove_nothing() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 12_000;
+    }
+    for i in 1..=4 {
+        assert!(w.submit(i % 3, job(&format!("job-{i}"), 4)));
+        w.run(2000);
+    }
+    let leader = w.owner_of(0).unwrap();
+    w.end(leader);
+    for _ in 0..24 {
+        w.run(500);
+        for host in 0..4 {
+            let sent = w.hosts[host].sent.len();
+            for at in 0..3 {
+                // One from long ago, and the newest that went to the old leader.
+                w.deliver_old(host, sent / 3, at);
+                w.deliver_old(host, sent - 1, at);
+            }
+        }
+    }
+    w.start(leader);
+    w.run(90_000);
+    assert_eq!(w.over(), 4);
+    assert_eq!(w.started(), 16, "a task started anew for an old report");
+    w.keeps_the_rules();
+}
+
+#[test]
+fn transactions_whose_answers_are_lost_contradict_nothing_that_others_have_read() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 4000;
+    }
+    w.store.loses_answers = true;
+    for i in 1..=9 {
+        let id = format!("job-{i}");
+        let at = i % 3;
+        assert!(!w.submit(at, job(&id, 2)), "no answer");
+        // Another has read it, and the user sends it once more to the first.
+        w.told_again(&id, job(&id, 2));
+        for step in 0..6 {
+            w.run(500);
+            for node in 0..3 {
+                w.poll(node, &id);
+            }
+            if step == 3 && i % 3 == 0 {
+                assert!(!w.cancel(at, &id), "no answer");
+                assert_eq!(w.poll((at + 1) % 3, &id), Some("aborted"));
+                assert_eq!(w.poll(at, &id), Some("aborted"));
+            }
+        }
+    }
+    w.store.loses_answers = false;
+    w.run(40_000);
+    assert_eq!(w.over(), 9);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn work_goes_on_after_all_controllers_were_away_for_longer_than_a_lease() {
+    let (mut w, ..) = busy();
+    for h in &mut w.hosts {
+        h.worker.run_ms = 10_000;
+    }
+    for at in 0..3 {
+        w.end(at);
+    }
+    w.run(2 * LEASE_MS);
+    assert!(!w.runs("job-1"));
+    for at in [2, 0, 1] {
+        w.start(at);
+        w.run(700);
+    }
+    assert!(w.cancel(1, "job-2"));
+    w.run(60_000);
+    assert_eq!(w.poll(0, "job-1"), Some("done"));
+    w.keeps_the_rules();
+}
+
+#[test]
+fn cancellations_at_the_very_moment_of_the_refusal_are_carried_out() {
+    for before in [true, false] {
+        let (mut w, leader, other) = busy();
+        if before {
+            assert!(w.cancel(other, "job-1"));
+            w.trouble[leader].refused = true;
+        } else {
+            w.trouble[leader].refused = true;
+            assert!(w.cancel(other, "job-1"));
+        }
+        w.run(1000);
+        w.outage = true;
+        w.run(CANCEL_MS);
+        w.keeps_nothing_of("job-1");
+        assert!(w.runs("job-2"));
+        over(&mut w);
+        w.keeps_the_rules();
+    }
+}
+
+#[test]
+fn one_task_jobs_four_a_second_pass_within_the_limits() {
+    let mut w = World::new(8);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 1500;
+        h.worker.fetch_ms = 500;
+    }
+    w.store.writes_per_s = 20.0;
+    let (mut sent, mut refused) = (0, 0);
+    for _ in 0..120 {
+        for _ in 0..2 {
+            sent += 1;
+            let id = format!("job-{sent}");
+            if !w.submit(sent % 3, job(&id, 1)) {
+                refused += 1;
+                continue;
+            }
+            if sent % 4 == 0 {
+                w.cancel((sent + 1) % 3, &id);
+            }
+        }
+        w.run(500);
+    }
+    // What was refused was told so at once; there is little of it.
+    assert!(refused < sent / 10, "{refused} of {sent}");
+    w.run(60_000);
+    assert_eq!(w.over(), w.accepted());
+    w.keeps_the_rules();
+}
+
+#[test]
+fn users_who_look_at_all_nodes_at_once_see_nothing_older() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 2000;
+    }
+    for i in 0..12 {
+        let id = format!("job-{i}1");
+        let at = i % 3;
+        assert!(w.submit(at, job(&id, 2)));
+        if i % 3 == 0 {
+            assert!(w.cancel((at + 1) % 3, &id));
+        }
+        for step in 0..16 {
+            for node in 0..3 {
+                assert!(w.poll((node + step) % 3, &id).is_some());
+                // The same submission again makes no second job.
+                assert!(!w.submit(node, job(&id, 2)));
+            }
+            w.run(500);
+        }
+    }
+    w.run(20_000);
+    assert_eq!(w.over(), 12);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_zone_that_is_cut_off_with_its_controller_keeps_its_work_only_for_as_long_as_it_may() {
+    let (mut w, ..) = busy();
+    // The south loses the rest, the state service included.
+    w.trouble[2].alone = true;
+    w.trouble[2].refused = true;
+    for h in &mut w.hosts {
+        h.cut_off = true;
+    }
+    w.run(4000);
+    assert!(w.cancel(0, "job-1"));
+    w.run(CANCEL_MS);
+    w.keeps_nothing_of("job-1");
+    for h in &mut w.hosts {
+        h.cut_off = false;
+        h.worker.run_ms = 10_000;
+    }
+    over(&mut w);
+    w.run(300_000);
+    assert_eq!(w.poll(1, "job-2"), Some("done"));
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_leader_ends_while_machines_with_long_tasks_hear_nobody_or_are_not_heard() {
+    for mute in [true, false] {
+        let (mut w, leader, other) = busy();
+        let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
+        let ill = &mut w.hosts[host.unwrap()].ill;
+        (ill.mute, ill.deaf) = (mute, !mute);
+        w.end(leader);
+        w.run(4000);
+        assert!(w.cancel(other, "job-1"));
+        w.run(8000);
+        w.start(leader);
+        w.run(CANCEL_MS - 8000);
+        w.keeps_nothing_of("job-1");
+        w.hosts[host.unwrap()].ill = Default::default();
+        for h in &mut w.hosts {
+            h.worker.run_ms = 5000;
+        }
+        w.run(250_000);
+        assert_eq!(w.over(), 2);
+        w.keeps_the_rules();
+    }
+}
+
+#[test]
+fn controllers_hand_over_and_back_all_end_and_one_is_back_within_a_second() {
+    let mut w = World::new(4);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 9000;
+    }
+    for round in 0..4 {
+        let id = format!("job-{}", round + 1);
+        assert!(w.submit(round % 3, job(&id, 4)));
+        w.run(2500);
+        for at in 0..3 {
+            w.end(at);
+        }
+        // Back amid what the others' keys still say.
+        w.run(500);
+        w.start(round % 3);
+        w.run(1500);
+        if round % 2 == 0 {
+            assert!(w.cancel(round % 3, &id));
+        }
+        for at in 0..3 {
+            if w.nodes[at].is_none() {
+                w.start(at);
+            }
+            w.run(1000);
+        }
+    }
+    w.run(90_000);
+    assert_eq!(w.over(), 4);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn jobs_cancelled_while_a_controllers_work_changes_hands_are_gone_in_time() {
+    for delay in 0..12 {
+        let (mut w, leader, other) = busy();
+        w.end(leader);
+        // At any moment of the take-over, and of the hand-over back.
+        w.run(delay * 1000);
+        let third = 3 - leader - other;
+        assert!(w.cancel(if delay % 2 == 0 { other } else { third }, "job-1"));
+        if delay > 5 {
+            w.start(leader);
+        }
+        w.run(CANCEL_MS);
+        w.keeps_nothing_of("job-1");
+        assert!(w.runs("job-2"));
+        w.keeps_the_rules();
+    }
+}
+
+#[test]
+fn more_work_than_room_urgent_and_not_over_slow_links_runs_by_its_rank() {
+    let mut w = World::new(2);
+    for h in &mut w.hosts {
+        h.worker.run_ms = 12_000;
+        h.ill.slow = true;
+    }
+    for i in 1..=4 {
+        let mut spec = job(&format!("job-{i}"), 4);
+        spec.priority = pointhook::protocol::users::Rank::Low;
+        assert!(w.submit(i % 3, spec));
+    }
+    w.run(6000);
+    let mut urgent = job("job-9", 4);
+    urgent.priority = pointhook::protocol::users::Rank::Production;
+    assert!(w.submit(0, urgent));
+    w.run(30_000);
+    assert!(w.begun("job-9"), "the urgent job waits behind the rest");
+    w.run(160_000);
+    assert_eq!(w.over(), 5);
+    w.keeps_the_rules();
+}
+
+#[test]
+fn a_cancellation_that_meets_the_end_of_the_last_task_has_one_outcome() {
+    for delay in 0..14 {
+        let mut w = World::new(2);
+        for h in &mut w.hosts {
+            h.worker.run_ms = 2000;
+        }
+        assert!(w.submit(0, job("job-1", 1)));
+        w.run(1000 + delay * 500);
+        let cancelled = w.cancel(1, "job-1");
+        for node in 0..3 {
+            let word = w.poll(node, "job-1").unwrap();
+            assert_eq!(word == "aborted", cancelled);
+        }
+        assert!(!w.submit(2, job("job-1", 1)));
+        w.run(8000);
+        for node in 0..3 {
+            let word = w.poll(node, "job-1").unwrap();
+            assert_eq!(word, if cancelled { "aborted" } else { "done" });
+        }
+        w.keeps_the_rules();
+    }
+}
+
+#[test]
+fn a_direct_stop_ends_what_saves_and_leaves_alone_what_has_ended_or_is_not_there() {
+    use pointhook::protocol::workers::{Order, TaskState};
+    let mut w = support::worker::Worker::new("m1", "north", 0);
+    let mut status = w.report(0);
+    (status.token, status.session) = (7, 3);
+    let shown = |task: &str, state| pointhook::protocol::workers::TaskReport {
+        task: task.into(),
+        attempt: 2,
+        state,
+        why: None,
+        saved: None,
+    };
+    status.tasks = vec![
+        shown("job-1/0", TaskState::Saving),
+        shown("job-1/1", TaskState::Exited),
+        shown("job-2/0", TaskState::Running),
+    ];
+    let left: Vec<_> = (0..3).map(|t| (format!("job-1/{t}"), 2)).collect();
+    let c = pointhook::coordination::cancellations::stops(&status, &left).unwrap();
+    // Under the worker's own token: nobody's right to command it changes.
+    assert_eq!((c.token, c.session, c.orders.len()), (7, 3, 1));
+    assert!(
+        matches!(&c.orders[0], Order::Stop { piece, grace_s, .. } if piece == "job-1/0" && *grace_s == 0.0)
+    );
+    // Another attempt is none of its business.
+    let other = [("job-1/0".to_string(), 1)];
+    assert!(pointhook::coordination::cancellations::stops(&status, &other).is_none());
+}
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -30,6 +30,8 @@
     pub run_ms: u64,
     /// Every start, in order.
     pub started: Vec<(String, u64)>,
+    /// Every task that completed.
+    pub completed: Vec<String>,
     /// Tasks fail instead of completing.
     pub sick: bool,
 }
@@ -51,6 +53,7 @@
             fetch_ms: 1000,
             run_ms: 5000,
             started: Vec::new(),
+            completed: Vec::new(),
             sick: false,
         }
     }
@@ -75,6 +78,9 @@
             if t.state == TaskState::Running && now >= t.until {
                 t.state = TaskState::Exited;
                 t.why = Some(if self.sick { Why::Error } else { Why::Done });
+                if !self.sick {
+                    self.completed.push(t.name.clone());
+                }
             }
         }
     }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -5,7 +5,7 @@
 use super::store::Store;
 use super::worker::Worker;
 use pointhook::bookkeeping::job::JobState;
-use pointhook::bookkeeping::names::{Index, TeamIx};
+use pointhook::bookkeeping::names::{Index, ShardIx, TeamIx};
 use pointhook::bookkeeping::units::Ms;
 use pointhook::bookkeeping::view::View;
 use pointhook::coordination::cancellations;
@@ -59,6 +59,8 @@
     held: Vec<(u64, Commands)>,
     /// Reports of the past, to be delivered again.
     pub sent: Vec<Report>,
+    /// It reaches only controllers of its own zone.
+    pub cut_off: bool,
 }
 
 /// All of it.
@@ -115,6 +117,7 @@
             next: self.now,
             held: Vec::new(),
             sent: Vec::new(),
+            cut_off: false,
         });
         self.hosts.len() - 1
     }
@@ -213,6 +216,17 @@
         done
     }
 
+    /// A user whose submission got no answer sends it again, and is told that it is known.
+    pub fn told_again(&mut self, id: &str, spec: JobSpec) {
+        self.told.entry(id.into()).or_insert((spec, "pending"));
+    }
+
+    /// True if a task of the job was ever started.
+    pub fn begun(&self, id: &str) -> bool {
+        let of = |t: &(String, u64)| t.0.starts_with(&format!("{id}/"));
+        self.hosts.iter().any(|h| h.worker.started.iter().any(of))
+    }
+
     fn note_cancelled(&mut self, id: &str) {
         self.cancelled.entry(id.into()).or_insert(self.now);
         if let Some(t) = self.told.get_mut(id) {
@@ -239,6 +253,17 @@
         };
         let word = View::status(job).0;
         let last = self.told.get_mut(id)?;
+        if word == "done" && last.0.shape == Shape::Array {
+            for task in (0..last.0.tasks).map(|t| format!("{id}/{t}")) {
+                if !self
+                    .hosts
+                    .iter()
+                    .any(|h| h.worker.completed.contains(&task))
+                {
+                    self.broken.push(format!("{id} is done without {task}"));
+                }
+            }
+        }
         if matches!(last.1, "done" | "aborted") && word != last.1 {
             self.broken
                 .push(format!("{id} went back from {} to {word}", last.1));
@@ -320,6 +345,15 @@
                 continue;
             };
             c.plan(&mut self.store, now);
+            if now % 1000 == 0 {
+                let turn = ShardIx((now / 1000 % 2) as u32);
+                let stops = plan::preempt(&c.view, &c.rules, turn, Ms(now), now);
+                for (mix, a, grace) in stops {
+                    if let Some(m) = c.view.machine_mut(mix) {
+                        m.stopping.insert(a, grace);
+                    }
+                }
+            }
             for p in c.pushes(now) {
                 let name = c.view.machine_names.name(p.machine).clone();
                 let how = self.command(&name, commands(&p));
@@ -360,6 +394,10 @@
         }
         let at = host.to;
         let deaf = host.ill.deaf;
+        if host.cut_off && (host.worker.zone == "south") != (at == 2) {
+            self.next_node(h);
+            return;
+        }
         self.door(at);
         let Some(mut c) = self.nodes[at].take() else {
             self.next_node(h);
@@ -463,6 +501,7 @@
     fn check(&mut self) {
         let mut seen: BTreeSet<String> = BTreeSet::new();
         let mut gpus: BTreeMap<String, f64> = BTreeMap::new();
+        let mut zones: BTreeMap<String, &str> = BTreeMap::new();
         let now = self.now;
         for host in &self.hosts {
             let name = &host.worker.name;
@@ -473,6 +512,12 @@
                 }
                 if let Some((spec, _)) = self.told.get(id) {
                     *gpus.entry(spec.team.clone()).or_default() += spec.gpus;
+                    let zone = host.worker.zone.as_str();
+                    let first = zones.entry(id.to_string()).or_insert(zone);
+                    let bound = spec.zone.as_ref().is_some_and(|z| z != zone);
+                    if bound || spec.one_zone && *first != zone {
+                        self.broken.push(format!("{now}: {task} runs in {zone}"));
+                    }
                 }
                 let since = self.cancelled.get(id).map(|t| now - t);
                 if since.is_some_and(|t| t > CANCEL_MS) {
