--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -411,6 +411,7 @@
                 ill.loses_answers = rng.bool();
                 ill.slow = rng.u8(..4) == 0;
             }
+            22 => w.cut_zone(rng.u8(..2) == 0),
             20 | 21 => {
                 let h = rng.usize(..w.hosts.len());
                 let which = rng.usize(..w.hosts[h].sent.len().max(1));
@@ -423,6 +424,7 @@
             _ => {}
         }
     }
+    w.cut_zone(false);
     w.outage = false;
     w.trouble = Default::default();
     w.store.late_ms = None;
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -61,6 +61,8 @@
     pub sent: Vec<Report>,
     /// It reaches only controllers of its own zone.
     pub cut_off: bool,
+    /// Reports that a cut holds back, with where they were sent.
+    lost: Vec<(usize, Report)>,
 }
 
 /// All of it.
@@ -118,6 +120,7 @@
             held: Vec::new(),
             sent: Vec::new(),
             cut_off: false,
+            lost: Vec::new(),
         });
         self.hosts.len() - 1
     }
@@ -149,6 +152,34 @@
         self.nodes[at] = Some(c.among(&NAMES, &ZONES));
     }
 
+    /// Cuts the south with its controller off from the rest, or ends that: reports that its
+    /// machines sent elsewhere meanwhile then arrive there.
+    pub fn cut_zone(&mut self, cut: bool) {
+        let was = self.hosts.iter().any(|h| h.cut_off);
+        self.trouble[2].alone = cut;
+        self.trouble[2].refused = cut;
+        for h in &mut self.hosts {
+            h.cut_off = cut;
+        }
+        if was && !cut {
+            for host in 0..self.hosts.len() {
+                let held = std::mem::take(&mut self.hosts[host].lost);
+                for (at, r) in held {
+                    self.deliver(at, &r);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: usize, r: &Report) {
+        self.door(at);
+        let now = self.now;
+        if let Some(mut c) = self.nodes[at].take() {
+            let _ = c.report(&mut self.store, r, now);
+            self.nodes[at] = Some(c);
+        }
+    }
+
     /// A controller ends.
     pub fn end(&mut self, at: usize) {
         self.nodes[at] = None;
@@ -299,12 +330,7 @@
         let Some(r) = self.hosts[host].sent.get(which).cloned() else {
             return;
         };
-        self.door(at);
-        let now = self.now;
-        if let Some(mut c) = self.nodes[at].take() {
-            let _ = c.report(&mut self.store, &r, now);
-            self.nodes[at] = Some(c);
-        }
+        self.deliver(at, &r);
     }
 
     /// Lets time pass, half a second at a time.
@@ -356,12 +382,12 @@
             }
             for p in c.pushes(now) {
                 let name = c.view.machine_names.name(p.machine).clone();
-                let how = self.command(&name, commands(&p));
+                let how = self.command(at, &name, commands(&p));
                 plan::note_pushed(&mut c.view, &p, how);
             }
-            self.poke(&c);
+            self.poke(at, &c);
             for left in c.left.due(&c.view, &c.rules, Ms(now)) {
-                self.stop_directly(&left);
+                self.stop_directly(at, &left);
             }
             self.nodes[at] = Some(c);
         }
@@ -375,9 +401,10 @@
             host.worker.lapse(now);
             return;
         }
+        let cut = host.cut_off;
         let (due, later) = std::mem::take(&mut host.held)
             .into_iter()
-            .partition(|(at, _)| *at <= now);
+            .partition(|(at, _)| *at <= now || *at == u64::MAX && !cut);
         host.held = later;
         for (_, c) in due {
             host.worker.command(&c, now);
@@ -395,6 +422,7 @@
         let at = host.to;
         let deaf = host.ill.deaf;
         if host.cut_off && (host.worker.zone == "south") != (at == 2) {
+            host.lost.push((at, report));
             self.next_node(h);
             return;
         }
@@ -440,11 +468,16 @@
         host.next = self.now + 1000;
     }
 
-    fn command(&mut self, name: &str, c: Commands) -> Pushed {
+    fn command(&mut self, at: usize, name: &str, c: Commands) -> Pushed {
         let now = self.now;
         let Some(host) = self.hosts.iter_mut().find(|h| h.worker.name == name) else {
             return Pushed::Unknown;
         };
+        if host.cut_off && (host.worker.zone == "south") != (at == 2) {
+            // Held by the cut, and delivered when it ends.
+            host.held.push((u64::MAX, c));
+            return Pushed::Unknown;
+        }
         if host.ill.hangs || host.ill.slow {
             let late_ms = if host.ill.slow { SLOW_MS } else { 0 };
             host.held.push((now + late_ms, c));
@@ -461,7 +494,7 @@
     }
 
     /// Shows the owner's token to machines that still have an older one.
-    fn poke(&mut self, c: &Controller) {
+    fn poke(&mut self, at: usize, c: &Controller) {
         let now = self.now;
         for host in &mut self.hosts {
             let m = c.view.machine_names.find(&host.worker.name);
@@ -470,7 +503,8 @@
             };
             let token = c.view.shards[m.shard.at()].rec.token;
             let due = c.rules.owns(&c.view, m.shard) && host.worker.token < token;
-            if due && !host.ill.deaf && !host.ill.hangs {
+            let cut = host.cut_off && (host.worker.zone == "south") != (at == 2);
+            if due && !cut && !host.ill.deaf && !host.ill.hangs {
                 let show = Commands {
                     token,
                     session: host.worker.session,
@@ -482,11 +516,12 @@
         }
     }
 
-    fn stop_directly(&mut self, left: &cancellations::Leftover) {
+    fn stop_directly(&mut self, at: usize, left: &cancellations::Leftover) {
         let now = self.now;
         // All stand-ins have the same address; the tasks tell whose it is.
         for host in &mut self.hosts {
-            let deaf = host.ill.deaf || host.ill.hangs;
+            let cut = host.cut_off && (host.worker.zone == "south") != (at == 2);
+            let deaf = host.ill.deaf || host.ill.hangs || cut;
             if deaf || !left.tasks.iter().any(|(t, _)| host.worker.has(t)) {
                 continue;
             }
