The end of a gang's wait proves nothing while the order to wait again is on its way

Cause, by reading and test: a gang's task whose wait ran out is forgotten and started again under its attempt in one answer. When the rest of the gang is lost while that answer is on its way, the end that the newest report still showed was taken as proof, the gang placed anew elsewhere, and the task ran at both places. Such an end now counts only if no start is in the answer to the report that shows it.

--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -78,6 +78,16 @@
     alone && often <= WAITS && m.leaves.is_none() && !unwanted(job, m, a)
 }
 
+/// True if an attempt whose wait ran out has ended for good, by the newest report.
+///
+/// It is the only one that starts again under its number. The order for that may be in the answer
+/// to the very report that shows its end, on its way still when the rest of the gang is lost; and
+/// a copy of an old report may show an end that is long past to a new owner.
+pub fn ended_alone(m: &Machine, token: u64, a: Attempt) -> bool {
+    let again = m.start_sent.get(&a).is_some_and(|sent| *sent >= m.reported);
+    m.token == token && !again && !unanswered_start(m, token, a)
+}
+
 /// True if the worker's lease has run out under this owner.
 ///
 /// It has accepted this owner's token, so no older owner's answer renews its lease, and a
@@ -153,9 +163,7 @@
             let token = view.shards[m.shard.at()].rec.token;
             let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
             let exit = exit.filter(|_| !waits_again(job, m, a));
-            // An attempt whose wait ran out is the only one that starts again under its number:
-            // a copy of an old report may show that end to a new owner.
-            let exit = exit.filter(|s| s.why != Some(Why::Alone) || m.token == token);
+            let exit = exit.filter(|s| s.why != Some(Why::Alone) || ended_alone(m, token, a));
             let absent = proven_absent(m, token, a) && (unwanted(job, m, a) || given_up(m, a));
             let lost = exit.is_none() && (absent || lease_over(m, token, rules.dead_ms, now));
             if exit.is_none() && !lost || draft.defer && deferred(view, job, ix, m, a) {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -360,6 +360,46 @@
     assert_eq!(new.job("job-1").placements.len(), 1);
 }
 
+#[test]
+fn a_gang_lost_while_one_of_it_is_told_to_wait_again_leaves_that_in_its_place() {
+    let (mut store, mut c) = support::controller::one();
+    let mut hosts = [("m1", 0), ("m2", 0)].map(|(n, t)| {
+        let mut w = support::worker::Worker::new(n, "north", t);
+        w.fetch_ms = 60_000;
+        w
+    });
+    for w in &mut hosts {
+        c.visit(&mut store, w, 0);
+        c.visit(&mut store, w, 500);
+    }
+    let mut gang = job("job-1", 2);
+    gang.shape = Shape::Gang;
+    gang.gpus = 3.0;
+    c.submit(&mut store, gang, 600);
+    c.plan(&mut store, 600);
+    for w in &mut hosts {
+        c.visit(&mut store, w, 1000);
+    }
+    let [first, second] = &mut hosts;
+    assert!(first.has("job-1/0") && second.has("job-1/1"));
+    first.give_up_waiting();
+    let r = first.report(1500);
+    let answer = c.report(&mut store, &r, 1500).unwrap();
+    assert_eq!(answer.orders.len(), 2, "forget and start");
+    // The answer is on its way when the other's machine is deleted.
+    let other = c.machine("m2");
+    c.view.set_gone(other);
+    c.plan(&mut store, 1600);
+    let job = c.job("job-1");
+    assert!(job.placement(0).is_some(), "its end is not for good");
+    assert!(first.answered(&answer, r.session, 1500, 2500));
+    assert!(first.has("job-1/0"));
+    // It is stopped there, and then the gang begins anew.
+    support::controller::play(&mut c, &mut store, &mut [first], 3000, 6000);
+    assert!(!first.has("job-1/0"));
+    assert!(c.job("job-1").placements.is_empty());
+}
+
 /// One seeded day: troubles of all kinds at random, then a while without any.
 fn random_day(seed: u64) -> (World, u32) {
     let mut rng = fastrand::Rng::with_seed(seed);
