--- a/examples/load.rs
+++ b/examples/load.rs
@@ -177,6 +177,7 @@
         checkpoint_s: 15.0,
         save_s: 2.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/src/bookkeeping/graph.rs
@@ -0,0 +1,88 @@
+//! Dependencies between jobs. Pure, no I/O.
+//!
+//! Job records say what a job awaits; all else is derived from that and from the states of the
+//! jobs named, both of which only ever go one way. A change touches neighbours; what goes on from
+//! there goes by a list of work, however deep the graph is.
+
+use super::job::{Around, Job, JobState};
+use super::names::JobIx;
+use super::units::ms_of;
+use crate::protocol::users::Rank;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+/// Jobs by those that need them.
+#[derive(Default, Debug)]
+pub struct Graph {
+    /// Open dependents by the name of a dependency that is not over.
+    dependents: HashMap<Rc<str>, Vec<JobIx>>,
+    /// Jobs cancelled with one that they need, whose record does not say so yet.
+    pub unwritten: BTreeSet<JobIx>,
+    /// Jobs whose surroundings changed, to be looked at.
+    pub changed: Vec<JobIx>,
+}
+
+impl Graph {
+    /// Notes that an open job awaits one that is not over.
+    pub fn awaits(&mut self, job: JobIx, dependency: &str) {
+        match self.dependents.get_mut(dependency) {
+            Some(list) if list.contains(&job) => {}
+            Some(list) => list.push(job),
+            None => {
+                self.dependents.insert(dependency.into(), vec![job]);
+            }
+        }
+    }
+    /// Open jobs that need this one.
+    pub fn dependents(&self, id: &str) -> &[JobIx] {
+        self.dependents.get(id).map_or(&[], Vec::as_slice)
+    }
+    /// A job is over: those that need it are to be looked at, and it need not be remembered.
+    pub fn over(&mut self, id: &str) {
+        if let Some(list) = self.dependents.remove(id) {
+            self.changed.extend(list);
+        }
+    }
+}
+
+/// Time for an image and the news of an end, in a stage of a pipeline.
+const STAGE_MS: u64 = 4000;
+
+/// The latest time by which what a job needs has to be done, for the job to be done in time.
+pub fn needed_by(job: &Job) -> Option<u64> {
+    let estimate = job.spec.as_ref().map_or(0, |s| ms_of(s.wire.estimate_s));
+    let due = job.around.due?;
+    Some(due.saturating_sub(estimate + STAGE_MS))
+}
+
+/// What follows for a job from its dependencies, as far as they are known, and from its
+/// dependents; and whether one of the former was cancelled.
+pub fn around<'a>(
+    submitted: u64,
+    own: (Rank, Option<u64>),
+    dependencies: impl Iterator<Item = Option<&'a Job>>,
+    dependents: impl Iterator<Item = &'a Job>,
+) -> (Around, bool) {
+    let mut out = Around {
+        blocked: false,
+        since: submitted,
+        rank: own.0,
+        due: own.1,
+    };
+    let mut cancelled = false;
+    for job in dependencies {
+        match job.map(|j| (j.state, j.finished)) {
+            Some((JobState::Done, at)) => out.since = out.since.max(at),
+            Some((JobState::Cancelled, _)) => cancelled = true,
+            Some((JobState::Open, _)) | None => out.blocked = true,
+        }
+    }
+    for job in dependents.filter(|j| j.open()) {
+        out.rank = out.rank.min(job.around.rank);
+        out.due = match (out.due, needed_by(job)) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+    }
+    (out, cancelled)
+}
--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -67,6 +67,13 @@
     }
 }
 
+/// Rough size of a placement in a record.
+pub const PLACEMENT_BYTES: usize = 36;
+/// Rough size of a part of a record without placements.
+const PART_BYTES: usize = 20;
+/// Parts of a record at most.
+const MOST_PARTS: u16 = 2000;
+
 /// A placement as stored: task, attempt, machine, its shard, the paying shard.
 pub type StoredPlacement = (u32, u64, String, u32, u32);
 
@@ -91,10 +98,17 @@
     /// Next attempt.
     #[serde(rename = "n")]
     pub next_attempt: u64,
+    /// Time of day at which the last task was done, ms; 0: not yet, or written by version 0.1.
+    #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
+    pub finished: u64,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
 }
 
 /// A task's place. It goes only on proof that the attempt is not there and can't begin later.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Placement {
     /// Task.
     pub task: u32,
@@ -106,6 +120,16 @@
     pub shard: ShardIx,
     /// The shard whose share of the team's limit it uses.
     pub payer: ShardIx,
+    /// The part of the job's record that holds it; 0: the record itself.
+    pub part: u16,
+}
+
+/// Where it is stored makes no difference to what it is.
+impl PartialEq for Placement {
+    fn eq(&self, o: &Placement) -> bool {
+        let all = |p: &Placement| (p.task, p.attempt, p.machine, p.shard, p.payer);
+        all(self) == all(o)
+    }
 }
 
 /// A job's description, names interned.
@@ -123,6 +147,8 @@
     pub zone: Option<ZoneIx>,
     /// Image.
     pub image: ImageIx,
+    /// Size of the description in a record.
+    pub bytes: usize,
 }
 
 impl Spec {
@@ -167,13 +193,35 @@
     pub placements: Vec<Placement>,
     /// Next attempt.
     pub next_attempt: u64,
+    /// Time of day at which its last task was done, ms, if that is known.
+    pub finished: u64,
+    /// What follows from the jobs around it.
+    pub around: Around,
+}
+
+/// What follows for a job from those that it needs and those that need it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Around {
+    /// It waits for a dependency, so nothing of it may start.
+    pub blocked: bool,
+    /// Time of day from which on it could run: its submission, or the end of its last dependency.
+    pub since: u64,
+    /// The highest priority of the job and of all that need it.
+    pub rank: Rank,
+    /// Time of day by which it has to be done, for its own deadline or so that those that need
+    /// it can keep theirs.
+    pub due: Option<u64>,
 }
 
 impl Job {
-    /// True while tasks may start.
+    /// True while tasks may start, once what it needs is done.
     pub fn open(&self) -> bool {
         self.state == JobState::Open
     }
+    /// True once all it needs is done.
+    pub fn ready(&self) -> bool {
+        !self.around.blocked
+    }
     /// True once nothing more will happen to it.
     pub fn settled(&self) -> bool {
         !self.open() && self.placements.is_empty()
@@ -184,14 +232,14 @@
     }
     /// True if the task waits for a machine.
     pub fn waits(&self, task: u32) -> bool {
-        self.open() && !self.done.has(task) && self.placement(task).is_none()
+        self.open() && self.ready() && !self.done.has(task) && self.placement(task).is_none()
     }
     /// Tasks that wait for a machine, from the lowest.
     pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
         let n = self
             .spec
             .as_ref()
-            .filter(|_| self.open())
+            .filter(|_| self.open() && self.ready())
             .map_or(0, |s| s.tasks());
         let mut placed: Vec<u32> = self.placements.iter().map(|p| p.task).collect();
         placed.sort_unstable();
@@ -201,7 +249,7 @@
     /// How many tasks wait.
     pub fn waiting_count(&self) -> u32 {
         match &self.spec {
-            Some(s) if self.open() => {
+            Some(s) if self.open() && self.ready() => {
                 let placed = self
                     .placements
                     .iter()
@@ -236,8 +284,32 @@
             .retain(|p| (p.task, p.attempt) != (task, attempt));
         before != self.placements.len()
     }
-    /// Rough size of the record as JSON.
+    /// Rough size of the record as JSON, without its parts.
     pub fn size(&self) -> usize {
-        700 + self.done.pieces() * 14 + self.placements.len() * 44
+        let own = self.placements.iter().filter(|p| p.part == 0).count();
+        let spec = self.spec.as_ref().map_or(0, |s| s.bytes);
+        120 + spec + self.done.pieces() * 14 + own * PLACEMENT_BYTES
+    }
+    /// The first part of the record with room for one more placement; the record itself is
+    /// part 0, and the only one unless there may be `parts`.
+    pub fn part_with_room(&self, value_bytes: usize, parts: bool) -> Option<u16> {
+        if self.size() + PLACEMENT_BYTES <= value_bytes {
+            return Some(0);
+        }
+        if !parts {
+            return None;
+        }
+        let mut sizes = vec![PART_BYTES; 1];
+        for p in &self.placements {
+            let at = usize::from(p.part);
+            if sizes.len() <= at {
+                sizes.resize(at + 1, PART_BYTES);
+            }
+            sizes[at] += PLACEMENT_BYTES;
+        }
+        let fits = |size: &usize| size + PLACEMENT_BYTES <= value_bytes;
+        let found = sizes.iter().skip(1).position(fits).map(|at| at + 1);
+        let part = found.unwrap_or(sizes.len().max(1));
+        (part <= usize::from(MOST_PARTS)).then_some(part as u16)
     }
 }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -12,6 +12,25 @@
     /// Number drawn at the start of the process.
     #[serde(rename = "i")]
     pub incarnation: u64,
+    /// Forms of records that its process knows; 0: only the first, of version 0.1.
+    #[serde(rename = "v", default, skip_serializing_if = "is_zero")]
+    pub forms: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+/// The form of records that this version knows beside the first: jobs with dependencies, and
+/// placements in parts. It begins when every node knows it.
+pub const SECOND_FORM: u32 = 2;
+
+/// Placements of a job that its own record has no room for.
+#[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
+pub struct PartRecord {
+    /// Placements.
+    #[serde(rename = "p")]
+    pub placements: Vec<super::job::StoredPlacement>,
 }
 
 /// Who owns a shard.
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -1,17 +1,18 @@
 //! The cached view: everything a controller knows. Pure, no I/O.
 
 use super::fleet::{Attempt, Machine, Rig, Seen};
-use super::job::{Job, JobRecord, JobState, Placement, Spec};
+use super::graph::{self, Graph};
+use super::job::{Around, Job, JobRecord, JobState, Placement, Spec, StoredPlacement};
 use super::knowledge::Knowledge;
 use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
 pub use super::records::{
-    BookingRecord, NodeRecord, ShardRecord, TeamLimits, TeamRecord, Versioned, ROOT,
+    BookingRecord, NodeRecord, PartRecord, ShardRecord, TeamLimits, TeamRecord, Versioned, ROOT,
 };
 use super::tally::Tally;
-use super::units::{Ms, Res};
+use super::units::{ms_of, Ms, Res};
 use crate::protocol::cloud::Flavors;
 use crate::protocol::state::{Entry, Event};
-use crate::protocol::users::{JobSpec, Shape};
+use crate::protocol::users::{JobSpec, Rank, Shape};
 use crate::protocol::workers::TaskState;
 use rmpv::Value;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -67,6 +68,12 @@
     pub suspect_teams: HashSet<TeamIx>,
     /// Up to when all confirmed cancellations are known here.
     pub knowledge: Knowledge,
+    /// The second form of records has begun: every node knows it.
+    pub second_form: bool,
+    /// Dependencies between jobs.
+    pub graph: Graph,
+    /// Versions of the parts of jobs' records.
+    parts: BTreeMap<(JobIx, u16), u64>,
     /// Jobs that others told are cancelled, until a record says so.
     told: HashSet<Rc<str>>,
     /// Per job: machines on which it failed, and the earliest next try.
@@ -94,6 +101,19 @@
     })
 }
 
+/// Job and number of a part by its name.
+fn part_of(name: &str) -> Option<(&str, u16)> {
+    let (id, part) = name.rsplit_once('.')?;
+    Some((id, part.parse().ok()?))
+}
+
+/// Size of a description in a record, as the state service counts it.
+fn stored_bytes(wire: &JobSpec) -> usize {
+    let bytes = rmp_serde::to_vec_named(wire).unwrap_or_default();
+    let value = rmpv::decode::read_value(&mut bytes.as_slice());
+    value.map_or(0, |v| v.to_string().len())
+}
+
 impl View {
     /// An empty view for a deployment.
     pub fn new(zones: &[String], teams: &[crate::settings::Team], shards_per_zone: usize) -> View {
@@ -230,6 +250,7 @@
                 .map(|t| t.iter().map(|t| self.rig_names.intern(t)).collect()),
             zone,
             image: self.image_names.intern(&wire.image),
+            bytes: stored_bytes(wire),
             wire: wire.clone(),
         })
     }
@@ -344,15 +365,88 @@
             state: job.state,
             submitted: job.submitted,
             done: job.done.clone(),
-            placements: job
-                .placements
-                .iter()
-                .map(|p| {
-                    let machine = self.machine_names.name(p.machine).to_string();
-                    (p.task, p.attempt, machine, p.shard.0, p.payer.0)
-                })
-                .collect(),
+            placements: self.stored_part(job, 0),
             next_attempt: job.next_attempt,
+            finished: job.finished,
+        }
+    }
+
+    /// Key of a part of a job's record.
+    pub fn part_key(id: &str, part: u16) -> String {
+        format!("{ROOT}more/{id}.{part}")
+    }
+
+    /// The placements in one part of a job's record, to be stored.
+    pub fn stored_part(&self, job: &Job, part: u16) -> Vec<StoredPlacement> {
+        let own = job.placements.iter().filter(|p| p.part == part);
+        let stored = |p: &Placement| {
+            let machine = self.machine_names.name(p.machine).to_string();
+            (p.task, p.attempt, machine, p.shard.0, p.payer.0)
+        };
+        own.map(stored).collect()
+    }
+
+    /// Parts other than the record itself that differ from what is known of the job.
+    pub fn changed_parts(&self, ix: JobIx, job: &Job) -> Vec<u16> {
+        let old = &self.jobs[ix.at()];
+        let mut parts: Vec<u16> = old.placements.iter().map(|p| p.part).collect();
+        parts.extend(job.placements.iter().map(|p| p.part));
+        parts.sort_unstable();
+        parts.dedup();
+        parts.retain(|n| *n > 0 && self.stored_part(old, *n) != self.stored_part(job, *n));
+        parts
+    }
+
+    fn placements(&mut self, stored: &[StoredPlacement], part: u16) -> Vec<Placement> {
+        let of =
+            |v: &mut Self, (task, attempt, machine, shard, payer): &StoredPlacement| Placement {
+                task: *task,
+                attempt: *attempt,
+                machine: v.intern_machine(machine),
+                shard: ShardIx(*shard),
+                payer: ShardIx(*payer),
+                part,
+            };
+        stored.iter().map(|p| of(self, p)).collect()
+    }
+
+    /// Puts a part of a job's record of this version into the view; older versions change
+    /// nothing. An empty one is gone.
+    pub fn put_part(&mut self, id: &str, part: u16, version: u64, stored: &[StoredPlacement]) {
+        let Some(ix) = self
+            .job_names
+            .find(id)
+            .filter(|ix| ix.at() < self.jobs.len())
+        else {
+            return;
+        };
+        let known = self.parts.get(&(ix, part)).copied().unwrap_or(0);
+        if part == 0 || known >= version {
+            return;
+        }
+        self.parts.insert((ix, part), version);
+        let fresh = self.placements(stored, part);
+        let doubtful = self.suspects.contains(&ix);
+        let mut job = self.jobs[ix.at()].clone();
+        job.placements.retain(|p| p.part != part);
+        job.placements.extend(fresh);
+        self.note_images(&job);
+        self.store_job(ix, job);
+        if doubtful {
+            self.suspects.insert(ix);
+        }
+    }
+
+    fn note_images(&mut self, job: &Job) {
+        let Some(s) = &job.spec else { return };
+        for p in &job.placements {
+            let cache = self.machine(p.machine).map(|m| m.rig);
+            let cache = cache
+                .and_then(|r| self.rigs.get(&r))
+                .map_or(f64::MAX, |r| r.flavor.cache_gb);
+            if let Some(m) = self.machine_mut(p.machine) {
+                m.use_image(s.image, s.wire.image_gb, cache);
+            }
         }
     }
 
@@ -388,27 +482,9 @@
                 self.arrivals.pop_front();
             }
         }
-        let placements = rec
-            .placements
-            .iter()
-            .map(|(task, attempt, machine, shard, payer)| Placement {
-                task: *task,
-                attempt: *attempt,
-                machine: self.intern_machine(machine),
-                shard: ShardIx(*shard),
-                payer: ShardIx(*payer),
-            })
-            .collect::<Vec<_>>();
-        if let Some(s) = &spec {
-            for p in &placements {
-                let cache = self.machine(p.machine).map(|m| m.rig);
-                let cache = cache
-                    .and_then(|r| self.rigs.get(&r))
-                    .map_or(f64::MAX, |r| r.flavor.cache_gb);
-                if let Some(m) = self.machine_mut(p.machine) {
-                    m.use_image(s.image, s.wire.image_gb, cache);
-                }
-            }
+        let mut placements = self.placements(&rec.placements, 0);
+        if let Some(old) = self.jobs.get(ix.at()) {
+            placements.extend(old.placements.iter().filter(|p| p.part > 0));
         }
         let id = self.job_names.name(ix).clone();
         // Cancelled is final: an older record, by whatever way it comes, takes nothing back.
@@ -419,17 +495,86 @@
                 state
             }
         };
+        let (around, cancelled) = self.around(&id, rec.submitted, spec.as_deref());
         let job = Job {
             id,
             version,
-            state,
+            // Whoever knows that one it needs is cancelled knows that it is.
+            state: match state {
+                JobState::Open if cancelled => JobState::Cancelled,
+                state => state,
+            },
             submitted: rec.submitted,
             spec,
             done: rec.done.clone(),
             placements,
             next_attempt: rec.next_attempt,
+            finished: rec.finished,
+            around,
         };
+        if rec.state == JobState::Open && job.state == JobState::Cancelled && cancelled {
+            self.graph.unwritten.insert(ix);
+        } else {
+            self.graph.unwritten.remove(&ix);
+        }
+        self.note_images(&job);
+        self.enter(ix, &job);
         self.store_job(ix, job);
+        self.look_around();
+    }
+
+    /// What follows for a job from those around it, and whether it is cancelled with one.
+    fn around(&self, id: &str, submitted: u64, spec: Option<&Spec>) -> (Around, bool) {
+        let rank = spec.map_or(Rank::Low, Spec::rank);
+        let due = spec.and_then(|s| s.wire.deadline_s);
+        let due = due.map(|s| submitted.saturating_add(ms_of(s)));
+        let names = spec.map_or(&[] as &[String], |s| &s.wire.awaits);
+        let dependencies = names.iter().map(|n| self.job(n).map(|(_, j)| j));
+        let dependents = self.graph.dependents(id).iter().map(|d| &self.jobs[d.at()]);
+        graph::around(submitted, (rank, due), dependencies, dependents)
+    }
+
+    /// Enters an open job under those that it needs.
+    fn enter(&mut self, ix: JobIx, job: &Job) {
+        let Some(spec) = job.spec.clone().filter(|_| job.open()) else {
+            return;
+        };
+        for name in &spec.wire.awaits {
+            let dependency = self.job(name).map(|(at, j)| (at, j.open()));
+            if dependency.is_none_or(|(_, open)| open) {
+                self.graph.awaits(ix, name);
+            }
+            // It has one more that needs it.
+            self.graph.changed.extend(dependency.map(|d| d.0));
+        }
+    }
+
+    /// Looks at all jobs whose surroundings have changed, and at what changes by that.
+    fn look_around(&mut self) {
+        while let Some(ix) = self.graph.changed.pop() {
+            let Some(job) = self.jobs.get(ix.at()).filter(|j| j.open()) else {
+                continue;
+            };
+            let (id, spec) = (job.id.clone(), job.spec.clone());
+            let (around, cancelled) = self.around(&id, job.submitted, spec.as_deref());
+            if cancelled {
+                let state = JobState::Cancelled;
+                let job = Job {
+                    state,
+                    ..job.clone()
+                };
+                self.graph.unwritten.insert(ix);
+                self.store_job(ix, job);
+                continue;
+            }
+            if around == job.around {
+                continue;
+            }
+            self.jobs[ix.at()].around = around;
+            let needs = spec.iter().flat_map(|s| &s.wire.awaits);
+            let needs: Vec<JobIx> = needs.filter_map(|n| Some(self.job(n)?.0)).collect();
+            self.graph.changed.extend(needs);
+        }
     }
 
     /// Takes the news that a job's cancellation was confirmed to its user; true if it is new.
@@ -448,6 +593,7 @@
             let doubtful = self.suspects.contains(&ix);
             let state = JobState::Cancelled;
             self.store_job(ix, Job { state, ..job });
+            self.look_around();
             // What it may have been given by a late transaction is not known any better now.
             if doubtful {
                 self.suspects.insert(ix);
@@ -485,11 +631,21 @@
             self.tally.remove(ix, old);
         }
         self.tally.add(ix, &job);
+        // Once nothing of it is left its record has no description any more.
+        let spec = self.jobs.get(ix.at()).and_then(|old| old.spec.clone());
+        let over = (!job.open()).then(|| (job.id.clone(), spec));
         if ix.at() == self.jobs.len() {
             self.jobs.push(job);
         } else if let Some(slot) = self.jobs.get_mut(ix.at()) {
             *slot = job;
         }
+        if let Some((id, spec)) = over {
+            self.graph.over(&id);
+            // What it needed is needed by one less.
+            let needs = spec.iter().flat_map(|s| &s.wire.awaits);
+            let needs: Vec<JobIx> = needs.filter_map(|n| Some(self.job(n)?.0)).collect();
+            self.graph.changed.extend(needs);
+        }
         touched.sort_unstable();
         touched.dedup();
         for m in touched {
@@ -551,6 +707,15 @@
                     rec,
                 );
             }),
+            "more" => read::<PartRecord>(v).map(|r| {
+                if let Some((id, part)) = part_of(name) {
+                    self.put_part(id, part, version, &r.placements);
+                }
+            }),
+            "form" => {
+                self.second_form = true;
+                Ok(())
+            }
             "flavors" => read::<Flavors>(v).map(|f| {
                 self.flavors_version = version;
                 self.set_flavors(&f);
@@ -574,6 +739,11 @@
             "book" if self.bookings.get(name).is_some_and(|b| b.version < version) => {
                 self.bookings.remove(name);
             }
+            "more" => {
+                if let Some((id, part)) = part_of(name) {
+                    self.put_part(id, part, version, &[]);
+                }
+            }
             _ => {}
         }
     }
@@ -603,7 +773,7 @@
     pub fn take_page(&mut self, entries: &[Entry], fleeting: &mut HashSet<String>) {
         for e in entries {
             let kind = e.key.strip_prefix(ROOT).and_then(|k| k.split_once('/'));
-            if matches!(kind, Some(("node" | "book", _))) {
+            if matches!(kind, Some(("node" | "book" | "more", _))) {
                 fleeting.insert(e.key.clone());
             }
             self.put(&e.key, e.version, &e.v);
@@ -618,6 +788,18 @@
             .retain(|n, r| stays(format!("{ROOT}node/{n}"), r.version));
         self.bookings
             .retain(|n, b| stays(format!("{ROOT}book/{n}"), b.version));
+        let gone: Vec<(JobIx, u16)> = self
+            .parts
+            .iter()
+            .filter(|((ix, part), version)| {
+                !stays(Self::part_key(&self.jobs[ix.at()].id, *part), **version)
+            })
+            .map(|(at, _)| *at)
+            .collect();
+        for (ix, part) in gone {
+            let id = self.jobs[ix.at()].id.clone();
+            self.put_part(&id, part, revision, &[]);
+        }
         self.revision = self.revision.max(revision);
         self.loaded = true;
     }
--- a/src/coordination/intake.rs
+++ b/src/coordination/intake.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::job::{Job, JobRecord, JobState, Ranges};
 use crate::bookkeeping::view::View;
 use crate::protocol::state::{Condition, Transaction};
-use crate::protocol::users::{parse_job, valid_id, JobStatus};
+use crate::protocol::users::{parse_job, valid_id, JobStatus, MAX_AWAITS};
 use crate::transport::http::{jittered, Answer, Incoming};
 use crate::transport::pause;
 use http_types::Method;
@@ -110,6 +110,11 @@
         }
         Some(true) => {}
     }
+    if !known {
+        if let Some(refusal) = refused_for_dependencies(node, &wire.awaits).await {
+            return refusal;
+        }
+    }
     let id = wire.id.clone();
     let record = JobRecord {
         spec: Some(wire),
@@ -118,6 +123,7 @@
         done: Ranges::default(),
         placements: Vec::new(),
         next_attempt: 1,
+        finished: 0,
     };
     let key = View::job_key(&id);
     let began = node.now();
@@ -174,6 +180,33 @@
     Answer::later(COME_BACK_S)
 }
 
+/// The answer to a new job whose dependencies can't be taken; `None` if they can.
+///
+/// Another node may have accepted one of them a moment ago, so what is not known here is unknown
+/// only to a read begun now; and a node that can't read can't say so.
+async fn refused_for_dependencies(node: &Rc<Node>, awaits: &[String]) -> Option<Answer> {
+    if awaits.is_empty() {
+        return None;
+    }
+    if awaits.len() > MAX_AWAITS {
+        return Some(Answer::bare(422));
+    }
+    let unknown = || {
+        let view = node.view.borrow();
+        let known = |id: &String| view.job(id).is_some();
+        (!view.second_form, !awaits.iter().all(known))
+    };
+    if unknown() != (false, false) && !node.refreshed(READ_MS).await {
+        return Some(Answer::later(COME_BACK_S));
+    }
+    match unknown() {
+        // A node of a version that knows no dependencies would run the job at once.
+        (true, _) => Some(Answer::later(COME_BACK_S)),
+        (_, true) => Some(Answer::bare(422)),
+        (false, false) => None,
+    }
+}
+
 async fn poll(node: &Rc<Node>, id: &str) -> Answer {
     if !valid_id(id) {
         return Answer::bare(404);
--- a/src/coordination/members.rs
+++ b/src/coordination/members.rs
@@ -5,6 +5,7 @@
 use super::store::{set, Outcome};
 use crate::bookkeeping::fleet::LateStart;
 use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
+use crate::bookkeeping::records::SECOND_FORM;
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
 use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
@@ -174,6 +175,35 @@
     Some((Transaction { conditions, writes }, rec))
 }
 
+/// The transaction by which the second form of records begins: once all nodes of the deployment
+/// live and know it, and on condition that none of them has changed since.
+///
+/// A process of the old version that comes back later finds its records in the first form but for
+/// jobs with dependencies and wide ones, which it may show and cancel. That is for the operator to
+/// rule out: until the second form begins a change of version can be taken back.
+pub fn begin_second_form(view: &View, all: &[&str]) -> Option<Transaction> {
+    if view.second_form || !view.loaded {
+        return None;
+    }
+    let key = format!("{ROOT}form/{SECOND_FORM}");
+    let mut conditions = vec![Condition {
+        key: key.clone(),
+        version: 0,
+    }];
+    for name in all {
+        let node = view.nodes.get(*name)?;
+        if node.rec.forms < SECOND_FORM {
+            return None;
+        }
+        conditions.push(Condition {
+            key: format!("{ROOT}node/{name}"),
+            version: node.version,
+        });
+    }
+    let writes = vec![set(key, &true, None)?];
+    Some(Transaction { conditions, writes })
+}
+
 /// Duty: keeps the node's key and its shards.
 pub async fn run(node: Rc<Node>) {
     let s = &node.platform.settings;
@@ -205,6 +235,17 @@
             renewed = now;
             again = lease.is_none();
         }
+        let begin = {
+            let peers = node.peers.iter().map(|p| p.name.as_str());
+            let all: Vec<&str> = peers.chain([node.rules.node.as_str()]).collect();
+            begin_second_form(&node.view.borrow(), &all)
+        };
+        if let Some(txn) = begin {
+            if let Outcome::Done(_) = node.commit(&txn).await {
+                log::info!("all nodes know the second form of records, it begins");
+            }
+            node.refreshed(1500).await;
+        }
         let may_raise = now.since(raised) >= RAISE_MS;
         if may_raise {
             raised = now;
@@ -338,6 +379,7 @@
     };
     let rec = NodeRecord {
         incarnation: node.rules.incarnation,
+        forms: SECOND_FORM,
     };
     let key = format!("{ROOT}node/{me}");
     let version = node.view.borrow().nodes.get(me).map_or(0, |n| n.version);
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -7,6 +7,7 @@
 use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::bookkeeping::view::View;
+use crate::protocol::state::Limits;
 use crate::settings::{Objective, Operator, Platform};
 use crate::transport::frames::PeerClient;
 use crate::transport::http::Client;
@@ -289,8 +290,9 @@
             renew_ms: s.workers.renew_ms(),
             cancel_ms: ms_of(s.workers.cancel_s),
             finish_within: finish_times(&s.objectives),
-            txn_ops: s.state.txn_ops,
-            value_bytes: (s.state.value_kb * 1024.0 * 0.9) as usize,
+            limits_now: s.state.limits(),
+            limits_next: s.state.next.as_ref().map_or(Limits::NONE, |n| n.limits()),
+            limits_seen: Cell::new(Limits::NONE),
         };
         let peers = platform
             .siblings
--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -10,9 +10,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
-/// Rough size of a placement in a record.
-pub(super) const PLACEMENT_BYTES: usize = 44;
-
 /// True for tasks that are claimed many at a time while changes are scarce.
 fn deferrable(spec: &Spec) -> bool {
     spec.wire.shape == Shape::Array && spec.rank() > Rank::High
@@ -56,13 +53,13 @@
     let fits = |job: &Job, room: Res, ix: JobIx, s: &Spec, mix: MachineIx, m: &Machine| {
         let held = m.held.is_some_and(|(_, until)| now < until);
         s.need.fits(room)
-            && (!held || s.rank() == Rank::Production)
+            && (!held || job.around.rank == Rank::Production)
             && allowed(view, job, ix, s, mix, m)
             && !leaves_alone(
                 view,
                 rules,
                 s,
-                wall_ms.saturating_sub(job.submitted),
+                wall_ms.saturating_sub(job.around.since),
                 (m.rig, m.spot),
                 is_empty(view, m, room),
             )
@@ -79,7 +76,7 @@
                     continue;
                 }
                 let job = draft.job(view, *ix);
-                let Some(s) = job.spec.clone().filter(|s| s.rank() == rank) else {
+                let Some(s) = job.spec.clone().filter(|_| job.around.rank == rank) else {
                     continue;
                 };
                 let room = free.get(*mix).unwrap_or_default();
@@ -87,7 +84,6 @@
                     || !job.waits(*task)
                     || backed_off(view, *ix, now)
                     || crowds_out(view, draft, &claimants, job, &s)
-                    || job.size() + PLACEMENT_BYTES >= rules.value_bytes
                     || !fits(job, room, *ix, &s, *mix, m)
                 {
                     continue;
@@ -122,9 +118,7 @@
                 .collect();
             for task in tasks {
                 let job = draft.job(view, w.ix);
-                if job.size() + PLACEMENT_BYTES >= rules.value_bytes
-                    || crowds_out(view, draft, &claimants, job, &w.spec)
-                {
+                if crowds_out(view, draft, &claimants, job, &w.spec) {
                     break;
                 }
                 let found = loop {
@@ -154,6 +148,44 @@
         .collect()
 }
 
+/// Parts of the job's record for this many more placements, all noted as changing; `None` if the
+/// record can't hold them, or the transaction not all that changes.
+fn parts_for(
+    view: &View,
+    rules: &Rules,
+    draft: &mut Draft,
+    ix: JobIx,
+    n: usize,
+) -> Option<Vec<u16>> {
+    let value_bytes = rules.limits(view).value_bytes;
+    let mut job = draft.job(view, ix).clone();
+    let fresh = usize::from(!draft.jobs.contains_key(&ix));
+    let mut parts = Vec::new();
+    for _ in 0..n {
+        let part = job.part_with_room(value_bytes, view.second_form)?;
+        parts.push(part);
+        if n > 1 {
+            job.placements.push(Placement {
+                task: u32::MAX,
+                attempt: 0,
+                machine: MachineIx(0),
+                shard: ShardIx(0),
+                payer: ShardIx(0),
+                part,
+            });
+        }
+    }
+    let mut new: Vec<u16> = parts.iter().copied().filter(|p| *p > 0).collect();
+    new.dedup();
+    new.retain(|p| !draft.parts.contains(&(ix, *p)));
+    if !draft.has_room(view, rules, new.len() + fresh) {
+        draft.cut = true;
+        return None;
+    }
+    draft.parts.extend(new.into_iter().map(|p| (ix, p)));
+    Some(parts)
+}
+
 /// Drafts placements of one attempt; false if the transaction is full or the limit is reached.
 pub(super) fn place(
     view: &View,
@@ -175,18 +207,25 @@
     ) {
         return false;
     }
+    let Some(parts) = parts_for(view, rules, draft, ix, on.len()) else {
+        return false;
+    };
     let Some(job) = draft.edit(view, rules, ix) else {
         return false;
     };
     let attempt = job.next_attempt;
     job.next_attempt += 1;
-    let placements = on.iter().map(|(task, machine, m)| Placement {
-        task: *task,
-        attempt,
-        machine: *machine,
-        shard: m.shard,
-        payer,
-    });
+    let placements = on
+        .iter()
+        .zip(&parts)
+        .map(|((task, machine, m), part)| Placement {
+            part: *part,
+            task: *task,
+            attempt,
+            machine: *machine,
+            shard: m.shard,
+            payer,
+        });
     let placements: Vec<Placement> = placements.collect();
     job.placements.extend(&placements);
     draft.shards.insert(payer);
@@ -233,7 +272,7 @@
             *per_zone.entry(z).or_default() += 1;
         }
     }
-    let waited = wall_ms.saturating_sub(job.submitted);
+    let waited = wall_ms.saturating_sub(job.around.since);
     let mut out = Vec::new();
     for task in job.waiting() {
         let zone_ok = |m: &Machine| per_zone.get(&m.zone).copied().unwrap_or(0) < spec.zone_cap();
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen};
-use crate::bookkeeping::job::Job;
+use crate::bookkeeping::job::{Job, JobState};
 use crate::bookkeeping::names::{Index, MachineIx};
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::View;
@@ -121,16 +121,66 @@
     job.done.count() as usize + over.count() < spec.tasks() as usize
 }
 
+/// Writes down jobs that are cancelled with one that they need, a few at a time: they are so for
+/// every node without being written, and a large graph should cost no burst of changes.
+fn write_cascades(view: &View, rules: &Rules, draft: &mut Draft) {
+    let own = view.graph.unwritten.iter().filter(|ix| {
+        let id = &view.jobs[ix.at()].id;
+        rules.owns(view, view.gang_shard(id))
+    });
+    let some: Vec<JobIx> = own.take(draft.cascades).copied().collect();
+    for ix in some {
+        let _ = draft.edit(view, rules, ix);
+    }
+}
+
+/// Moves placements of records that are too large for the limits to come into parts, a record
+/// in a pass. What is caught too large could not even be written back smaller.
+fn spill(view: &View, rules: &Rules, draft: &mut Draft) {
+    let limits = rules.limits(view);
+    if !view.second_form {
+        return;
+    }
+    let large = view.active_jobs().find(|(ix, job)| {
+        job.size() > limits.value_bytes
+            && job.placements.iter().any(|p| p.part == 0)
+            && rules.owns(view, view.gang_shard(&job.id))
+            && !draft.jobs.contains_key(ix)
+    });
+    let Some((ix, job)) = large else { return };
+    let mut job = job.clone();
+    while job.size() > limits.value_bytes {
+        let Some(at) = job.placements.iter().position(|p| p.part == 0) else {
+            break;
+        };
+        let mut p = job.placements.remove(at);
+        let part = job.part_with_room(limits.value_bytes, true);
+        p.part = part.unwrap_or(0);
+        let moved = p.part > 0 && draft.touch(view, rules, ix, p.part);
+        if !moved {
+            p.part = 0;
+            job.placements.push(p);
+            break;
+        }
+        job.placements.push(p);
+    }
+    if let Some(j) = draft.edit(view, rules, ix) {
+        *j = job;
+    }
+}
+
 /// Takes what reports and deletions prove into the draft.
 pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
     let own = rules.owned(view);
+    spill(view, rules, draft);
     for team in &view.suspect_teams {
         // The same for shares: writing them once more shuts the late transaction out.
-        if draft.has_room(rules, 1) {
+        if draft.has_room(view, rules, 1) {
             let rec = view.teams[team.at()].rec.clone();
             draft.teams.insert(*team, rec);
         }
     }
+    write_cascades(view, rules, draft);
     for (ix, job) in view.active_jobs() {
         if view.suspects.contains(&ix) {
             // A write with an unknown outcome may still be applied: writing the
@@ -140,8 +190,10 @@
         for p in &job.placements {
             if view.is_gone(p.machine) {
                 // Deletion is proof for everyone, whoever owns the shard.
-                if let Some(j) = draft.edit(view, rules, ix) {
-                    j.remove(p.task, p.attempt);
+                if draft.touch(view, rules, ix, p.part) {
+                    if let Some(j) = draft.edit(view, rules, ix) {
+                        j.remove(p.task, p.attempt);
+                    }
                 }
                 continue;
             }
@@ -161,11 +213,18 @@
             if exit.is_none() && !lost || draft.defer && deferred(view, job, ix, m, a) {
                 continue;
             }
+            if !draft.touch(view, rules, ix, p.part) {
+                continue;
+            }
+            let wall_ms = draft.wall_ms;
             let Some(j) = draft.edit(view, rules, ix) else {
                 continue;
             };
             if exit.is_some_and(|s| s.why == Some(Why::Done)) && j.open() {
                 j.finish(p.task);
+                if j.state == JobState::Done && j.finished == 0 {
+                    j.finished = wall_ms;
+                }
             }
             j.remove(p.task, p.attempt);
             draft.shards.insert(m.shard);
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -13,10 +13,12 @@
 pub fn waiting_gangs(view: &View, now: Ms) -> Vec<JobIx> {
     let mut out: Vec<(Rank, u64, JobIx)> = view
         .active_jobs()
-        .filter(|(ix, j)| j.open() && j.placements.is_empty() && !backed_off(view, *ix, now))
+        .filter(|(ix, j)| {
+            j.open() && j.ready() && j.placements.is_empty() && !backed_off(view, *ix, now)
+        })
         .filter_map(|(ix, j)| {
-            let s = j.spec.as_ref().filter(|s| s.is_wide_gang())?;
-            Some((s.rank(), j.submitted, ix))
+            j.spec.as_ref().filter(|s| s.is_wide_gang())?;
+            Some((j.around.rank, j.around.since, ix))
         })
         .collect();
     out.sort();
@@ -87,9 +89,6 @@
         .map(|ix| (ix, &view.jobs[ix.at()]))
         .filter(|(_, job)| rules.owns(view, view.gang_shard(&job.id)))
         .filter_map(|(ix, job)| Some((ix, job, job.spec.as_deref()?)))
-        .filter(|(_, job, s)| {
-            job.size() + PLACEMENT_BYTES * (s.tasks() as usize) <= rules.value_bytes
-        })
         .collect();
     let Some(least) = least_need(own.iter().map(|(.., s)| *s)) else {
         return;
@@ -130,7 +129,7 @@
 ) -> Vec<(JobIx, Vec<MachineIx>)> {
     let long = |ix: &JobIx| {
         let job = &view.jobs[ix.at()];
-        wall_ms.saturating_sub(job.submitted) >= rules.gang_hold_ms
+        wall_ms.saturating_sub(job.around.since) >= rules.gang_hold_ms
     };
     let gangs: Vec<JobIx> = waiting_gangs(view, now).into_iter().filter(long).collect();
     if gangs.is_empty() {
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -8,6 +8,8 @@
 use crate::bookkeeping::names::{Index, JobIx, ShardIx, TeamIx};
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{TeamRecord, View};
+use crate::protocol::state::Limits;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 mod claims;
@@ -58,10 +60,12 @@
     pub cancel_ms: u64,
     /// Times in which jobs of a class are expected to finish, ms, the shortest first.
     pub finish_within: HashMap<String, Vec<u64>>,
-    /// Changes in a transaction.
-    pub txn_ops: usize,
-    /// Size of a record.
-    pub value_bytes: usize,
+    /// Limits of the state service now, as the settings say.
+    pub limits_now: Limits,
+    /// Limits that come without notice.
+    pub limits_next: Limits,
+    /// Limits that its refusals have shown.
+    pub limits_seen: Cell<Limits>,
 }
 
 /// Age of the knowledge of cancellations up to which tasks are started: above the wait of a watch.
@@ -74,6 +78,18 @@
 pub const SAMPLE: usize = 64;
 
 impl Rules {
+    /// Limits that hold for what is written.
+    ///
+    /// Once every node knows how to keep to those that come, nothing is written any more that
+    /// only today's allow: what is stored and too large can't be written back later.
+    pub fn limits(&self, view: &View) -> Limits {
+        let now = self.limits_now.least(self.limits_seen.get());
+        if view.second_form {
+            now.least(self.limits_next)
+        } else {
+            now
+        }
+    }
     /// True if this incarnation owns the shard, as far as is known.
     pub fn owns(&self, view: &View, shard: ShardIx) -> bool {
         let r = &view.shards[shard.at()].rec;
@@ -114,6 +130,12 @@
     pub claims: Vec<(JobIx, Placement)>,
     /// Leave small news of arrays for later, when more of it is written at once.
     pub defer: bool,
+    /// Parts of jobs' records that change with them.
+    pub parts: BTreeSet<(JobIx, u16)>,
+    /// Jobs cancelled with others that this pass may write down.
+    pub cascades: usize,
+    /// Time of day of this pass, ms; 0: not known.
+    pub wall_ms: u64,
     /// Something was left out for which the transaction or a team's share had no room.
     pub cut: bool,
     bytes: usize,
@@ -121,9 +143,10 @@
 
 impl Draft {
     /// A draft that may leave arrays' small news for later.
-    pub fn deferring(defer: bool) -> Draft {
+    pub fn deferring(defer: bool, wall_ms: u64) -> Draft {
         Draft {
             defer,
+            wall_ms,
             ..Draft::default()
         }
     }
@@ -132,8 +155,20 @@
         self.jobs.is_empty() && self.teams.is_empty()
     }
     /// True if `more` changed keys still go into the transaction.
-    fn has_room(&self, rules: &Rules, more: usize) -> bool {
-        self.jobs.len() + self.teams.len() + more <= rules.txn_ops && self.bytes < TXN_BYTES
+    fn has_room(&self, view: &View, rules: &Rules, more: usize) -> bool {
+        let changes = self.jobs.len() + self.teams.len() + self.parts.len();
+        changes + more <= rules.limits(view).txn_ops && self.bytes < TXN_BYTES
+    }
+    /// Notes that a part of a job's record changes; false if the transaction is full.
+    fn touch(&mut self, view: &View, rules: &Rules, ix: JobIx, part: u16) -> bool {
+        if part == 0 || self.parts.contains(&(ix, part)) {
+            return true;
+        }
+        if !self.has_room(view, rules, 1) {
+            self.cut = true;
+            return false;
+        }
+        self.parts.insert((ix, part))
     }
     /// The job as drafted so far.
     pub fn job<'a>(&'a self, view: &'a View, ix: JobIx) -> &'a Job {
@@ -142,7 +177,7 @@
     /// The job, to change it; `None` if the transaction is full.
     fn edit(&mut self, view: &View, rules: &Rules, ix: JobIx) -> Option<&mut Job> {
         if !self.jobs.contains_key(&ix) {
-            if !self.has_room(rules, 1) {
+            if !self.has_room(view, rules, 1) {
                 self.cut = true;
                 return None;
             }
--- a/src/coordination/plan/order.rs
+++ b/src/coordination/plan/order.rs
@@ -37,10 +37,10 @@
 /// minutes, or two and a half times the time allowed if that is less, its first task goes
 /// before all, and in one second of five all late work does, the oldest first.
 pub fn put_back(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> u8 {
-    let age = wall_ms.saturating_sub(job.submitted);
+    let age = wall_ms.saturating_sub(job.around.since);
     let begun = !job.placements.is_empty() || job.done.count() > 0;
     let class = rules.finish_within.get(&spec.wire.class);
-    let own = spec.wire.deadline_s.map(ms_of);
+    let own = job.around.due.map(|d| d.saturating_sub(job.around.since));
     let times = own.into_iter().chain(class.into_iter().flatten().copied());
     let (first, last) = times.fold((None, 0), |(f, l), t| (f.or(Some(t)), l.max(t)));
     let begin_by = first.map_or(BEGIN_MS, |d| BEGIN_MS.min(d * 5 / 2));
@@ -67,8 +67,8 @@
 ///
 /// Not so where a class is only expected to finish within some time: there a team's guarantee
 /// and the waits count as much, and the oldest first serves them better.
-fn size_step(job: &Job, spec: &Spec, back: u8) -> u32 {
-    if back != 1 || spec.wire.deadline_s.is_none() {
+fn size_step(job: &Job, back: u8) -> u32 {
+    if back != 1 || job.around.due.is_none() {
         return 0;
     }
     job.waiting_count().max(1).ilog2()
@@ -89,10 +89,10 @@
             let j = draft.job(view, ix);
             let spec = j.spec.clone()?;
             (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
-                let rank = spec.rank();
+                let rank = j.around.rank;
                 let back = put_back(rules, j, &spec, wall_ms);
-                let size = size_step(j, &spec, back);
-                (rank, back, size, j.submitted, Waiting { ix, rank, spec })
+                let size = size_step(j, back);
+                (rank, back, size, j.around.since, Waiting { ix, rank, spec })
             })
         })
         .collect();
--- a/src/coordination/plan/preempt.rs
+++ b/src/coordination/plan/preempt.rs
@@ -43,7 +43,7 @@
         let limits = &view.team_limits[w.spec.team.at()];
         let used = used_by_team(view, &Draft::default(), w.spec.team);
         let fits_limit = limits.allows((used.0 + w.spec.need.cpu, used.1 + w.spec.need.gpu));
-        if wall_ms.saturating_sub(job.submitted) < patience || !fits_limit || out.len() >= 8 {
+        if wall_ms.saturating_sub(job.around.since) < patience || !fits_limit || out.len() >= 8 {
             continue;
         }
         let good = |mix: MachineIx, m: &Machine| {
--- a/src/coordination/plan/shares.rs
+++ b/src/coordination/plan/shares.rs
@@ -36,11 +36,11 @@
         let job = &view.jobs[ix.at()];
         let Some(s) = &job.spec else { continue };
         let first = out.iter().all(|c| c.team != s.team);
-        let waited = wall_ms.saturating_sub(job.submitted) >= rules.gang_hold_ms;
+        let waited = wall_ms.saturating_sub(job.around.since) >= rules.gang_hold_ms;
         if first && waited && !view.team_limits[s.team.at()].unlimited() {
             out.push(Claimant {
                 team: s.team,
-                order: (s.rank(), job.submitted),
+                order: (job.around.rank, job.around.since),
                 all: s.need.times(s.tasks()),
             });
         }
@@ -59,7 +59,7 @@
     let Some(c) = claimants.iter().find(|c| c.team == s.team) else {
         return false;
     };
-    if (s.rank(), job.submitted) < c.order {
+    if (job.around.rank, job.around.since) < c.order {
         return false;
     }
     let used = used_by_team(view, draft, s.team);
@@ -114,7 +114,7 @@
     let mut raised = record.clone();
     raised.set(payer, (share.0.max(wanted.0), share.1.max(wanted.1)));
     let fresh = usize::from(!draft.teams.contains_key(&team));
-    if !limits.allows(raised.total()) || !draft.has_room(rules, fresh + 1) {
+    if !limits.allows(raised.total()) || !draft.has_room(view, rules, fresh + 1) {
         // What this draft frees is free for others once it is committed.
         draft.cut = true;
         return false;
@@ -127,7 +127,8 @@
 pub fn lower_shares(view: &View, rules: &Rules, draft: &mut Draft) {
     for (t, limits) in view.team_limits.iter().enumerate() {
         let team = TeamIx::new(t);
-        if limits.unlimited() || draft.teams.contains_key(&team) || !draft.has_room(rules, 1) {
+        if limits.unlimited() || draft.teams.contains_key(&team) || !draft.has_room(view, rules, 1)
+        {
             continue;
         }
         let of_team = |j: &Job| j.spec.as_ref().is_some_and(|s| s.team == team);
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -71,12 +71,17 @@
     }
 }
 
+/// Jobs cancelled with others that are written down at a time, and the time between.
+const CASCADES: usize = 2;
+const CASCADE_MS: u64 = 1000;
+
 /// Longest sleep of the planner.
 const IDLE_MS: u64 = 700;
 
 /// Duty: plans whenever something changed, and now and then.
 pub async fn run(node: Rc<Node>) {
     let mut lowered = Ms(0);
+    let mut cascaded = Ms(0);
     let mut last_poll: HashMap<MachineIx, (u64, u64)> = HashMap::new();
     let mut changes = Changes::default();
     loop {
@@ -85,14 +90,18 @@
             continue;
         }
         let waiters = node.plan.take_waiters();
-        let limit = node.platform.settings.state.write_rps;
+        let limit = node.rules.limits(&node.view.borrow()).write_rps;
         let defer = changes.defer(node.now(), node.view.borrow().changes, limit);
         let mut idle = Vec::new();
         for _ in 0..PASSES {
             let now = node.now();
             let draft = {
                 let view = node.view.borrow();
-                let mut d = Draft::deferring(defer);
+                let mut d = Draft::deferring(defer, wall_ms());
+                if now.since(cascaded) >= CASCADE_MS {
+                    cascaded = now;
+                    d.cascades = CASCADES;
+                }
                 let meter = &node.meter;
                 meter.time("- settle", || plan::settle(&view, &node.rules, &mut d, now));
                 idle = meter.time("- claim", || {
@@ -172,7 +181,7 @@
             view.rig_names.name(m.rig),
             m.spot,
             m.has_image(spec.image),
-            wall_ms().saturating_sub(job.submitted)
+            wall_ms().saturating_sub(job.around.since)
         ))
     };
     draft.claims.iter().filter_map(line).collect()
--- a/src/coordination/renting/bookings.rs
+++ b/src/coordination/renting/bookings.rs
@@ -126,7 +126,8 @@
 /// Writes or removes bookings, as long as this node owns the duty.
 async fn store_bookings(node: &Rc<Node>, list: &[(String, Option<BookingRecord>)]) -> bool {
     let mut all = true;
-    for part in list.chunks(node.rules.txn_ops) {
+    let at_once = node.rules.limits(&node.view.borrow()).txn_ops;
+    for part in list.chunks(at_once) {
         let txn = {
             let view = node.view.borrow();
             let shard = view.renting();
@@ -166,7 +167,7 @@
                     && (listed || now.since(at) > lag_ms * 4 + 10_000)
             })
             .map(|(n, _)| n.clone())
-            .take(node.rules.txn_ops)
+            .take(node.rules.limits(&view).txn_ops)
             .collect()
     };
     let removed: Vec<_> = old.into_iter().map(|n| (n, None)).collect();
--- a/src/coordination/renting/demand.rs
+++ b/src/coordination/renting/demand.rs
@@ -65,7 +65,7 @@
         .filter(|(_, j)| j.waiting_count() > 0)
         .filter(|(ix, _)| view.failures.get(ix).is_none_or(|(_, until)| now >= *until))
         .collect();
-    jobs.sort_by_key(|(ix, j)| (j.spec.as_ref().map(|s| s.rank()), j.submitted, *ix));
+    jobs.sort_by_key(|(ix, j)| (j.around.rank, j.around.since, *ix));
     let mut out = Vec::new();
     for (ix, j) in jobs {
         let Some(s) = &j.spec else { continue };
@@ -176,7 +176,7 @@
                 && spec.zone.is_none_or(|z| z == p.zone)
                 && (spec.wire.spot || !p.spot)
         };
-        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.submitted));
+        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.around.since));
         let alone = |p: &Pool, empty: bool| {
             plan::leaves_alone(view, rules, spec, waited, (p.rig, p.spot), empty)
         };
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -4,6 +4,7 @@
 use super::plan::Draft;
 use crate::bookkeeping::job::Job;
 use crate::bookkeeping::names::{Index, JobIx};
+use crate::bookkeeping::records::PartRecord;
 use crate::bookkeeping::units::Ms;
 use crate::bookkeeping::view::{View, ROOT};
 use crate::protocol::state::{Changes, Committed, Condition, Event, Page, Transaction, Write};
@@ -83,10 +84,34 @@
         super::plan::give_up(&mut self.view.borrow_mut(), draft);
         let txn = transaction(&self.view.borrow(), draft);
         let outcome = self.commit(&txn).await;
+        if outcome == Outcome::Refused(400) {
+            self.adapt(&txn);
+        }
         conclude(&mut self.view.borrow_mut(), draft, &outcome);
         outcome
     }
 
+    /// Takes a refusal of a transaction that is well formed as news of a smaller limit.
+    fn adapt(&self, txn: &Transaction) {
+        let size = |w: &Write| match w {
+            Write::Set { v, .. } => v.to_string().len(),
+            Write::Remove { .. } => 0,
+        };
+        let largest = txn.writes.iter().map(size).max().unwrap_or(0);
+        let seen = &self.rules.limits_seen;
+        let (before, changes) = (seen.get(), txn.writes.len());
+        let after = before.refused(changes, largest);
+        if after != before {
+            log::warn!(
+                "the state service refused {changes} changes, the largest of {largest} bytes: \
+                 from now on {} changes and {} bytes at most",
+                after.txn_ops,
+                after.value_bytes
+            );
+            seen.set(after);
+        }
+    }
+
     /// Brings the view up to the state of now; false if the state service is out of reach.
     pub async fn refreshed(&self, ms: u64) -> bool {
         self.fresh.turn(ms).await.unwrap_or(false)
@@ -220,9 +245,18 @@
     for t in draft.teams.keys() {
         condition(view.team_key(*t), view.teams[t.at()].version);
     }
-    for job in draft.jobs.values() {
+    for (ix, job) in &draft.jobs {
         txn.writes
             .extend(set(View::job_key(&job.id), &view.record(job), None));
+        // Parts change with their job's record only, whose version so stands for all of them.
+        for part in view.changed_parts(*ix, job) {
+            let key = View::part_key(&job.id, part);
+            let placements = view.stored_part(job, part);
+            txn.writes.extend(match placements.is_empty() {
+                true => Some(Write::Remove { remove: key }),
+                false => set(key, &PartRecord { placements }, None),
+            });
+        }
     }
     for (t, rec) in &draft.teams {
         txn.writes.extend(set(view.team_key(*t), rec, None));
@@ -234,9 +268,14 @@
 pub fn conclude(view: &mut View, draft: &Draft, outcome: &Outcome) {
     match outcome {
         Outcome::Done(revision) => {
-            for job in draft.jobs.values() {
+            for (ix, job) in &draft.jobs {
                 let rec = view.record(job);
+                let parts = view.changed_parts(*ix, job).into_iter();
+                let parts: Vec<_> = parts.map(|p| (p, view.stored_part(job, p))).collect();
                 view.put_job(&job.id, *revision, &rec);
+                for (part, stored) in parts {
+                    view.put_part(&job.id, part, *revision, &stored);
+                }
             }
             for (t, rec) in &draft.teams {
                 view.put_team(*t, *revision, rec.clone());
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -123,3 +123,48 @@
     #[serde(rename = "life_ms")]
     pub ttl_ms: u64,
 }
+
+/// Limits of the state service.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Limits {
+    /// Changes in a transaction.
+    pub txn_ops: usize,
+    /// Size of a record.
+    pub value_bytes: usize,
+    /// Changes a second, of all nodes.
+    pub write_rps: f64,
+}
+
+impl Limits {
+    /// None at all.
+    pub const NONE: Limits = Limits {
+        txn_ops: usize::MAX,
+        value_bytes: usize::MAX,
+        write_rps: f64::MAX,
+    };
+    /// What keeps both.
+    pub fn least(self, o: Limits) -> Limits {
+        Limits {
+            txn_ops: self.txn_ops.min(o.txn_ops),
+            value_bytes: self.value_bytes.min(o.value_bytes),
+            write_rps: self.write_rps.min(o.write_rps),
+        }
+    }
+    /// What a transaction of so many changes, the largest of this size, that was refused for its
+    /// size shows: fewer changes if there were several, else smaller records.
+    pub fn refused(self, changes: usize, largest: usize) -> Limits {
+        match changes {
+            0..=2 => Limits {
+                value_bytes: self.value_bytes.min(largest * 3 / 4).max(LEAST_VALUE),
+                ..self
+            },
+            n => Limits {
+                txn_ops: self.txn_ops.min(n - 1),
+                ..self
+            },
+        }
+    }
+}
+
+/// Size of a record below which refusals are for something else.
+const LEAST_VALUE: usize = 1024;
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -92,8 +92,29 @@
     /// Deadline from submission.
     #[serde(rename = "due_s", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Dependencies: jobs that have to be done before any task of this one starts.
+    #[serde(
+        rename = "awaits",
+        default,
+        deserialize_with = "once_each",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub awaits: Vec<String>,
 }
 
+/// Reads a list that may be null; what is named twice counts once.
+fn once_each<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<String>, D::Error> {
+    let list: Option<Vec<String>> = Option::deserialize(from)?;
+    let mut seen = std::collections::HashSet::new();
+    let mut list = list.unwrap_or_default();
+    list.retain(|id| seen.insert(id.clone()));
+    Ok(list)
+}
+
+/// Dependencies that a job may name: as many as a record holds under limits of the state service
+/// that are a fraction of today's.
+pub const MAX_AWAITS: usize = 64;
+
 /// Most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
 
@@ -125,6 +146,8 @@
             .into_iter()
             .all(amount)
         && spec.deadline_s.is_none_or(amount)
+        && !spec.awaits.contains(&spec.id)
+        && spec.awaits.iter().all(|id| id.len() <= 128)
         && spec.zone.as_deref().is_none_or(text)
         && spec
             .types
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,6 @@
 //! The platform's settings file and the operators' own.
 
+use crate::protocol::state::Limits;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -111,6 +112,47 @@
     pub value_kb: f64,
     /// Changes in a transaction.
     pub txn_ops: usize,
+    /// Limits that hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+impl StateLimits {
+    /// As plans use them.
+    pub fn limits(&self) -> Limits {
+        Limits {
+            txn_ops: self.txn_ops,
+            value_bytes: stored(self.value_kb),
+            write_rps: self.write_rps,
+        }
+    }
+}
+
+/// Limits of the state service to come; what is left out stays.
+#[derive(Deserialize, Clone, Debug, Default)]
+pub struct NextLimits {
+    /// Puts and deletes a second.
+    pub write_rps: Option<f64>,
+    /// Size of a value.
+    pub value_kb: Option<f64>,
+    /// Changes in a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl NextLimits {
+    /// As plans use them.
+    pub fn limits(&self) -> Limits {
+        Limits {
+            txn_ops: self.txn_ops.unwrap_or(usize::MAX),
+            value_bytes: self.value_kb.map_or(usize::MAX, stored),
+            write_rps: self.write_rps.unwrap_or(f64::MAX),
+        }
+    }
+}
+
+/// What is used of the size of a value: sizes are reckoned, not measured.
+fn stored(value_kb: f64) -> usize {
+    (value_kb * 1024.0 * 0.9) as usize
 }
 
 /// Limits of the cloud.
--- a/tests/compat.rs
+++ b/tests/compat.rs
@@ -53,6 +53,7 @@
         checkpoint_s: 30.0,
         save_s: 4.0,
         deadline_s: Some(900.0),
+        awaits: Vec::new(),
     };
     let mut done = Ranges::default();
     for t in [0, 1, 3] {
@@ -68,6 +69,7 @@
             (4, 8, "n-000007".into(), 3, 3),
         ],
         next_attempt: 9,
+        finished: 0,
     };
     same_record("record/job/open", &open);
     let over = JobRecord {
@@ -77,10 +79,17 @@
         done: Ranges::default(),
         placements: Vec::new(),
         next_attempt: 2,
+        finished: 0,
     };
     same_record("record/job/over", &over);
     let incarnation = 1_234_567;
-    same_record("record/node", &NodeRecord { incarnation });
+    same_record(
+        "record/node",
+        &NodeRecord {
+            incarnation,
+            forms: 0,
+        },
+    );
     let shard = ShardRecord {
         owner: "stoker-1".into(),
         incarnation,
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -258,7 +258,7 @@
     play(&mut c, &mut store, &mut [&mut w], 0, 1500);
     assert_eq!(c.job("job-1").placements.len(), 4);
     let later = |c: &Controller, now| {
-        let mut d = plan::Draft::deferring(true);
+        let mut d = plan::Draft::deferring(true, 0);
         plan::settle(&c.view, &c.rules, &mut d, Ms(now));
         plan::claim(&c.view, &c.rules, &mut d, Ms(now), now);
         d
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -6,6 +6,7 @@
 use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
 use pointhook::bookkeeping::knowledge::Knowledge;
 use pointhook::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
+use pointhook::bookkeeping::records::SECOND_FORM;
 use pointhook::bookkeeping::units::Ms;
 use pointhook::bookkeeping::view::{NodeRecord, View, ROOT};
 use pointhook::coordination::cancellations::{self, Leftovers};
@@ -13,6 +14,7 @@
 use pointhook::coordination::store::{conclude, set, transaction, Outcome};
 use pointhook::coordination::{members, reports};
 use pointhook::protocol::cloud::Flavors;
+use pointhook::protocol::state::Limits;
 use pointhook::protocol::state::{Condition, Transaction};
 use pointhook::protocol::users::JobSpec;
 use pointhook::protocol::workers::{Commands, Report, ReportAnswer};
@@ -31,6 +33,7 @@
     /// Since when its shards and other nodes are there, as membership keeps it.
     pub known: members::Known,
     raised: u64,
+    cascaded: bool,
 }
 
 /// Time for cancellations.
@@ -92,8 +95,13 @@
             renew_ms: RENEW_MS,
             cancel_ms: CANCEL_MS,
             finish_within: HashMap::new(),
-            txn_ops: store.txn_ops,
-            value_bytes: store.value_bytes * 9 / 10,
+            limits_now: Limits {
+                txn_ops: store.txn_ops,
+                value_bytes: store.value_bytes * 9 / 10,
+                write_rps: f64::MAX,
+            },
+            limits_next: Limits::NONE,
+            limits_seen: std::cell::Cell::new(Limits::NONE),
         };
         let mut c = Controller {
             zones: BTreeMap::from([("n1".to_string(), ZoneIx(0)), ("s1".to_string(), ZoneIx(1))]),
@@ -105,6 +113,7 @@
             left: Leftovers::default(),
             known: members::Known::default(),
             raised: 0,
+            cascaded: false,
         };
         c.view.set_flavors(&Flavors {
             types: vec![flavor()],
@@ -117,9 +126,16 @@
                 key: key.clone(),
                 version: store.version(&key),
             }],
-            writes: set(key, &NodeRecord { incarnation }, Some(c.lease))
-                .into_iter()
-                .collect(),
+            writes: set(
+                key,
+                &NodeRecord {
+                    incarnation,
+                    forms: SECOND_FORM,
+                },
+                Some(c.lease),
+            )
+            .into_iter()
+            .collect(),
         };
         assert_eq!(store.commit(&txn, now).0, 200);
         c.sync(store);
@@ -195,6 +211,7 @@
             done: Ranges::default(),
             placements: Vec::new(),
             next_attempt: 1,
+            finished: 0,
         };
         let txn = Transaction {
             conditions: vec![Condition {
@@ -229,7 +246,10 @@
 
     /// What a pass would commit.
     pub fn draft(&self, now: u64) -> Draft {
-        let mut d = Draft::default();
+        let mut d = Draft::deferring(false, now);
+        if now % 1000 == 0 && !self.cascaded {
+            d.cascades = 2;
+        }
         plan::settle(&self.view, &self.rules, &mut d, Ms(now));
         plan::claim(&self.view, &self.rules, &mut d, Ms(now), now);
         plan::lower_shares(&self.view, &self.rules, &mut d);
@@ -238,15 +258,18 @@
 
     /// Passes until nothing changes any more.
     pub fn plan(&mut self, store: &mut Store, now: u64) {
-        for _ in 0..20 {
+        self.cascaded = false;
+        for _ in 0..60 {
             let draft = self.draft(now);
+            self.cascaded = true;
             if draft.is_empty() {
                 return;
             }
             plan::give_up(&mut self.view, &draft);
             let out = Self::send(store, &transaction(&self.view, &draft), now);
             conclude(&mut self.view, &draft, &out);
-            if out == Outcome::Unknown {
+            // As the duty does: what was refused is tried again at its next turn.
+            if matches!(out, Outcome::Unknown | Outcome::Refused(_)) {
                 self.sync(store);
                 return;
             }
@@ -315,6 +338,7 @@
             let key = format!("{ROOT}node/{me}");
             let rec = NodeRecord {
                 incarnation: self.rules.incarnation,
+                forms: SECOND_FORM,
             };
             let txn = Transaction {
                 conditions: vec![Condition {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -33,5 +33,6 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -9,6 +9,7 @@
 use pointhook::bookkeeping::units::Ms;
 use pointhook::bookkeeping::view::View;
 use pointhook::coordination::cancellations;
+use pointhook::coordination::members;
 use pointhook::coordination::plan::{self, Pushed};
 use pointhook::coordination::reports::{self, Received};
 use pointhook::coordination::siblings;
@@ -80,6 +81,8 @@
     told: BTreeMap<String, (JobSpec, &'static str)>,
     starts: HashMap<String, u64>,
     pub broken: Vec<String>,
+    /// Jobs that their users cancelled themselves.
+    by_user: BTreeSet<String>,
 }
 
 impl World {
@@ -97,6 +100,7 @@
             told: BTreeMap::new(),
             starts: HashMap::new(),
             broken: Vec::new(),
+            by_user: BTreeSet::new(),
         };
         w.store.txn_ops = 16;
         for at in 0..3 {
@@ -152,6 +156,14 @@
         self.nodes[at] = Some(c.among(&NAMES, &ZONES));
     }
 
+    /// Begins the second form of records, as the members' duty does once all nodes know it.
+    pub fn begin_second_form(&mut self) {
+        let c = self.nodes[0].as_ref().expect("a controller");
+        let txn = members::begin_second_form(&c.view, &NAMES).expect("all know it");
+        assert_eq!(self.store.commit(&txn, self.now).0, 200);
+        self.run(STEP_MS);
+    }
+
     /// Cuts the south with its controller off from the rest, or ends that: reports that its
     /// machines sent elsewhere meanwhile then arrive there.
     pub fn cut_zone(&mut self, cut: bool) {
@@ -236,6 +248,7 @@
         let Some(mut c) = self.nodes[at].take() else {
             return false;
         };
+        self.by_user.insert(id.into());
         let known = c.sync(&self.store) && c.view.job(id).is_some_and(|(_, j)| j.open());
         let done = known && matches!(c.cancel(&mut self.store, id, now), Outcome::Done(_));
         if done {
@@ -258,8 +271,30 @@
         self.hosts.iter().any(|h| h.worker.started.iter().any(of))
     }
 
+    /// True if the job's own user cancelled it.
+    pub fn cancelled_by_user(&self, id: &str) -> bool {
+        self.by_user.contains(id)
+    }
+
+    /// True if a user asked to cancel the job or one that it needs.
+    fn asked_before(&self, id: &str) -> bool {
+        let awaits = self.told.get(id).map_or(&[] as &[String], |t| &t.0.awaits);
+        self.by_user.contains(id) || awaits.iter().any(|a| self.asked_before(a))
+    }
+
+    /// True if the job is cancelled with one that it needs, by what users were told.
+    fn orphan_since(&self, id: &str) -> Option<u64> {
+        let awaits = self.told.get(id).map_or(&[] as &[String], |t| &t.0.awaits);
+        let of = |a: &String| match self.by_user.contains(a) {
+            true => self.cancelled.get(a).copied(),
+            false => self.orphan_since(a),
+        };
+        awaits.iter().filter_map(of).min()
+    }
+
     fn note_cancelled(&mut self, id: &str) {
         self.cancelled.entry(id.into()).or_insert(self.now);
+        self.by_user.insert(id.into());
         if let Some(t) = self.told.get_mut(id) {
             if t.1 == "done" {
                 self.broken.push(format!("{id} went back from done"));
@@ -300,6 +335,14 @@
                 .push(format!("{id} went back from {} to {word}", last.1));
         }
         last.1 = word;
+        let orphan = self.orphan_since(id);
+        if word != "aborted" && orphan.is_some_and(|t| self.now > t + CANCEL_MS) {
+            self.broken
+                .push(format!("{id} is {word}, though cancelled with another"));
+        }
+        if word == "aborted" && !self.asked_before(id) {
+            self.broken.push(format!("{id} is cancelled by nobody"));
+        }
         if word == "aborted" {
             self.cancelled.entry(id.into()).or_insert(self.now);
         }
@@ -560,6 +603,23 @@
                         .push(format!("{now}: {task} on {name} though cancelled"));
                 }
             }
+            for task in host.worker.on_machine().0 {
+                let id = task.split('/').next().unwrap_or_default();
+                let awaits = self.told.get(id).map_or(&[] as &[String], |t| &t.0.awaits);
+                for needed in awaits {
+                    let tasks = self.told.get(needed).map_or(0, |t| t.0.tasks);
+                    let done = |t: u32| {
+                        let task = format!("{needed}/{t}");
+                        self.hosts
+                            .iter()
+                            .any(|h| h.worker.completed.contains(&task))
+                    };
+                    if !(0..tasks).all(done) {
+                        self.broken
+                            .push(format!("{now}: {task} runs before {needed} is done"));
+                    }
+                }
+            }
             for (task, _) in host.worker.started.iter() {
                 let at = *self.starts.entry(format!("{name} {task}")).or_insert(now);
                 let id = task.split('/').next().unwrap_or_default();
