--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -11,8 +11,8 @@
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
 /// True for tasks that are claimed many at a time while changes are scarce.
-fn deferrable(spec: &Spec) -> bool {
-    spec.wire.shape == Shape::Array && spec.rank() > Rank::High
+fn deferrable(spec: &Spec, rank: Rank) -> bool {
+    spec.wire.shape == Shape::Array && rank > Rank::High
 }
 
 /// Claims waiting tasks for owned machines with free room; returns machines that found nothing.
@@ -27,7 +27,7 @@
     claim_gangs(view, rules, draft, &mut free, now);
     let mut jobs = waiting_jobs(view, rules, draft, now, wall_ms);
     if draft.defer {
-        jobs.retain(|w| !deferrable(&w.spec));
+        jobs.retain(|w| !deferrable(&w.spec, w.rank));
     }
     let Some(least) = least_need(jobs.iter().map(|w| &*w.spec)) else {
         return Vec::new();
@@ -80,7 +80,7 @@
                     continue;
                 };
                 let room = free.get(*mix).unwrap_or_default();
-                if draft.defer && deferrable(&s)
+                if draft.defer && deferrable(&s, rank)
                     || !job.waits(*task)
                     || backed_off(view, *ix, now)
                     || crowds_out(view, draft, &claimants, job, &s)
--- a/src/coordination/plan/preempt.rs
+++ b/src/coordination/plan/preempt.rs
@@ -110,15 +110,17 @@
         .filter_map(|t| {
             let ix = t.job?;
             let a = (ix, t.task, t.attempt);
-            let s = view.jobs[ix.at()].spec.as_ref()?;
+            let job = &view.jobs[ix.at()];
+            let (s, own) = (job.spec.as_ref()?, job.around.rank);
             let cost = match t.state {
                 TaskState::Fetching => 0,
                 TaskState::Running if s.wire.checkpoint_s > 0.0 => 1,
                 TaskState::Running if rank == Rank::Production => 2,
                 _ => return None,
             };
-            let may = s.rank() > rank && !s.is_wide_gang() && !m.stopping.contains_key(&a);
-            may.then_some((cost, s.rank(), a))
+            // What a job of that priority needs has it too.
+            let may = own > rank && !s.is_wide_gang() && !m.stopping.contains_key(&a);
+            may.then_some((cost, own, a))
         })
         .collect();
     out.sort_by_key(|(cost, r, a)| (*cost, std::cmp::Reverse(*r), *a));
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -265,6 +265,35 @@
     assert_eq!(c.job("job-1").around.due, None);
 }
 
+#[test]
+fn what_an_urgent_job_needs_is_not_stopped_for_another_urgent_one() {
+    use pointhook::bookkeeping::names::ShardIx;
+    use pointhook::bookkeeping::units::Ms;
+    for needed in [false, true] {
+        let (mut store, mut c) = one();
+        let mut w = support::worker::Worker::new("m1", "north", 0);
+        w.run_ms = 100_000;
+        let mut low = job("job-1", 1);
+        (low.priority, low.gpus, low.checkpoint_s) = (Rank::Low, 4.0, 10.0);
+        c.submit(&mut store, low, 0);
+        support::controller::play(&mut c, &mut store, &mut [&mut w], 0, 4000);
+        assert!(w.has("job-1/0"));
+        if needed {
+            let mut last = after("job-2", 1, &["job-1"]);
+            last.priority = Rank::High;
+            c.submit(&mut store, last, 4000);
+        }
+        let mut other = job("job-3", 1);
+        (other.priority, other.gpus) = (Rank::High, 4.0);
+        c.submit(&mut store, other, 4000);
+        support::controller::play(&mut c, &mut store, &mut [&mut w], 4000, 12_000);
+        let turn = ShardIx(0);
+        let stops =
+            pointhook::coordination::plan::preempt(&c.view, &c.rules, turn, Ms(12_000), 12_000);
+        assert_eq!(stops.len(), usize::from(!needed));
+    }
+}
+
 #[test]
 fn the_second_form_begins_when_all_nodes_live_and_know_it() {
     let (mut store, mut c) = one();
