--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -1028,3 +1028,37 @@
     let other = [("job-1/0".to_string(), 1)];
     assert!(pointhook::coordination::cancellations::stops(&status, &other).is_none());
 }
+
+#[test]
+fn an_owner_that_has_heard_of_nothing_for_a_while_starts_nothing_any_more() {
+    let (mut w, leader, other) = {
+        let mut w = World::new(4);
+        for h in &mut w.hosts {
+            h.worker.run_ms = 60_000;
+            h.ill.mute = true;
+        }
+        w.run(1000);
+        (w, 0, 1)
+    };
+    // Claimed by its owner, which reaches no machine and then nobody else.
+    for h in &mut w.hosts {
+        h.ill.deaf = true;
+    }
+    assert!(w.submit(other, job("job-1", 4)));
+    w.run(1500);
+    assert!(!w.node(leader).job("job-1").placements.is_empty());
+    for t in &mut w.trouble {
+        t.refused = true;
+        t.alone = true;
+    }
+    w.run(7000);
+    for h in &mut w.hosts {
+        h.ill = Default::default();
+    }
+    w.run(2500);
+    assert_eq!(w.started(), 0);
+    w.trouble = Default::default();
+    w.run(20_000);
+    assert!(w.runs("job-1"));
+    w.keeps_the_rules();
+}
