Evidence of ends counts only under the owner's own token

Cause, by reading and test: an owner that is cut off reads that an attempt ended and can't write it down. Another takes the shard; the session ends, which leases that are no longer renewed make common in a cut; the new owner, which never saw the attempt, starts it once more under its number. When the shard goes back, the first owner still remembers the end and took it as proof: the gang was placed anew within seconds while the attempt ran. Ends now need a report under the owner's token, as absence did.

--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -213,7 +213,10 @@
             };
             let a = (ix, p.task, p.attempt);
             let token = view.shards[m.shard.at()].rec.token;
-            let exit = m.seen(a).filter(|s| s.state == TaskState::Exited);
+            // Only under the own token: an owner that was away may remember an end of an earlier
+            // session, after which another owner has started the same attempt once more.
+            let exit = m.seen(a).filter(|_| m.token == token);
+            let exit = exit.filter(|s| s.state == TaskState::Exited);
             let exit = exit.filter(|_| !waits_again(job, m, a));
             let exit = exit.filter(|s| s.why != Some(Why::Alone) || ended_alone(m, token, a));
             let absent = proven_absent(m, token, a) && (unwanted(job, m, a) || given_up(m, a));
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -400,6 +400,41 @@
     assert!(c.job("job-1").placements.is_empty());
 }
 
+#[test]
+fn an_end_of_an_earlier_session_proves_nothing_once_the_shard_is_back() {
+    let (mut store, mut c) = support::controller::one();
+    let mut worker = support::worker::Worker::new("m1", "north", 0);
+    worker.run_ms = 60_000;
+    let mut two = job("job-1", 1);
+    two.shape = Shape::Gang;
+    c.submit(&mut store, two, 0);
+    support::controller::play(&mut c, &mut store, &mut [&mut worker], 0, 3000);
+    assert!(worker.has("job-1/0"));
+    // Its owner reads of its end, cut off from the state service.
+    let mut r = worker.report(3000);
+    r.tasks[0].state = pointhook::protocol::workers::TaskState::Exited;
+    r.tasks[0].why = Some(pointhook::protocol::workers::Why::Peers);
+    let _ = c.report_without_store(&r, 3000);
+    // Another takes the shard; the session has ended, and the attempt is started once more.
+    store.end_lease(c.lease);
+    let mut other = support::controller::Controller::start("s1", 2, &mut store, 9000);
+    assert_eq!(other.members(&mut store, 9000), 3);
+    worker.lapse(14_000);
+    support::controller::play(&mut other, &mut store, &mut [&mut worker], 14_000, 16_000);
+    assert!(worker.has("job-1/0"));
+    // The first has the shard back, and remembers that end.
+    store.end_lease(other.lease);
+    let key = format!("{}node/n1", pointhook::bookkeeping::view::ROOT);
+    assert_eq!(store.version(&key), 0);
+    c.sync(&store);
+    c.keep_shards(&mut store, 17_000);
+    c.keep_shards(&mut store, 17_500);
+    assert!(c.owns(0));
+    c.plan(&mut store, 18_000);
+    assert_eq!(c.job("job-1").placements.len(), 1);
+    assert_eq!(c.job("job-1").next_attempt, 2);
+}
+
 /// One seeded day: troubles of all kinds at random, then a while without any.
 fn random_day(seed: u64) -> (World, u32) {
     let mut rng = fastrand::Rng::with_seed(seed);
