Tidy: one rule for ends, suspects kept in one place, parts counted once

An end of a wait no longer asks for the owner's token itself, which every end now needs. Only a newer record clears a job's suspicion, in put_job: store_job cleared it and two of its callers put it back. The third, a cancellation that comes with another job's, forgot to; it now keeps it, which is the one change of behaviour, towards doubt. Parts for a claim are counted from sizes instead of cloning the job for each task and filling it with placements made up for that. News that a job is cancelled clone no job that is known to be. `runnable` stands for open and ready, `look_at_needs` for the two look-ups of what a job needs; a comment is back with the function it is about. Tests are untouched.

--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -214,13 +214,13 @@
 }
 
 impl Job {
-    /// True while tasks may start, once what it needs is done.
+    /// True while it is not over.
     pub fn open(&self) -> bool {
         self.state == JobState::Open
     }
-    /// True once all it needs is done.
-    pub fn ready(&self) -> bool {
-        !self.around.blocked
+    /// True while tasks may start: it is open, and all it needs is done.
+    pub fn runnable(&self) -> bool {
+        self.open() && !self.around.blocked
     }
     /// True once nothing more will happen to it.
     pub fn settled(&self) -> bool {
@@ -232,14 +232,14 @@
     }
     /// True if the task waits for a machine.
     pub fn waits(&self, task: u32) -> bool {
-        self.open() && self.ready() && !self.done.has(task) && self.placement(task).is_none()
+        self.runnable() && !self.done.has(task) && self.placement(task).is_none()
     }
     /// Tasks that wait for a machine, from the lowest.
     pub fn waiting(&self) -> impl Iterator<Item = u32> + '_ {
         let n = self
             .spec
             .as_ref()
-            .filter(|_| self.open() && self.ready())
+            .filter(|_| self.runnable())
             .map_or(0, |s| s.tasks());
         let mut placed: Vec<u32> = self.placements.iter().map(|p| p.task).collect();
         placed.sort_unstable();
@@ -249,7 +249,7 @@
     /// How many tasks wait.
     pub fn waiting_count(&self) -> u32 {
         match &self.spec {
-            Some(s) if self.open() && self.ready() => {
+            Some(s) if self.runnable() => {
                 let placed = self
                     .placements
                     .iter()
@@ -290,26 +290,31 @@
         let spec = self.spec.as_ref().map_or(0, |s| s.bytes);
         120 + spec + self.done.pieces() * 14 + own * PLACEMENT_BYTES
     }
-    /// The first part of the record with room for one more placement; the record itself is
-    /// part 0, and the only one unless there may be `parts`.
-    pub fn part_with_room(&self, value_bytes: usize, parts: bool) -> Option<u16> {
-        if self.size() + PLACEMENT_BYTES <= value_bytes {
-            return Some(0);
-        }
-        if !parts {
-            return None;
-        }
-        let mut sizes = vec![PART_BYTES; 1];
-        for p in &self.placements {
+    /// Parts of the record for this many more placements, each the first with room; the record
+    /// itself is part 0, and the only one unless there may be `parts`.
+    pub fn parts_for(&self, n: usize, value_bytes: usize, parts: bool) -> Option<Vec<u16>> {
+        let mut sizes = vec![self.size()];
+        for p in self.placements.iter().filter(|p| p.part > 0) {
             let at = usize::from(p.part);
             if sizes.len() <= at {
                 sizes.resize(at + 1, PART_BYTES);
             }
             sizes[at] += PLACEMENT_BYTES;
         }
-        let fits = |size: &usize| size + PLACEMENT_BYTES <= value_bytes;
-        let found = sizes.iter().skip(1).position(fits).map(|at| at + 1);
-        let part = found.unwrap_or(sizes.len().max(1));
-        (part <= usize::from(MOST_PARTS)).then_some(part as u16)
+        let mut out = Vec::with_capacity(n);
+        for _ in 0..n {
+            let fits = |size: &usize| size + PLACEMENT_BYTES <= value_bytes;
+            let found = sizes.iter().position(fits);
+            let at = found.unwrap_or(sizes.len());
+            if at > 0 && !parts || at > usize::from(MOST_PARTS) {
+                return None;
+            }
+            if at == sizes.len() {
+                sizes.push(PART_BYTES);
+            }
+            sizes[at] += PLACEMENT_BYTES;
+            out.push(at as u16);
+        }
+        Some(out)
     }
 }
--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/view.rs
@@ -426,15 +426,11 @@
         }
         self.parts.insert((ix, part), version);
         let fresh = self.placements(stored, part);
-        let doubtful = self.suspects.contains(&ix);
         let mut job = self.jobs[ix.at()].clone();
         job.placements.retain(|p| p.part != part);
         job.placements.extend(fresh);
         self.note_images(&job);
         self.store_job(ix, job);
-        if doubtful {
-            self.suspects.insert(ix);
-        }
     }
 
     fn note_images(&mut self, job: &Job) {
@@ -487,23 +483,20 @@
             placements.extend(old.placements.iter().filter(|p| p.part > 0));
         }
         let id = self.job_names.name(ix).clone();
-        // Cancelled is final: an older record, by whatever way it comes, takes nothing back.
+        if rec.state != JobState::Open {
+            self.told.remove(&id);
+        }
+        let (around, cancelled) = self.around(&id, rec.submitted, spec.as_deref());
+        // Cancelled is final: an older record, by whatever way it comes, takes nothing back. And
+        // whoever knows that one it needs is cancelled knows that it is.
         let state = match rec.state {
-            JobState::Open if self.told.contains(&id) => JobState::Cancelled,
-            state => {
-                self.told.remove(&id);
-                state
-            }
+            JobState::Open if cancelled || self.told.contains(&id) => JobState::Cancelled,
+            state => state,
         };
-        let (around, cancelled) = self.around(&id, rec.submitted, spec.as_deref());
         let job = Job {
             id,
             version,
-            // Whoever knows that one it needs is cancelled knows that it is.
-            state: match state {
-                JobState::Open if cancelled => JobState::Cancelled,
-                state => state,
-            },
+            state,
             submitted: rec.submitted,
             spec,
             done: rec.done.clone(),
@@ -512,13 +505,15 @@
             finished: rec.finished,
             around,
         };
-        if rec.state == JobState::Open && job.state == JobState::Cancelled && cancelled {
+        if rec.state == JobState::Open && cancelled {
             self.graph.unwritten.insert(ix);
         } else {
             self.graph.unwritten.remove(&ix);
         }
         self.note_images(&job);
         self.enter(ix, &job);
+        // Only a newer record tells what came of a transaction without an answer.
+        self.suspects.remove(&ix);
         self.store_job(ix, job);
         self.look_around();
     }
@@ -571,33 +566,34 @@
                 continue;
             }
             self.jobs[ix.at()].around = around;
-            let needs = spec.iter().flat_map(|s| &s.wire.awaits);
-            let needs: Vec<JobIx> = needs.filter_map(|n| Some(self.job(n)?.0)).collect();
-            self.graph.changed.extend(needs);
+            self.look_at_needs(spec.as_deref());
         }
     }
 
+    /// What a job needs is to be looked at, as that job has changed.
+    fn look_at_needs(&mut self, spec: Option<&Spec>) {
+        let names = spec.into_iter().flat_map(|s| &s.wire.awaits);
+        let needs: Vec<JobIx> = names.filter_map(|n| Some(self.job(n)?.0)).collect();
+        self.graph.changed.extend(needs);
+    }
+
     /// Takes the news that a job's cancellation was confirmed to its user; true if it is new.
     ///
     /// It holds whatever the record known here says, which may not be readable for minutes. What
     /// rests on that record fails all the same, since the newest one has another version.
     pub fn learn_cancelled(&mut self, id: &str) -> bool {
-        let known = self.job(id).map(|(ix, job)| (ix, job.clone()));
-        if known.as_ref().is_some_and(|(_, job)| !job.open())
+        let known = self.job(id);
+        if known.is_some_and(|(_, job)| !job.open())
             || self.told.len() >= MOST_TOLD
             || !self.told.insert(id.into())
         {
             return false;
         }
-        if let Some((ix, job)) = known {
-            let doubtful = self.suspects.contains(&ix);
+        if let Some((ix, job)) = self.job(id) {
+            let job = job.clone();
             let state = JobState::Cancelled;
             self.store_job(ix, Job { state, ..job });
             self.look_around();
-            // What it may have been given by a late transaction is not known any better now.
-            if doubtful {
-                self.suspects.insert(ix);
-            }
         }
         true
     }
@@ -624,7 +620,6 @@
         } else {
             self.active.insert(ix.0, ());
         }
-        self.suspects.remove(&ix);
         let mut touched: Vec<MachineIx> = job.placements.iter().map(|p| p.machine).collect();
         if let Some(old) = self.jobs.get(ix.at()) {
             touched.extend(old.placements.iter().map(|p| p.machine));
@@ -642,9 +637,7 @@
         if let Some((id, spec)) = over {
             self.graph.over(&id);
             // What it needed is needed by one less.
-            let needs = spec.iter().flat_map(|s| &s.wire.awaits);
-            let needs: Vec<JobIx> = needs.filter_map(|n| Some(self.job(n)?.0)).collect();
-            self.graph.changed.extend(needs);
+            self.look_at_needs(spec.as_deref());
         }
         touched.sort_unstable();
         touched.dedup();
--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -226,10 +226,8 @@
 /// Token and session are the worker's own: nobody's right to command it changes by that.
 pub fn stops(r: &Report, tasks: &[(String, u64)]) -> Option<Commands> {
     let here = |(piece, attempt): &&(String, u64)| {
-        let shown = |t: &&crate::protocol::workers::TaskReport| {
-            t.task == *piece && t.attempt == *attempt && t.state != TaskState::Exited
-        };
-        r.tasks.iter().any(|t| shown(&t))
+        let mut shown = r.tasks.iter().filter(|t| t.state != TaskState::Exited);
+        shown.any(|t| (&t.task, t.attempt) == (piece, *attempt))
     };
     let stop = |(piece, attempt): &(String, u64)| Order::Stop {
         piece: piece.clone(),
--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -158,23 +158,9 @@
     n: usize,
 ) -> Option<Vec<u16>> {
     let value_bytes = rules.limits(view).value_bytes;
-    let mut job = draft.job(view, ix).clone();
+    let job = draft.job(view, ix);
+    let parts = job.parts_for(n, value_bytes, view.second_form)?;
     let fresh = usize::from(!draft.jobs.contains_key(&ix));
-    let mut parts = Vec::new();
-    for _ in 0..n {
-        let part = job.part_with_room(value_bytes, view.second_form)?;
-        parts.push(part);
-        if n > 1 {
-            job.placements.push(Placement {
-                task: u32::MAX,
-                attempt: 0,
-                machine: MachineIx(0),
-                shard: ShardIx(0),
-                payer: ShardIx(0),
-                part,
-            });
-        }
-    }
     let mut new: Vec<u16> = parts.iter().copied().filter(|p| *p > 0).collect();
     new.dedup();
     new.retain(|p| !draft.parts.contains(&(ix, *p)));
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -78,14 +78,14 @@
     alone && often <= WAITS && m.leaves.is_none() && !unwanted(job, m, a)
 }
 
-/// True if an attempt whose wait ran out has ended for good, by the newest report.
+/// True if an attempt whose wait ran out, as the newest report under the owner's token shows, has
+/// ended for good.
 ///
-/// It is the only one that starts again under its number. The order for that may be in the answer
-/// to the very report that shows its end, on its way still when the rest of the gang is lost; and
-/// a copy of an old report may show an end that is long past to a new owner.
+/// Its owner may start it again under its number. The order for that may be in the answer to the
+/// very report that shows its end, on its way still when the rest of the gang is lost.
 pub fn ended_alone(m: &Machine, token: u64, a: Attempt) -> bool {
     let again = m.start_sent.get(&a).is_some_and(|sent| *sent >= m.reported);
-    m.token == token && !again && !unanswered_start(m, token, a)
+    !again && !unanswered_start(m, token, a)
 }
 
 /// True if the worker's lease has run out under this owner.
@@ -164,8 +164,8 @@
             break;
         };
         let mut p = job.placements.remove(at);
-        let part = job.part_with_room(limits.value_bytes, true);
-        p.part = part.unwrap_or(0);
+        let part = job.parts_for(1, limits.value_bytes, true);
+        p.part = part.map_or(0, |p| p[0]);
         let moved = p.part > 0 && draft.touch(view, rules, ix, p.part);
         if !moved {
             p.part = 0;
@@ -214,7 +214,8 @@
             let a = (ix, p.task, p.attempt);
             let token = view.shards[m.shard.at()].rec.token;
             // Only under the own token: an owner that was away may remember an end of an earlier
-            // session, after which another owner has started the same attempt once more.
+            // session, after which another owner has started the same attempt once more; and a
+            // copy of an old report may show an end that is long past to a new owner.
             let exit = m.seen(a).filter(|_| m.token == token);
             let exit = exit.filter(|s| s.state == TaskState::Exited);
             let exit = exit.filter(|_| !waits_again(job, m, a));
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -13,9 +13,7 @@
 pub fn waiting_gangs(view: &View, now: Ms) -> Vec<JobIx> {
     let mut out: Vec<(Rank, u64, JobIx)> = view
         .active_jobs()
-        .filter(|(ix, j)| {
-            j.open() && j.ready() && j.placements.is_empty() && !backed_off(view, *ix, now)
-        })
+        .filter(|(ix, j)| j.runnable() && j.placements.is_empty() && !backed_off(view, *ix, now))
         .filter_map(|(ix, j)| {
             j.spec.as_ref().filter(|s| s.is_wide_gang())?;
             Some((j.around.rank, j.around.since, ix))
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -95,6 +95,11 @@
         let r = &view.shards[shard.at()].rec;
         r.owner == self.node && r.incarnation == self.incarnation
     }
+    /// The same for all shards, by index: for loops over machines and placements.
+    pub fn owned(&self, view: &View) -> Vec<bool> {
+        let shards = (0..view.shards.len()).map(ShardIx::new);
+        shards.map(|s| self.owns(view, s)).collect()
+    }
     /// True if an owner may renew the leases of machines with tasks: a task whose cancellation it
     /// has not heard of by then would outlive the time for cancellations.
     ///
@@ -110,11 +115,6 @@
         let age = view.knowledge.age_ms(now);
         age.is_some_and(|age| age <= START_MS.min(self.renew_ms))
     }
-    /// The same for all shards, by index: for loops over machines and placements.
-    pub fn owned(&self, view: &View) -> Vec<bool> {
-        let shards = (0..view.shards.len()).map(ShardIx::new);
-        shards.map(|s| self.owns(view, s)).collect()
-    }
 }
 
 /// Changes to be committed together.
