--- a/src/coordination/plan/room.rs
+++ b/src/coordination/plan/room.rs
@@ -149,7 +149,7 @@
     empty: bool,
 ) -> bool {
     let (rig, spot) = on;
-    if !spec.wire.spot || spot || !empty || spec.rank() <= Rank::High {
+    if !spec.wire.spot || spot || !empty || rank <= Rank::High {
         return false;
     }
     let ratio = view
