--- a/src/bookkeeping/view.rs
+++ b/src/bookkeeping/cluster_state.rs
@@ -1,15 +1,17 @@
 //! The cached view: everything a controller knows. Pure, no I/O.
 
-use super::fleet::{Attempt, Machine, Rig, Seen};
+use super::fleet::{Attempt, Machine, MachineType, Seen};
 use super::graph::{self, Graph};
-use super::job::{Around, Job, JobRecord, JobState, Placement, Spec, StoredPlacement};
+use super::job::{DependencyState, Job, JobRecord, JobState, Placement, Spec, StoredPlacement};
 use super::knowledge::Knowledge;
-use super::names::{ImageIx, Index, Interner, JobIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
+use super::names::{
+    ImageIx, Index, Interner, JobIx, MachineIx, MachineTypeIx, ShardIx, TeamIx, ZoneIx,
+};
 pub use super::records::{
     BookingRecord, NodeRecord, PartRecord, ShardRecord, TeamLimits, TeamRecord, Versioned, ROOT,
 };
-use super::tally::Tally;
-use super::units::{ms_of, Ms, Res};
+use super::resource_totals::ResourceTotals;
+use super::units::{ms_of, Ms, Resources};
 use crate::protocol::cloud::Flavors;
 use crate::protocol::state::{Entry, Event};
 use crate::protocol::users::{JobSpec, Rank, Shape};
@@ -25,7 +27,7 @@
 
 /// Everything a controller knows.
 #[derive(Default)]
-pub struct View {
+pub struct ClusterState {
     /// Revision up to which all changes are in here.
     pub revision: u64,
     /// Changes seen, of all nodes.
@@ -43,9 +45,9 @@
     /// Machines by index; `None` if only the name is known.
     pub machines: Vec<Option<Machine>>,
     /// Types.
-    pub rig_names: Interner<RigIx>,
+    pub machine_type_names: Interner<MachineTypeIx>,
     /// Types by index, as far as the cloud has described them.
-    pub rigs: HashMap<RigIx, Rig>,
+    pub machine_types: HashMap<MachineTypeIx, MachineType>,
     /// Zones.
     pub zone_names: Interner<ZoneIx>,
     /// Images.
@@ -89,7 +91,7 @@
     /// Machines that the cloud has deleted, by index.
     gone: Vec<bool>,
     /// Sums over records and reports, kept current by every change of either.
-    tally: Tally,
+    tally: ResourceTotals,
     /// Bad records already complained about.
     bad: HashSet<String>,
 }
@@ -114,12 +116,16 @@
     value.map_or(0, |v| v.to_string().len())
 }
 
-impl View {
+impl ClusterState {
     /// An empty view for a deployment.
-    pub fn new(zones: &[String], teams: &[crate::settings::Team], shards_per_zone: usize) -> View {
-        let mut v = View {
+    pub fn new(
+        zones: &[String],
+        teams: &[crate::settings::Team],
+        shards_per_zone: usize,
+    ) -> ClusterState {
+        let mut v = ClusterState {
             shards_per_zone,
-            ..View::default()
+            ..ClusterState::default()
         };
         let mut zones = zones.to_vec();
         zones.sort();
@@ -203,7 +209,7 @@
     pub fn learn_machine(
         &mut self,
         name: &str,
-        rig: &str,
+        machine_type: &str,
         zone: &str,
         spot: bool,
         now: Ms,
@@ -214,10 +220,10 @@
             return None;
         }
         if self.machines[ix.at()].is_none() {
-            let rig = self.rig_names.intern(rig);
+            let machine_type = self.machine_type_names.intern(machine_type);
             let shard = self.shard_of(zone, name);
             let name = self.machine_names.name(ix).clone();
-            self.machines[ix.at()] = Some(Machine::new(name, rig, zone, spot, shard, now));
+            self.machines[ix.at()] = Some(Machine::new(name, machine_type, zone, spot, shard, now));
             self.recount(ix);
         }
         Some(ix)
@@ -243,11 +249,12 @@
         };
         Some(Spec {
             team: self.team_names.find(&wire.team)?,
-            need: Res::new(wire.vcpus, wire.gpus, wire.mem_gb),
-            rigs: wire
-                .types
-                .as_ref()
-                .map(|t| t.iter().map(|t| self.rig_names.intern(t)).collect()),
+            need: Resources::new(wire.vcpus, wire.gpus, wire.mem_gb),
+            machine_types: wire.types.as_ref().map(|t| {
+                t.iter()
+                    .map(|t| self.machine_type_names.intern(t))
+                    .collect()
+            }),
             zone,
             image: self.image_names.intern(&wire.image),
             bytes: stored_bytes(wire),
@@ -257,10 +264,10 @@
 
     /// True if the job can ever run, as far as the machine types say.
     pub fn can_run(&self, spec: &Spec) -> bool {
-        let fits = self.rigs.iter().any(|(ix, rig)| {
-            spec.rigs.as_ref().is_none_or(|r| r.contains(ix))
-                && spec.need.fits(rig.room)
-                && rig.flavor.zones.iter().any(|z| {
+        let fits = self.machine_types.iter().any(|(ix, machine_type)| {
+            spec.machine_types.as_ref().is_none_or(|r| r.contains(ix))
+                && spec.need.fits(machine_type.room)
+                && machine_type.flavor.zones.iter().any(|z| {
                     let z = self.zone_names.find(z);
                     z.is_some() && (spec.zone.is_none() || spec.zone == z)
                 })
@@ -306,18 +313,18 @@
         self.recount(mix);
     }
     /// Free room of a machine; `None` if it or its type is unknown.
-    pub fn free_on(&self, m: MachineIx) -> Option<Res> {
+    pub fn free_on(&self, m: MachineIx) -> Option<Resources> {
         self.room().get(m.at()).copied().flatten()
     }
     /// Room by machine after placements and whatever else was reported.
-    pub fn room(&self) -> &[Option<Res>] {
+    pub fn room(&self) -> &[Option<Resources>] {
         self.tally.room()
     }
 
     /// Counts anew what is free on a machine: after each change of its tasks or placements.
     pub fn recount(&mut self, mix: MachineIx) {
         let free = self.machine(mix).and_then(|m| {
-            let mut free = self.rigs.get(&m.rig)?.room;
+            let mut free = self.machine_types.get(&m.machine_type)?.room;
             let placed = self.placed_on(mix);
             let need = |ix: JobIx| {
                 let job = self.jobs.get(ix.at()).filter(|j| !j.settled())?;
@@ -342,12 +349,12 @@
     /// Takes over a list of machine types.
     pub fn set_flavors(&mut self, flavors: &Flavors) {
         for f in &flavors.types {
-            let ix = self.rig_names.intern(&f.name);
-            let rig = Rig {
-                room: Res::new(f.vcpus, f.gpus, f.mem_gb),
+            let ix = self.machine_type_names.intern(&f.name);
+            let machine_type = MachineType {
+                room: Resources::new(f.vcpus, f.gpus, f.mem_gb),
                 flavor: f.clone(),
             };
-            self.rigs.insert(ix, rig);
+            self.machine_types.insert(ix, machine_type);
         }
         for i in 0..self.machines.len() {
             self.recount(MachineIx::new(i));
@@ -436,9 +443,9 @@
     fn note_images(&mut self, job: &Job) {
         let Some(s) = &job.spec else { return };
         for p in &job.placements {
-            let cache = self.machine(p.machine).map(|m| m.rig);
+            let cache = self.machine(p.machine).map(|m| m.machine_type);
             let cache = cache
-                .and_then(|r| self.rigs.get(&r))
+                .and_then(|r| self.machine_types.get(&r))
                 .map_or(f64::MAX, |r| r.flavor.cache_gb);
             if let Some(m) = self.machine_mut(p.machine) {
                 m.use_image(s.image, s.wire.image_gb, cache);
@@ -486,7 +493,8 @@
         if rec.state != JobState::Open {
             self.told.remove(&id);
         }
-        let (around, cancelled) = self.around(&id, rec.submitted, spec.as_deref());
+        let (dependency_state, cancelled) =
+            self.dependency_state(&id, rec.submitted, spec.as_deref());
         // Cancelled is final: an older record, by whatever way it comes, takes nothing back. And
         // whoever knows that one it needs is cancelled knows that it is.
         let state = match rec.state {
@@ -503,7 +511,7 @@
             placements,
             next_attempt: rec.next_attempt,
             finished: rec.finished,
-            around,
+            dependency_state,
         };
         if rec.state == JobState::Open && cancelled {
             self.graph.unwritten.insert(ix);
@@ -519,14 +527,19 @@
     }
 
     /// What follows for a job from those around it, and whether it is cancelled with one.
-    fn around(&self, id: &str, submitted: u64, spec: Option<&Spec>) -> (Around, bool) {
+    fn dependency_state(
+        &self,
+        id: &str,
+        submitted: u64,
+        spec: Option<&Spec>,
+    ) -> (DependencyState, bool) {
         let rank = spec.map_or(Rank::Low, Spec::rank);
         let due = spec.and_then(|s| s.wire.deadline_s);
         let due = due.map(|s| submitted.saturating_add(ms_of(s)));
         let names = spec.map_or(&[] as &[String], |s| &s.wire.awaits);
         let dependencies = names.iter().map(|n| self.job(n).map(|(_, j)| j));
         let dependents = self.graph.dependents(id).iter().map(|d| &self.jobs[d.at()]);
-        graph::around(submitted, (rank, due), dependencies, dependents)
+        graph::dependency_state(submitted, (rank, due), dependencies, dependents)
     }
 
     /// Enters an open job under those that it needs.
@@ -551,7 +564,8 @@
                 continue;
             };
             let (id, spec) = (job.id.clone(), job.spec.clone());
-            let (around, cancelled) = self.around(&id, job.submitted, spec.as_deref());
+            let (dependency_state, cancelled) =
+                self.dependency_state(&id, job.submitted, spec.as_deref());
             if cancelled {
                 let state = JobState::Cancelled;
                 let job = Job {
@@ -562,10 +576,10 @@
                 self.store_job(ix, job);
                 continue;
             }
-            if around == job.around {
+            if dependency_state == job.dependency_state {
                 continue;
             }
-            self.jobs[ix.at()].around = around;
+            self.jobs[ix.at()].dependency_state = dependency_state;
             self.look_at_needs(spec.as_deref());
         }
     }
@@ -762,7 +776,7 @@
 
     /// Takes a page of a full read of all keys. Nothing of it is kept but what it brings, so a
     /// read of any number of records needs no more memory than a page; `fleeting` gathers the
-    /// keys that others delete, for [`View::end_read`].
+    /// keys that others delete, for [`ClusterState::end_read`].
     pub fn take_page(&mut self, entries: &[Entry], fleeting: &mut HashSet<String>) {
         for e in entries {
             let kind = e.key.strip_prefix(ROOT).and_then(|k| k.split_once('/'));
--- a/src/bookkeeping/fleet.rs
+++ b/src/bookkeeping/fleet.rs
@@ -1,7 +1,7 @@
 //! Machines as their owner sees them.
 
-use super::names::{ImageIx, JobIx, RigIx, ShardIx, ZoneIx};
-use super::units::{Ms, Res};
+use super::names::{ImageIx, JobIx, MachineTypeIx, ShardIx, ZoneIx};
+use super::units::{Ms, Resources};
 use crate::protocol::workers::{TaskState, Why};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -11,11 +11,11 @@
 
 /// A machine type with its amounts.
 #[derive(Clone, Debug)]
-pub struct Rig {
+pub struct MachineType {
     /// As the cloud describes it.
     pub flavor: crate::protocol::cloud::Flavor,
     /// What a machine has.
-    pub room: Res,
+    pub room: Resources,
 }
 
 /// A task in the newest report.
@@ -75,7 +75,7 @@
     /// Worker's address.
     pub addr: String,
     /// Type.
-    pub rig: RigIx,
+    pub machine_type: MachineTypeIx,
     /// Zone.
     pub zone: ZoneIx,
     /// Spot.
@@ -145,7 +145,7 @@
     /// A machine just heard of.
     pub fn new(
         name: Rc<str>,
-        rig: RigIx,
+        machine_type: MachineTypeIx,
         zone: ZoneIx,
         spot: bool,
         shard: ShardIx,
@@ -154,7 +154,7 @@
         Machine {
             name,
             addr: String::new(),
-            rig,
+            machine_type,
             zone,
             spot,
             shard,
--- a/src/bookkeeping/graph.rs
+++ b/src/bookkeeping/graph.rs
@@ -4,7 +4,7 @@
 //! jobs named, both of which only ever go one way. A change touches neighbours; what goes on from
 //! there goes by a list of work, however deep the graph is.
 
-use super::job::{Around, Job, JobState};
+use super::job::{DependencyState, Job, JobState};
 use super::names::JobIx;
 use super::units::ms_of;
 use crate::protocol::users::Rank;
@@ -51,19 +51,19 @@
 /// The latest time by which what a job needs has to be done, for the job to be done in time.
 pub fn needed_by(job: &Job) -> Option<u64> {
     let estimate = job.spec.as_ref().map_or(0, |s| ms_of(s.wire.estimate_s));
-    let due = job.around.due?;
+    let due = job.dependency_state.due?;
     Some(due.saturating_sub(estimate + STAGE_MS))
 }
 
 /// What follows for a job from its dependencies, as far as they are known, and from its
 /// dependents; and whether one of the former was cancelled.
-pub fn around<'a>(
+pub fn dependency_state<'a>(
     submitted: u64,
     own: (Rank, Option<u64>),
     dependencies: impl Iterator<Item = Option<&'a Job>>,
     dependents: impl Iterator<Item = &'a Job>,
-) -> (Around, bool) {
-    let mut out = Around {
+) -> (DependencyState, bool) {
+    let mut out = DependencyState {
         blocked: false,
         since: submitted,
         rank: own.0,
@@ -78,7 +78,7 @@
         }
     }
     for job in dependents.filter(|j| j.open()) {
-        out.rank = out.rank.min(job.around.rank);
+        out.rank = out.rank.min(job.dependency_state.rank);
         out.due = match (out.due, needed_by(job)) {
             (Some(a), Some(b)) => Some(a.min(b)),
             (a, b) => a.or(b),
--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -1,7 +1,7 @@
 //! Job records: what is stored of a job, and its form in memory.
 
-use super::names::{ImageIx, MachineIx, RigIx, ShardIx, TeamIx, ZoneIx};
-use super::units::Res;
+use super::names::{ImageIx, MachineIx, MachineTypeIx, ShardIx, TeamIx, ZoneIx};
+use super::units::Resources;
 use crate::protocol::users::{JobSpec, Rank, Shape};
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
@@ -140,9 +140,9 @@
     /// Team.
     pub team: TeamIx,
     /// What a task takes.
-    pub need: Res,
+    pub need: Resources,
     /// Allowed types.
-    pub rigs: Option<Vec<RigIx>>,
+    pub machine_types: Option<Vec<MachineTypeIx>>,
     /// Only allowed zone.
     pub zone: Option<ZoneIx>,
     /// Image.
@@ -196,12 +196,12 @@
     /// Time of day at which its last task was done, ms, if that is known.
     pub finished: u64,
     /// What follows from the jobs around it.
-    pub around: Around,
+    pub dependency_state: DependencyState,
 }
 
 /// What follows for a job from those that it needs and those that need it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Around {
+pub struct DependencyState {
     /// It waits for a dependency, so nothing of it may start.
     pub blocked: bool,
     /// Time of day from which on it could run: its submission, or the end of its last dependency.
@@ -220,7 +220,7 @@
     }
     /// True while tasks may start: it is open, and all it needs is done.
     pub fn runnable(&self) -> bool {
-        self.open() && !self.around.blocked
+        self.open() && !self.dependency_state.blocked
     }
     /// True once nothing more will happen to it.
     pub fn settled(&self) -> bool {
--- a/src/bookkeeping/names.rs
+++ b/src/bookkeeping/names.rs
@@ -38,7 +38,7 @@
 );
 index!(
     /// A machine type.
-    RigIx
+    MachineTypeIx
 );
 index!(
     /// A zone.
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -83,7 +83,7 @@
 pub struct BookingRecord {
     /// Type.
     #[serde(rename = "r")]
-    pub rig: String,
+    pub machine_type: String,
     /// Zone.
     #[serde(rename = "z")]
     pub zone: String,
--- a/src/bookkeeping/tally.rs
+++ b/src/bookkeeping/resource_totals.rs
@@ -3,16 +3,16 @@
 use super::fleet::Attempt;
 use super::job::Job;
 use super::names::{Index, JobIx, MachineIx, ShardIx, TeamIx};
-use super::units::Res;
+use super::units::Resources;
 
 /// Processors and graphics processors, in thousandths.
 type Amount = (i64, i64);
 
 /// What placements use, by machine and by team.
 #[derive(Default, Debug)]
-pub struct Tally {
+pub struct ResourceTotals {
     here: Vec<Vec<Attempt>>,
-    room: Vec<Option<Res>>,
+    room: Vec<Option<Resources>>,
     paid: Vec<Vec<Amount>>,
 }
 
@@ -23,7 +23,7 @@
     &mut list[at]
 }
 
-impl Tally {
+impl ResourceTotals {
     /// Counts a job's placements.
     pub fn add(&mut self, ix: JobIx, job: &Job) {
         self.count(ix, job, 1);
@@ -74,11 +74,11 @@
         by_payer.fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1))
     }
     /// Free room by machine; `None` where the machine or its type is unknown.
-    pub fn room(&self) -> &[Option<Res>] {
+    pub fn room(&self) -> &[Option<Resources>] {
         &self.room
     }
     /// Notes what is free on a machine.
-    pub fn set_room(&mut self, m: MachineIx, free: Option<Res>) {
+    pub fn set_room(&mut self, m: MachineIx, free: Option<Resources>) {
         *slot(&mut self.room, m.at()) = free;
     }
 }
--- a/src/bookkeeping/units.rs
+++ b/src/bookkeeping/units.rs
@@ -22,7 +22,7 @@
 
 /// What a task takes or a machine has, in thousandths.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct Res {
+pub struct Resources {
     /// Processors.
     pub cpu: i64,
     /// Graphics processors.
@@ -35,53 +35,53 @@
     (x * 1000.0).ceil().clamp(0.0, 1e15) as i64
 }
 
-impl Res {
+impl Resources {
     /// From decimal amounts.
-    pub fn new(cpus: f64, gpus: f64, mem_gb: f64) -> Res {
-        Res {
+    pub fn new(cpus: f64, gpus: f64, mem_gb: f64) -> Resources {
+        Resources {
             cpu: milli(cpus),
             gpu: milli(gpus),
             mem: milli(mem_gb),
         }
     }
     /// True if `self` fits into `room`.
-    pub fn fits(self, room: Res) -> bool {
+    pub fn fits(self, room: Resources) -> bool {
         self.cpu <= room.cpu && self.gpu <= room.gpu && self.mem <= room.mem
     }
     /// Sum.
-    pub fn plus(self, o: Res) -> Res {
-        Res {
+    pub fn plus(self, o: Resources) -> Resources {
+        Resources {
             cpu: self.cpu + o.cpu,
             gpu: self.gpu + o.gpu,
             mem: self.mem + o.mem,
         }
     }
     /// Difference; parts may become negative.
-    pub fn minus(self, o: Res) -> Res {
-        Res {
+    pub fn minus(self, o: Resources) -> Resources {
+        Resources {
             cpu: self.cpu - o.cpu,
             gpu: self.gpu - o.gpu,
             mem: self.mem - o.mem,
         }
     }
     /// The lesser of each part.
-    pub fn least(self, o: Res) -> Res {
-        Res {
+    pub fn least(self, o: Resources) -> Resources {
+        Resources {
             cpu: self.cpu.min(o.cpu),
             gpu: self.gpu.min(o.gpu),
             mem: self.mem.min(o.mem),
         }
     }
     /// `n` times as much.
-    pub fn times(self, n: u32) -> Res {
-        Res {
+    pub fn times(self, n: u32) -> Resources {
+        Resources {
             cpu: self.cpu.saturating_mul(n.into()),
             gpu: self.gpu.saturating_mul(n.into()),
             mem: self.mem.saturating_mul(n.into()),
         }
     }
     /// The largest part of `whole` that `self` takes, 0 to 1 and beyond.
-    pub fn share_of(self, whole: Res) -> f64 {
+    pub fn share_of(self, whole: Resources) -> f64 {
         let part = |a: i64, b: i64| match (a, b) {
             (a, _) if a <= 0 => 0.0,
             (_, 0) => 1.0,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,11 +2,11 @@
 
 use crate::coordination::node::Node;
 use crate::coordination::{
-    cancellations, intake, members, planner, reach, renting, siblings, store,
+    cancellations, job_api, membership, peer_messages, planner, renting, store, worker_connectivity,
 };
 use crate::protocol::users::{parse_job, JobSpec, JobStatus};
 use crate::settings::{Operator, Platform, SettingsError};
-use crate::transport::lanes::Lanes;
+use crate::transport::executor_priorities::Lanes;
 use crate::transport::{frames, http};
 use clap::{Args, Parser, Subcommand};
 use http_types::Method;
@@ -147,19 +147,19 @@
         let node = Rc::new(Node::new(platform, operator, ex.clone()));
         node.duty("watch", store::watch);
         node.duty("fresh reads", store::fresh_reads);
-        node.duty("members", members::run);
-        node.duty("poke", reach::poke);
+        node.duty("members", membership::run);
+        node.duty("poke", worker_connectivity::poke);
         node.duty("planner", planner::run);
         node.duty("cancellations", cancellations::run);
-        node.duty("news", siblings::news);
+        node.duty("news", peer_messages::news);
         node.duty("renting", renting::run);
         let n = node.clone();
-        let answering = frames::serve(ex.clone(), peers, move |ask| siblings::handle(&n, ask));
+        let answering = frames::serve(ex.clone(), peers, move |ask| peer_messages::handle(&n, ask));
         ex.spawn(answering).detach();
         let n = node.clone();
-        let (l, of_worker) = (lanes.clone(), intake::of_worker);
+        let (l, of_worker) = (lanes.clone(), job_api::of_worker);
         let serving = http::serve_in(l, of_worker, users, sockets, move |req| {
-            intake::handle(n.clone(), req)
+            job_api::handle(n.clone(), req)
         });
         // A routine of its own: what `run` is given is polled at each turn of any routine.
         let serving = ex.spawn(serving);
--- a/src/coordination/cancellations.rs
+++ b/src/coordination/cancellations.rs
@@ -1,12 +1,12 @@
 //! Cancellations: telling the other controllers, and stopping tasks whose owner does not.
 
-use super::node::{Node, Peer, Telling};
-use super::plan::Rules;
-use super::reach;
+use super::node::{Node, NotificationState, Peer};
+use super::plan::SchedulerConfig;
+use super::worker_connectivity;
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Attempt;
 use crate::bookkeeping::names::{Index, MachineIx};
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::View;
 use crate::protocol::peers::{Ask, Reply, MAX_JOBS};
 use crate::protocol::workers::{Commands, Order, Report, TaskState};
 use crate::transport::TransportError;
@@ -30,7 +30,7 @@
     loop {
         node.beat(BEAT_MS, None).await;
         tell(&node);
-        let due = leftovers.due(&node.view.borrow(), &node.rules, node.now());
+        let due = leftovers.due(&node.cluster.borrow(), &node.config, node.now());
         for stop in due {
             if !node.spawn_direct(end(node.clone(), stop)) {
                 break;
@@ -48,19 +48,20 @@
         if node.now() < peer.untold.get().0 {
             continue;
         }
-        if peer.telling.get() != Telling::Idle {
-            peer.telling.set(Telling::More);
+        if peer.telling.get() != NotificationState::Idle {
+            peer.telling.set(NotificationState::More);
             continue;
         }
-        peer.telling.set(Telling::Busy);
+        peer.telling.set(NotificationState::Busy);
         let node = node.clone();
         let ex = node.ex.clone();
         let exchanges = async move {
             let peer = &node.peers[at];
             while exchange(&node, at, peer).await
-                && peer.telling.replace(Telling::Busy) == Telling::More
-            {}
-            peer.telling.set(Telling::Idle);
+                && peer.telling.replace(NotificationState::Busy) == NotificationState::More
+            {
+            }
+            peer.telling.set(NotificationState::Idle);
         };
         ex.spawn(exchanges).detach();
     }
@@ -69,7 +70,7 @@
 /// One question to a peer; false if it did not answer.
 async fn exchange(node: &Rc<Node>, at: usize, peer: &Peer) -> bool {
     let asked = node.now();
-    let jobs = names(&node.view.borrow());
+    let jobs = names(&node.cluster.borrow());
     let reply = peer.teller.ask(&Ask::Cancelled { jobs }, PEER_MS).await;
     let reply = match reply {
         Ok(reply) => reply,
@@ -88,17 +89,23 @@
         }
     };
     peer.untold.set((Ms(0), 0));
-    let news = take(&mut node.view.borrow_mut(), at, asked, node.now(), &reply);
+    let news = take(
+        &mut node.cluster.borrow_mut(),
+        at,
+        asked,
+        node.now(),
+        &reply,
+    );
     note(node, &news);
     true
 }
 
 /// Answers a peer that tells of cancellations.
 pub fn answer(node: &Rc<Node>, jobs: &[String]) -> Reply {
-    let news = learn(&mut node.view.borrow_mut(), jobs);
+    let news = learn(&mut node.cluster.borrow_mut(), jobs);
     note(node, &news);
     let now = node.now();
-    tells(&node.view.borrow(), now, now.0)
+    tells(&node.cluster.borrow(), now, now.0)
 }
 
 fn note(node: &Rc<Node>, news: &[&String]) {
@@ -106,35 +113,37 @@
         log::info!("job {id} is cancelled, as a peer tells");
     }
     if !news.is_empty() {
-        node.plan.ring();
+        node.plan.notify();
     }
 }
 
 /// The cancelled jobs that a frame tells of.
-pub fn names(view: &View) -> Vec<String> {
-    let mut jobs = view.cancelled_names();
+pub fn names(cluster: &ClusterState) -> Vec<String> {
+    let mut jobs = cluster.cancelled_names();
     jobs.truncate(MAX_JOBS);
     jobs
 }
 
 /// Takes the news that these jobs are cancelled; those that were new.
-pub fn learn<'a>(view: &mut View, jobs: &'a [String]) -> Vec<&'a String> {
-    jobs.iter().filter(|id| view.learn_cancelled(id)).collect()
+pub fn learn<'a>(cluster: &mut ClusterState, jobs: &'a [String]) -> Vec<&'a String> {
+    jobs.iter()
+        .filter(|id| cluster.learn_cancelled(id))
+        .collect()
 }
 
 /// What a process that has run for `up_ms` tells a peer that asks.
-pub fn tells(view: &View, now: Ms, up_ms: u64) -> Reply {
+pub fn tells(cluster: &ClusterState, now: Ms, up_ms: u64) -> Reply {
     let short = |ms: u64| ms.min(u64::from(u32::MAX)) as u32;
     Reply::Cancelled {
         up_ms: short(up_ms),
-        age_ms: view.knowledge.age_ms(now).map_or(u32::MAX, short),
-        jobs: names(view),
+        age_ms: cluster.knowledge.age_ms(now).map_or(u32::MAX, short),
+        jobs: names(cluster),
     }
 }
 
 /// Takes what a peer answered that was asked at `asked`; the jobs that were new.
 pub fn take<'a>(
-    view: &mut View,
+    cluster: &mut ClusterState,
     peer: usize,
     asked: Ms,
     now: Ms,
@@ -148,12 +157,12 @@
     else {
         return Vec::new();
     };
-    let news = learn(view, jobs);
+    let news = learn(cluster, jobs);
     // A list that was cut does not hold all that the peer knows.
     if jobs.len() < MAX_JOBS {
         let age = (*age_ms != u32::MAX).then_some(u64::from(*age_ms));
         let up_ms = u64::from(*up_ms);
-        view.knowledge.told(peer, asked, now, up_ms, age);
+        cluster.knowledge.told(peer, asked, now, up_ms, age);
     }
     news
 }
@@ -182,15 +191,20 @@
     /// whose answers don't arrive, does not; and to stop a cancelled task can never be wrong,
     /// whoever does it. A stop that comes before its start does nothing, so it is repeated until
     /// the placement is gone, which is for the owner alone to prove.
-    pub fn due(&mut self, view: &View, rules: &Rules, now: Ms) -> Vec<Leftover> {
+    pub fn due(
+        &mut self,
+        cluster: &ClusterState,
+        config: &SchedulerConfig,
+        now: Ms,
+    ) -> Vec<Leftover> {
         let mut left: HashMap<Attempt, Ms> = HashMap::new();
         let mut due: Vec<(Ms, MachineIx, Attempt)> = Vec::new();
-        for (ix, job) in view.cancelled() {
+        for (ix, job) in cluster.cancelled() {
             for p in &job.placements {
                 let a = (ix, p.task, p.attempt);
                 let since = self.since.get(&a).copied().unwrap_or(now);
                 left.insert(a, since);
-                if now.since(since) >= rules.cancel_ms / DIRECT_PART {
+                if now.since(since) >= config.cancel_ms / DIRECT_PART {
                     due.push((since, p.machine, a));
                 }
             }
@@ -202,10 +216,10 @@
         due.sort_unstable();
         let mut out: Vec<(MachineIx, Leftover)> = Vec::new();
         for (_, mix, a) in due {
-            let Some(m) = view.machine(mix).filter(|m| !m.addr.is_empty()) else {
+            let Some(m) = cluster.machine(mix).filter(|m| !m.addr.is_empty()) else {
                 continue;
             };
-            let task = (format!("{}/{}", view.jobs[a.0.at()].id, a.1), a.2);
+            let task = (format!("{}/{}", cluster.jobs[a.0.at()].id, a.1), a.2);
             if let Some((_, l)) = out.iter_mut().find(|(x, _)| *x == mix) {
                 l.tasks.push(task);
             } else if out.len() < AT_A_TIME {
@@ -243,7 +257,7 @@
 }
 
 async fn end(node: Rc<Node>, left: Leftover) {
-    let Some((f, client)) = reach::status(&left.addr).await else {
+    let Some((f, client)) = worker_connectivity::status(&left.addr).await else {
         return;
     };
     node.heard_worker();
@@ -254,5 +268,5 @@
         return;
     };
     log::info!("{}: stops {:?}, cancelled and left", left.addr, left.tasks);
-    reach::command(&client, &commands).await;
+    worker_connectivity::command(&client, &commands).await;
 }
--- a/src/coordination/intake.rs
+++ b/src/coordination/job_api.rs
@@ -3,8 +3,8 @@
 use super::node::{wall_ms, Node};
 use super::store::{set, Outcome};
 use super::{cancellations, planner};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::job::{Job, JobRecord, JobState, Ranges};
-use crate::bookkeeping::view::View;
 use crate::protocol::state::{Condition, Transaction};
 use crate::protocol::users::{parse_job, valid_id, JobStatus, MAX_AWAITS};
 use crate::transport::http::{jittered, Answer, Incoming};
@@ -30,22 +30,22 @@
     match (parts.as_slice(), req.method) {
         (["up"], Method::Get) => {
             let up = || Answer::bare(if node.healthy() { 200 } else { 503 });
-            node.meter.time("health", up)
+            node.metrics.time("health", up)
         }
         (["v1", "report"], Method::Post) => {
             let work = super::reports::handle(&node, req.body);
-            node.meter.routine("reports", work).await
+            node.metrics.routine("reports", work).await
         }
         (["v1", "jobs"], Method::Post) => {
             let work = submit(&node, req.body);
-            node.meter.routine("submissions", work).await
+            node.metrics.routine("submissions", work).await
         }
         (["v1", "jobs", id], Method::Get) => {
-            node.meter.routine("users' polls", poll(&node, id)).await
+            node.metrics.routine("users' polls", poll(&node, id)).await
         }
         (["v1", "jobs", id, "withdraw"], Method::Post) => {
             let work = withdraw(&node, id);
-            node.meter.routine("cancellations", work).await
+            node.metrics.routine("cancellations", work).await
         }
         (
             ["up"] | ["v1", "report" | "jobs"] | ["v1", "jobs", _] | ["v1", "jobs", _, "withdraw"],
@@ -56,7 +56,7 @@
 }
 
 fn status(code: u16, job: &Job) -> Answer {
-    let (word, done, running) = View::status(job);
+    let (word, done, running) = ClusterState::status(job);
     Answer::of(
         code,
         &JobStatus {
@@ -71,8 +71,8 @@
 /// A final state is served from memory; anything else could be older than what another
 /// node has told, so it needs the newest changes first.
 fn settled_answer(node: &Node, id: &str) -> Option<Answer> {
-    let view = node.view.borrow();
-    let (_, job) = view.job(id)?;
+    let cluster = node.cluster.borrow();
+    let (_, job) = cluster.job(id)?;
     (!job.open()).then(|| status(200, job))
 }
 
@@ -80,20 +80,20 @@
     let Some(wire) = body.as_deref().and_then(parse_job) else {
         return Answer::bare(400);
     };
-    if !node.view.borrow().loaded {
+    if !node.cluster.borrow().loaded {
         return Answer::later(COME_BACK_S);
     }
     if let Some(a) = settled_answer(node, &wire.id) {
         return a;
     }
-    let known = node.view.borrow().job(&wire.id).is_some();
+    let known = node.cluster.borrow().job(&wire.id).is_some();
     let acceptable = {
-        let mut view = node.view.borrow_mut();
-        let types_known = !view.rigs.is_empty();
-        let spec = view.intern_spec(&wire);
+        let mut cluster = node.cluster.borrow_mut();
+        let types_known = !cluster.machine_types.is_empty();
+        let spec = cluster.intern_spec(&wire);
         match (types_known, spec) {
             (false, _) => None,
-            (true, s) => Some(s.is_some_and(|s| view.can_run(&s))),
+            (true, s) => Some(s.is_some_and(|s| cluster.can_run(&s))),
         }
     };
     // A job that is known gets its state whatever the types say now.
@@ -104,7 +104,7 @@
             if !node.refreshed(READ_MS).await {
                 return Answer::later(COME_BACK_S);
             }
-            if node.view.borrow().job(&wire.id).is_none() {
+            if node.cluster.borrow().job(&wire.id).is_none() {
                 return Answer::bare(422);
             }
         }
@@ -125,10 +125,10 @@
         next_attempt: 1,
         finished: 0,
     };
-    let key = View::job_key(&id);
+    let key = ClusterState::job_key(&id);
     let began = node.now();
     while node.now().since(began) < WRITE_BUDGET_MS {
-        if node.view.borrow().job(&id).is_some() {
+        if node.cluster.borrow().job(&id).is_some() {
             break;
         }
         let txn = Transaction {
@@ -140,13 +140,13 @@
         };
         match node.commit(&txn).await {
             Outcome::Done(revision) => {
-                node.view.borrow_mut().put_job(&id, revision, &record);
-                let ix = node.view.borrow().job_names.find(&id);
+                node.cluster.borrow_mut().put_job(&id, revision, &record);
+                let ix = node.cluster.borrow().job_names.find(&id);
                 if let Some(ix) = ix {
                     planner::bind_job(node, ix);
                 }
                 log::debug!("job {id} accepted at {revision}");
-                return accepted(&node.view.borrow(), &id, revision);
+                return accepted(&node.cluster.borrow(), &id, revision);
             }
             // Conflict: known already. Unknown: may be. Both are read below.
             Outcome::Conflict(_) | Outcome::Unknown => {
@@ -158,8 +158,8 @@
             Outcome::Refused(_) => break,
         }
     }
-    if node.view.borrow().job(&id).is_some() && node.refreshed(READ_MS).await {
-        if let Some((_, job)) = node.view.borrow().job(&id) {
+    if node.cluster.borrow().job(&id).is_some() && node.refreshed(READ_MS).await {
+        if let Some((_, job)) = node.cluster.borrow().job(&id) {
             return status(200, job);
         }
     }
@@ -170,8 +170,8 @@
 ///
 /// Another node may have told more of it by now, and this one have read that; and one that awaits
 /// a cancelled job is cancelled with it from the start.
-pub fn accepted(view: &View, id: &str, revision: u64) -> Answer {
-    let known = view.job(id).map(|(_, job)| job);
+pub fn accepted(cluster: &ClusterState, id: &str, revision: u64) -> Answer {
+    let known = cluster.job(id).map(|(_, job)| job);
     if let Some(job) = known.filter(|job| job.version > revision || !job.open()) {
         return status(201, job);
     }
@@ -196,9 +196,9 @@
         return Some(Answer::bare(422));
     }
     let unknown = || {
-        let view = node.view.borrow();
-        let known = |id: &String| view.job(id).is_some();
-        (!view.second_form, !awaits.iter().all(known))
+        let cluster = node.cluster.borrow();
+        let known = |id: &String| cluster.job(id).is_some();
+        (!cluster.second_form, !awaits.iter().all(known))
     };
     if unknown() != (false, false) && !node.refreshed(READ_MS).await {
         return Some(Answer::later(COME_BACK_S));
@@ -221,7 +221,7 @@
     if !node.refreshed(READ_MS).await {
         return Answer::later(COME_BACK_S);
     }
-    match node.view.borrow().job(id) {
+    match node.cluster.borrow().job(id) {
         Some((_, job)) => status(200, job),
         None => Answer::bare(404),
     }
@@ -238,11 +238,11 @@
             return a;
         }
         let drafted = {
-            let view = node.view.borrow();
-            view.job(id).map(|(ix, job)| {
+            let cluster = node.cluster.borrow();
+            cluster.job(id).map(|(ix, job)| {
                 let mut job = job.clone();
                 job.state = JobState::Cancelled;
-                let mut draft = super::plan::Draft::default();
+                let mut draft = super::plan::DraftTransaction::default();
                 draft.jobs.insert(ix, job);
                 draft
             })
@@ -261,7 +261,7 @@
             Outcome::Done(_) => {
                 log::info!("job {id} cancelled by its user");
                 cancellations::tell(node);
-                node.plan.ring();
+                node.plan.notify();
             }
             Outcome::Conflict(_) | Outcome::Unknown => {
                 node.refreshed(READ_MS).await;
--- a/src/coordination/members.rs
+++ b/src/coordination/membership.rs
@@ -1,13 +1,13 @@
 //! Membership: the node's leased key, and who owns which shard.
 
-use super::node::{Node, Outside, Peer};
-use super::plan::Rules;
+use super::node::{ExternalService, Node, Peer};
+use super::plan::SchedulerConfig;
 use super::store::{set, Outcome};
+use crate::bookkeeping::cluster_state::{ClusterState, NodeRecord, ShardRecord, ROOT};
 use crate::bookkeeping::fleet::LateStart;
 use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
 use crate::bookkeeping::records::SECOND_FORM;
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::{NodeRecord, ShardRecord, View, ROOT};
 use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
 use http_types::Method;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -24,12 +24,12 @@
 
 /// The node that should own a shard: live ones in its zone first, the work spread evenly.
 pub fn wanted_owner<'a>(
-    view: &View,
+    cluster: &ClusterState,
     zones: &BTreeMap<String, ZoneIx>,
     live: &[&'a str],
     shard: ShardIx,
 ) -> Option<&'a str> {
-    let near: Vec<&str> = match view.shard_zone(shard) {
+    let near: Vec<&str> = match cluster.shard_zone(shard) {
         Some(z) => live
             .iter()
             .copied()
@@ -38,7 +38,7 @@
         None => Vec::new(),
     };
     let choice = if near.is_empty() { live.to_vec() } else { near };
-    let turn = shard.at() % view.shards_per_zone.max(1);
+    let turn = shard.at() % cluster.shards_per_zone.max(1);
     choice.get(turn % choice.len().max(1)).copied()
 }
 
@@ -76,20 +76,20 @@
 /// A shard stays for a moment with whoever gets it: why it came may be in news that are still
 /// on their way, and two nodes that disagree would hand it to and fro.
 pub fn moves(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     zones: &BTreeMap<String, ZoneIx>,
     known: &Known,
     may_raise: bool,
     now: Ms,
 ) -> Vec<Move> {
     let Known { seen, deaf, owned } = known;
-    let live: Vec<&str> = view.nodes.keys().map(String::as_str).collect();
-    let settled: Vec<&str> = view
+    let live: Vec<&str> = cluster.nodes.keys().map(String::as_str).collect();
+    let settled: Vec<&str> = cluster
         .nodes
         .iter()
         .filter(|(n, r)| {
-            **n == rules.node
+            **n == config.node
                 || seen
                     .get(&((*n).clone(), r.rec.incarnation))
                     .is_some_and(|s| now.since(*s) >= SETTLED_MS)
@@ -100,21 +100,21 @@
     let hearing = |nodes: &[&str]| nodes.iter().any(|n| !deaf.contains(*n));
     let (all_live, all_settled) = (live, settled);
     let mut out = Vec::new();
-    for shard in (0..view.shards.len()).map(ShardIx::new) {
+    for shard in (0..cluster.shards.len()).map(ShardIx::new) {
         let (mut live, mut settled) = (all_live.clone(), all_settled.clone());
         for nodes in [&mut live, &mut settled] {
-            if shard != view.renting() && hearing(nodes) {
+            if shard != cluster.renting() && hearing(nodes) {
                 nodes.retain(|n| !deaf.contains(*n));
             }
         }
-        let target = match view.live_owner(shard) {
-            None => wanted_owner(view, zones, &live, shard).filter(|n| *n == rules.node),
-            Some(owner) if owner == rules.node && rules.owns(view, shard) => {
+        let target = match cluster.live_owner(shard) {
+            None => wanted_owner(cluster, zones, &live, shard).filter(|n| *n == config.node),
+            Some(owner) if owner == config.node && config.owns(cluster, shard) => {
                 // A direct start that was not answered may run until the token rises, and exits
                 // that are kept against repeated ones must not fill the reports.
                 let late = || {
-                    let token = view.shards[shard.at()].rec.token;
-                    view.all_machines().any(|(_, m)| {
+                    let token = cluster.shards[shard.at()].rec.token;
+                    cluster.all_machines().any(|(_, m)| {
                         // Those of older tokens can't run any more, though a silent machine
                         // keeps them: to count them would raise the token again and again.
                         let open = |l: &&LateStart| l.token >= token;
@@ -127,8 +127,8 @@
                     let since = owned.get(&shard);
                     since.is_some_and(|t| now.since(*t) >= SETTLED_MS)
                 };
-                wanted_owner(view, zones, &settled, shard).filter(|n| {
-                    if *n == rules.node {
+                wanted_owner(cluster, zones, &settled, shard).filter(|n| {
+                    if *n == config.node {
                         may_raise && late()
                     } else {
                         held()
@@ -146,9 +146,9 @@
 }
 
 /// The transaction of a move: valid only while nothing about either owner has changed.
-pub fn move_transaction(view: &View, m: &Move) -> Option<(Transaction, ShardRecord)> {
-    let old = &view.shards[m.shard.at()];
-    let target = view.nodes.get(&m.to)?;
+pub fn move_transaction(cluster: &ClusterState, m: &Move) -> Option<(Transaction, ShardRecord)> {
+    let old = &cluster.shards[m.shard.at()];
+    let target = cluster.nodes.get(&m.to)?;
     let rec = ShardRecord {
         owner: m.to.clone(),
         incarnation: target.rec.incarnation,
@@ -157,7 +157,7 @@
     let node_key = |n: &str| format!("{ROOT}node/{n}");
     let mut conditions = vec![
         Condition {
-            key: view.shard_key(m.shard),
+            key: cluster.shard_key(m.shard),
             version: old.version,
         },
         Condition {
@@ -168,10 +168,10 @@
     if !old.rec.owner.is_empty() && old.rec.owner != m.to {
         conditions.push(Condition {
             key: node_key(&old.rec.owner),
-            version: view.nodes.get(&old.rec.owner).map_or(0, |n| n.version),
+            version: cluster.nodes.get(&old.rec.owner).map_or(0, |n| n.version),
         });
     }
-    let writes = vec![set(view.shard_key(m.shard), &rec, None)?];
+    let writes = vec![set(cluster.shard_key(m.shard), &rec, None)?];
     Some((Transaction { conditions, writes }, rec))
 }
 
@@ -181,8 +181,8 @@
 /// A process of the old version that comes back later finds its records in the first form but for
 /// jobs with dependencies and wide ones, which it may show and cancel. That is for the operator to
 /// rule out: until the second form begins a change of version can be taken back.
-pub fn begin_second_form(view: &View, all: &[&str]) -> Option<Transaction> {
-    if view.second_form || !view.loaded {
+pub fn begin_second_form(cluster: &ClusterState, all: &[&str]) -> Option<Transaction> {
+    if cluster.second_form || !cluster.loaded {
         return None;
     }
     let key = format!("{ROOT}form/{SECOND_FORM}");
@@ -191,7 +191,7 @@
         version: 0,
     }];
     for name in all {
-        let node = view.nodes.get(*name)?;
+        let node = cluster.nodes.get(*name)?;
         if node.rec.forms < SECOND_FORM {
             return None;
         }
@@ -209,7 +209,7 @@
     let s = &node.platform.settings;
     let mut zones = BTreeMap::new();
     {
-        let view = node.view.borrow();
+        let cluster = node.cluster.borrow();
         let here = (node.platform.node.as_str(), node.platform.domain.as_str());
         let others = node
             .platform
@@ -217,7 +217,7 @@
             .iter()
             .map(|p| (p.node.as_str(), p.domain.as_str()));
         for (n, z) in others.chain(std::iter::once(here)) {
-            if let Some(z) = view.zone_names.find(z) {
+            if let Some(z) = cluster.zone_names.find(z) {
                 zones.insert(n.to_string(), z);
             }
         }
@@ -229,16 +229,16 @@
     let mut known = Known::default();
     loop {
         let now = node.now();
-        let mut again = !node.view.borrow().loaded;
-        if node.view.borrow().loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
+        let mut again = !node.cluster.borrow().loaded;
+        if node.cluster.borrow().loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
             lease = keep_lease(&node, lease, ttl_ms).await;
             renewed = now;
             again = lease.is_none();
         }
         let begin = {
             let peers = node.peers.iter().map(|p| p.name.as_str());
-            let all: Vec<&str> = peers.chain([node.rules.node.as_str()]).collect();
-            begin_second_form(&node.view.borrow(), &all)
+            let all: Vec<&str> = peers.chain([node.config.node.as_str()]).collect();
+            begin_second_form(&node.cluster.borrow(), &all)
         };
         if let Some(txn) = begin {
             if let Outcome::Done(_) = node.commit(&txn).await {
@@ -253,22 +253,27 @@
         known.deaf = deaf_nodes(&node);
         known.owned.clone_from(&node.owned_since.borrow());
         let wanted = {
-            let view = node.view.borrow();
+            let cluster = node.cluster.borrow();
             let seen = &mut known.seen;
-            seen.retain(|(n, i), _| view.nodes.get(n).is_some_and(|r| r.rec.incarnation == *i));
-            for (n, r) in &view.nodes {
+            seen.retain(|(n, i), _| {
+                cluster
+                    .nodes
+                    .get(n)
+                    .is_some_and(|r| r.rec.incarnation == *i)
+            });
+            for (n, r) in &cluster.nodes {
                 seen.entry((n.clone(), r.rec.incarnation)).or_insert(now);
             }
             // Without an own key there is nothing to take shards with.
-            let me = view.nodes.get(&node.rules.node);
-            if me.is_some_and(|r| r.rec.incarnation == node.rules.incarnation) {
-                moves(&view, &node.rules, &zones, &known, may_raise, now)
+            let me = cluster.nodes.get(&node.config.node);
+            if me.is_some_and(|r| r.rec.incarnation == node.config.incarnation) {
+                moves(&cluster, &node.config, &zones, &known, may_raise, now)
             } else {
                 Vec::new()
             }
         };
         for m in wanted {
-            let txn = move_transaction(&node.view.borrow(), &m);
+            let txn = move_transaction(&node.cluster.borrow(), &m);
             let Some((txn, rec)) = txn else { continue };
             match node.commit(&txn).await {
                 Outcome::Done(r) => {
@@ -278,13 +283,13 @@
                         m.to,
                         rec.token
                     );
-                    let mut view = node.view.borrow_mut();
-                    let slot = &mut view.shards[m.shard.at()];
+                    let mut cluster = node.cluster.borrow_mut();
+                    let slot = &mut cluster.shards[m.shard.at()];
                     if slot.version < r {
                         slot.version = r;
                         slot.rec = rec;
                     }
-                    node.plan.ring();
+                    node.plan.notify();
                 }
                 Outcome::Conflict(_) => {
                     node.refreshed(1500).await;
@@ -298,7 +303,7 @@
             }
         }
         note_owned(&node);
-        node.note_served(Outside::State, node.store_ok());
+        node.note_served(ExternalService::State, node.store_ok());
         if again {
             node.pause(AGAIN_MS).await;
         } else {
@@ -315,7 +320,7 @@
     let peers = peers.filter(|p| !p.hears_workers.get());
     let mut out: HashSet<String> = peers.map(|p| p.name.clone()).collect();
     if !node.hears_workers() {
-        out.insert(node.rules.node.clone());
+        out.insert(node.config.node.clone());
     }
     out
 }
@@ -323,10 +328,10 @@
 /// Notes since when shards are owned.
 fn note_owned(node: &Rc<Node>) {
     let now = node.now();
-    let view = node.view.borrow();
+    let cluster = node.cluster.borrow();
     let mut since = node.owned_since.borrow_mut();
-    for s in (0..view.shards.len()).map(ShardIx::new) {
-        if !node.rules.owns(&view, s) {
+    for s in (0..cluster.shards.len()).map(ShardIx::new) {
+        if !node.config.owns(&cluster, s) {
             since.remove(&s);
             continue;
         }
@@ -334,10 +339,10 @@
             log::info!(
                 "owns shard {} with token {}",
                 s.0,
-                view.shards[s.at()].rec.token
+                cluster.shards[s.at()].rec.token
             );
-            if s == view.renting() {
-                node.rent.ring();
+            if s == cluster.renting() {
+                node.rent.notify();
             }
             now
         });
@@ -359,13 +364,13 @@
         }
         None => None,
     };
-    let me = node.rules.node.as_str();
+    let me = node.config.node.as_str();
     let present = node
-        .view
+        .cluster
         .borrow()
         .nodes
         .get(me)
-        .is_some_and(|r| r.rec.incarnation == node.rules.incarnation);
+        .is_some_and(|r| r.rec.incarnation == node.config.incarnation);
     if lease.is_some() && present {
         return lease;
     }
@@ -378,11 +383,11 @@
         }
     };
     let rec = NodeRecord {
-        incarnation: node.rules.incarnation,
+        incarnation: node.config.incarnation,
         forms: SECOND_FORM,
     };
     let key = format!("{ROOT}node/{me}");
-    let version = node.view.borrow().nodes.get(me).map_or(0, |n| n.version);
+    let version = node.cluster.borrow().nodes.get(me).map_or(0, |n| n.version);
     let txn = Transaction {
         // A late write of an earlier incarnation must not replace this one's.
         conditions: vec![Condition {
--- a/src/coordination/meter.rs
+++ b/src/coordination/metrics.rs
@@ -30,15 +30,15 @@
 }
 
 /// Turns by name since they were last told.
-pub struct Meter {
+pub struct Metrics {
     on: bool,
     rows: RefCell<BTreeMap<&'static str, Row>>,
 }
 
-impl Meter {
-    /// A meter; one that is off costs nothing.
-    pub fn new(on: bool) -> Meter {
-        Meter {
+impl Metrics {
+    /// A metrics; one that is off costs nothing.
+    pub fn new(on: bool) -> Metrics {
+        Metrics {
             on,
             rows: RefCell::default(),
         }
@@ -56,7 +56,7 @@
     /// Times each turn of a routine, and not what it waits for in between.
     pub fn routine<F: Future>(&self, name: &'static str, work: F) -> Metered<'_, F> {
         Metered {
-            meter: self,
+            metrics: self,
             name,
             work: Box::pin(work),
         }
@@ -85,7 +85,7 @@
 
 /// A routine whose turns are timed.
 pub struct Metered<'a, F> {
-    meter: &'a Meter,
+    metrics: &'a Metrics,
     name: &'static str,
     work: Pin<Box<F>>,
 }
@@ -93,7 +93,7 @@
 impl<F: Future> Future for Metered<'_, F> {
     type Output = F::Output;
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
-        let (meter, name) = (self.meter, self.name);
-        meter.time(name, || self.work.as_mut().poll(cx))
+        let (metrics, name) = (self.metrics, self.name);
+        metrics.time(name, || self.work.as_mut().poll(cx))
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,15 +1,15 @@
 //! Membership, queues and pull, gangs, renting, cancellation.
 
 pub mod cancellations;
-pub mod intake;
-pub mod members;
-pub mod meter;
+pub mod job_api;
+pub mod membership;
+pub mod metrics;
 pub mod node;
-pub mod pace;
+pub mod peer_messages;
 pub mod plan;
 pub mod planner;
-pub mod reach;
+pub mod rate_limiter;
 pub mod renting;
 pub mod reports;
-pub mod siblings;
 pub mod store;
+pub mod worker_connectivity;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1,12 +1,12 @@
 //! One controller: what its duties share.
 
-use super::meter::Meter;
-use super::plan::Rules;
+use super::metrics::Metrics;
+use super::plan::SchedulerConfig;
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::knowledge::Knowledge;
 use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::bookkeeping::view::View;
 use crate::protocol::state::Limits;
 use crate::settings::{Objective, Operator, Platform};
 use crate::transport::frames::PeerClient;
@@ -29,7 +29,7 @@
     /// Connection for cancellations, which wait for no other frames.
     pub teller: PeerClient,
     /// Where telling it of cancellations stands.
-    pub telling: Cell<Telling>,
+    pub telling: Cell<NotificationState>,
     /// After this it is told again, and how long it was left alone before.
     pub untold: Cell<(Ms, u64)>,
     /// Last time it sent news.
@@ -44,7 +44,7 @@
 
 /// Whether a peer is being told of cancellations.
 #[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
-pub enum Telling {
+pub enum NotificationState {
     /// It is not.
     #[default]
     Idle,
@@ -77,16 +77,16 @@
 }
 
 /// A signal that several routines wait for.
-pub struct Signal {
+pub struct Notifier {
     tx: Sender<()>,
     rx: Receiver<()>,
     waiters: RefCell<Vec<Sender<bool>>>,
 }
 
-impl Default for Signal {
+impl Default for Notifier {
     fn default() -> Self {
         let (tx, rx) = async_channel::bounded(1);
-        Signal {
+        Notifier {
             tx,
             rx,
             waiters: RefCell::new(Vec::new()),
@@ -94,24 +94,24 @@
     }
 }
 
-impl Signal {
+impl Notifier {
     /// Wakes the duty behind it.
-    pub fn ring(&self) {
+    pub fn notify(&self) {
         let _ = self.tx.try_send(());
     }
     /// Waits for a ring, `ms` at most.
-    pub async fn rung(&self, ms: u64) {
+    pub async fn notified(&self, ms: u64) {
         let _ = within(ms, self.rx.recv()).await;
     }
     /// Waits for a ring, until the next beat of `ms` at most.
-    pub async fn rung_by_beat(&self, ms: u64) {
+    pub async fn notified_by_tick(&self, ms: u64) {
         let _ = within_beat(ms, self.rx.recv()).await;
     }
     /// Rings and waits for the outcome of a turn that began afterwards; `None` after `ms`.
     pub async fn turn(&self, ms: u64) -> Option<bool> {
         let (tx, rx) = async_channel::bounded(1);
         self.waiters.borrow_mut().push(tx);
-        self.ring();
+        self.notify();
         within(ms, rx.recv()).await?.ok()
     }
     /// Those who wait, taken at the start of a turn.
@@ -127,9 +127,9 @@
     /// The operators' settings.
     pub operator: Operator,
     /// What decisions go by.
-    pub rules: Rules,
+    pub config: SchedulerConfig,
     /// Everything known.
-    pub view: RefCell<View>,
+    pub cluster: RefCell<ClusterState>,
     /// State service.
     pub store: Client,
     /// State service, long polls.
@@ -139,13 +139,13 @@
     /// The others.
     pub peers: Vec<Peer>,
     /// Wakes the planner.
-    pub plan: Signal,
+    pub plan: Notifier,
     /// Asks for a read of the newest changes.
-    pub fresh: Signal,
+    pub fresh: Notifier,
     /// Wakes the duty that keeps the node's key and shards.
-    pub members: Signal,
+    pub members: Notifier,
     /// Wakes the renting duty.
-    pub rent: Signal,
+    pub rent: Notifier,
     /// Last time the view was brought up to date.
     pub current: Cell<Option<Ms>>,
     /// Last time the state service served a request.
@@ -157,13 +157,13 @@
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
     /// Whether workers reach this node.
-    pub ear: Cell<Ear>,
+    pub worker_contact: Cell<WorkerContact>,
     /// When this process last went on after it had stood still.
     pub woke: Cell<Option<Ms>>,
     /// Connections to workers that are open now.
     directs: Cell<usize>,
     /// Where turns go.
-    pub meter: Meter,
+    pub metrics: Metrics,
     /// Runs the routines.
     pub ex: Rc<LocalExecutor<'static>>,
     started: Instant,
@@ -174,7 +174,7 @@
 /// A node that loses its workers alone keeps its key and its shards, and would answer none of
 /// their machines until their leases are over. It gives its shards away in time.
 #[derive(Clone, Copy, Debug)]
-pub struct Ear {
+pub struct WorkerContact {
     /// The last sign of any worker.
     last: Ms,
     /// Since when there have been workers to be heard.
@@ -185,10 +185,10 @@
     limit_ms: u64,
 }
 
-impl Ear {
+impl WorkerContact {
     /// A third of a lease leaves time to hand over and to be found by the workers.
-    pub fn new(lease_ms: u64) -> Ear {
-        Ear {
+    pub fn new(lease_ms: u64) -> WorkerContact {
+        WorkerContact {
             last: Ms(0),
             any: None,
             deaf: None,
@@ -239,7 +239,7 @@
 
 /// A service outside, by its place in [`Node::served`].
 #[derive(Clone, Copy, Debug)]
-pub enum Outside {
+pub enum ExternalService {
     /// The state service.
     State,
     /// The cloud.
@@ -274,7 +274,7 @@
     /// A controller that knows nothing yet.
     pub fn new(platform: Platform, operator: Operator, ex: Rc<LocalExecutor<'static>>) -> Node {
         let s = &platform.settings;
-        let rules = Rules {
+        let config = SchedulerConfig {
             node: platform.node.clone(),
             // Grows from start to start of the same node, and stays a whole number below 2^53.
             incarnation: wall_ms() * 2048 + fastrand::u64(0..2048),
@@ -309,30 +309,30 @@
                 hears_workers: Cell::new(true),
             })
             .collect();
-        let mut view = View::new(&s.zones, &s.teams, operator.shards_per_zone);
-        view.knowledge = Knowledge::new(platform.siblings.len(), Ms(0));
+        let mut cluster = ClusterState::new(&s.zones, &s.teams, operator.shards_per_zone);
+        cluster.knowledge = Knowledge::new(platform.siblings.len(), Ms(0));
         Node {
-            view: RefCell::new(view),
+            cluster: RefCell::new(cluster),
             store: Client::new(platform.outside.state),
             watcher: Client::new(platform.outside.state),
             cloud: Client::new(platform.outside.cloud),
             peers,
-            plan: Signal::default(),
-            fresh: Signal::default(),
-            members: Signal::default(),
-            rent: Signal::default(),
+            plan: Notifier::default(),
+            fresh: Notifier::default(),
+            members: Notifier::default(),
+            rent: Notifier::default(),
             current: Cell::new(None),
             store_served: Cell::new(None),
             served: [Cell::new(false), Cell::new(false)],
             complained: Cell::new((None, 0)),
             owned_since: RefCell::new(HashMap::new()),
-            ear: Cell::new(Ear::new(ms_of(s.workers.lease_s))),
+            worker_contact: Cell::new(WorkerContact::new(ms_of(s.workers.lease_s))),
             woke: Cell::new(None),
             directs: Cell::new(0),
-            meter: Meter::new(log::log_enabled!(log::Level::Debug)),
+            metrics: Metrics::new(log::log_enabled!(log::Level::Debug)),
             ex,
             started: Instant::now(),
-            rules,
+            config,
             platform,
             operator,
         }
@@ -353,7 +353,7 @@
         self.ex
             .spawn(async move {
                 loop {
-                    let run = node.meter.routine(name, duty(node.clone()));
+                    let run = node.metrics.routine(name, duty(node.clone()));
                     let run = std::panic::AssertUnwindSafe(run);
                     match futures_lite::FutureExt::catch_unwind(run).await {
                         Ok(()) => log::error!("duty {name} ended, starting it again"),
@@ -381,7 +381,7 @@
             refuses: p.refuses.get(),
         };
         let peers = || self.peers.iter().map(seen).collect::<Vec<_>>();
-        self.view.borrow().loaded && (self.store_ok() || outage_is_everyones(&peers()))
+        self.cluster.borrow().loaded && (self.store_ok() || outage_is_everyones(&peers()))
     }
 
     /// Waits; notes if this process stood still for seconds meanwhile.
@@ -395,10 +395,10 @@
     ///
     /// Each turn costs, however little there is to do: duties that tick at the same rate do so
     /// in one, and what should happen sooner rings.
-    pub async fn beat(&self, ms: u64, ring: Option<&Signal>) {
+    pub async fn beat(&self, ms: u64, ring: Option<&Notifier>) {
         let before = self.now();
         match ring {
-            Some(ring) => ring.rung_by_beat(ms).await,
+            Some(ring) => ring.notified_by_tick(ms).await,
             None => {
                 let never = futures_lite::future::pending::<()>();
                 let _ = within_beat(ms, never).await;
@@ -434,28 +434,28 @@
 
     /// A worker has reported or answered.
     pub fn heard_worker(&self) {
-        let mut ear = self.ear.get();
-        ear.heard(self.now());
-        self.ear.set(ear);
+        let mut worker_contact = self.worker_contact.get();
+        worker_contact.heard(self.now());
+        self.worker_contact.set(worker_contact);
     }
 
     /// True if workers reach this node.
     pub fn hears_workers(&self) -> bool {
         let now = self.now();
         let any = {
-            let view = self.view.borrow();
-            let own = self.rules.owned(&view);
+            let cluster = self.cluster.borrow();
+            let own = self.config.owned(&cluster);
             // Its own machines fall silent with its hearing, so what was heard once counts.
             let there = |m: &Machine| {
-                m.takes(now, self.rules.silent_ms) || own[m.shard.at()] && m.heard.is_some()
+                m.takes(now, self.config.silent_ms) || own[m.shard.at()] && m.heard.is_some()
             };
-            let any = view.all_machines().any(|(_, m)| there(m));
+            let any = cluster.all_machines().any(|(_, m)| there(m));
             any
         };
-        let mut ear = self.ear.get();
-        let was = ear.heard_lately(now);
-        let hears = ear.hears(any, self.woke.get(), now);
-        self.ear.set(ear);
+        let mut worker_contact = self.worker_contact.get();
+        let was = worker_contact.heard_lately(now);
+        let hears = worker_contact.hears(any, self.woke.get(), now);
+        self.worker_contact.set(worker_contact);
         if was && !hears {
             log::warn!("no worker reaches this node, its shards go to others");
         }
@@ -485,10 +485,10 @@
     }
 
     /// Logs when a service outside goes and comes back.
-    pub fn note_served(&self, who: Outside, served: bool) {
+    pub fn note_served(&self, who: ExternalService, served: bool) {
         let name = match who {
-            Outside::State => "state service",
-            Outside::Cloud => "cloud",
+            ExternalService::State => "state service",
+            ExternalService::Cloud => "cloud",
         };
         if self.served[who as usize].replace(served) != served {
             if served {
--- a/src/coordination/siblings.rs
+++ b/src/coordination/peer_messages.rs
@@ -1,11 +1,11 @@
 //! What controllers tell each other.
 
 use super::node::Node;
-use super::plan::Rules;
+use super::plan::SchedulerConfig;
 use super::{cancellations, plan, planner};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::names::{Index, ShardIx};
-use crate::bookkeeping::units::{Ms, Res};
-use crate::bookkeeping::view::View;
+use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::peers::{Ask, MachineNews, Reply};
 use crate::transport::TransportError;
 use std::collections::BTreeMap;
@@ -22,7 +22,7 @@
         node.beat(NEWS_MS, None).await;
         if turn % SURVEY_TURNS == 0 {
             survey(&node);
-            if let Some(line) = node.meter.line() {
+            if let Some(line) = node.metrics.line() {
                 log::debug!("turns: {line}");
             }
         }
@@ -30,11 +30,11 @@
         hold_for_gangs(&node);
         planner::make_room(&node);
         let now = node.now();
-        let machines = own_news(&node.view.borrow(), &node.rules, now, |s| {
+        let machines = own_news(&node.cluster.borrow(), &node.config, now, |s| {
             node.listened_since(s)
         });
         let asks: Rc<[Ask]> = tell(
-            &node.rules.node,
+            &node.config.node,
             node.store_ok(),
             node.hears_workers(),
             machines,
@@ -62,23 +62,24 @@
 
 /// What an owner tells of its machines; `listened`: since when a shard's could be heard.
 pub fn own_news(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     now: Ms,
     listened: impl Fn(ShardIx) -> Option<Ms>,
 ) -> Vec<MachineNews> {
-    let own = rules.owned(view);
-    view.all_machines()
+    let own = config.owned(cluster);
+    cluster
+        .all_machines()
         .filter(|(_, m)| own[m.shard.at()])
         .map(|(_, m)| MachineNews {
             name: m.name.to_string(),
             addr: m.addr.clone(),
-            rig: view.rig_names.name(m.rig).to_string(),
-            zone: view.zone_names.name(m.zone).to_string(),
+            machine_type: cluster.machine_type_names.name(m.machine_type).to_string(),
+            zone: cluster.zone_names.name(m.zone).to_string(),
             spot: m.spot,
             silent_ms: silence(m.heard, m.known, listened(m.shard), now),
             heard: m.heard.is_some(),
-            sure: m.token == view.shards[m.shard.at()].rec.token,
+            sure: m.token == cluster.shards[m.shard.at()].rec.token,
             queued: m.queue.len().min(255) as u8,
             closed: m.closed || m.leaves.is_some() || m.deaf.is_some(),
             sick: m.sick,
@@ -116,17 +117,17 @@
     if !log::log_enabled!(log::Level::Debug) {
         return;
     }
-    let view = node.view.borrow();
-    for (rig, r) in &view.rigs {
-        let mut sum = (0, 0, Res::default(), 0);
-        for (mix, m) in view.all_machines() {
-            let own = m.rig == *rig && node.rules.owns(&view, m.shard);
-            if !own || !m.takes(node.now(), node.rules.silent_ms) {
+    let cluster = node.cluster.borrow();
+    for (machine_type, r) in &cluster.machine_types {
+        let mut sum = (0, 0, Resources::default(), 0);
+        for (mix, m) in cluster.all_machines() {
+            let own = m.machine_type == *machine_type && node.config.owns(&cluster, m.shard);
+            if !own || !m.takes(node.now(), node.config.silent_ms) {
                 continue;
             }
-            let free = view.free_on(mix).unwrap_or_default();
+            let free = cluster.free_on(mix).unwrap_or_default();
             let empty = u32::from(free == r.room);
-            let tasks = view.placed_on(mix).len();
+            let tasks = cluster.placed_on(mix).len();
             sum = (sum.0 + 1, sum.1 + tasks, sum.2.plus(free), sum.3 + empty);
         }
         log::debug!(
@@ -141,7 +142,7 @@
         );
     }
     let mut waiting: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
-    for (_, j) in view.active_jobs() {
+    for (_, j) in cluster.active_jobs() {
         let (n, Some(s)) = (j.waiting_count(), &j.spec) else {
             continue;
         };
@@ -164,16 +165,16 @@
 fn hold_for_gangs(node: &Rc<Node>) {
     let now = node.now();
     let holds = {
-        let view = node.view.borrow();
-        plan::gang_holds(&view, &node.rules, now, super::node::wall_ms())
+        let cluster = node.cluster.borrow();
+        plan::gang_holds(&cluster, &node.config, now, super::node::wall_ms())
     };
     for (job, machines) in holds {
         let (id, names): (String, Vec<String>) = {
-            let view = node.view.borrow();
+            let cluster = node.cluster.borrow();
             let names = machines
                 .iter()
-                .map(|m| view.machine_names.name(*m).to_string());
-            (view.jobs[job.0 as usize].id.to_string(), names.collect())
+                .map(|m| cluster.machine_names.name(*m).to_string());
+            (cluster.jobs[job.0 as usize].id.to_string(), names.collect())
         };
         hold(node, &id, &names);
         for i in 0..node.peers.len() {
@@ -194,13 +195,15 @@
 
 fn hold(node: &Node, job: &str, machines: &[String]) {
     let until = node.now().plus(HOLD_MS);
-    let mut view = node.view.borrow_mut();
-    let Some((ix, _)) = view.job(job) else { return };
+    let mut cluster = node.cluster.borrow_mut();
+    let Some((ix, _)) = cluster.job(job) else {
+        return;
+    };
     for name in machines {
-        let m = view
+        let m = cluster
             .machine_names
             .find(name)
-            .and_then(|m| view.machine_mut(m));
+            .and_then(|m| cluster.machine_mut(m));
         if let Some(m) = m {
             m.held = Some((ix, until));
         }
@@ -211,16 +214,23 @@
 ///
 /// Only a shard's owner knows them: one that lost its shards unnoticed goes on telling of
 /// machines that have long been silent to it alone, and they would be returned for that.
-pub fn take_news(view: &mut View, rules: &Rules, from: &str, machines: Vec<MachineNews>, now: Ms) {
+pub fn take_news(
+    cluster: &mut ClusterState,
+    config: &SchedulerConfig,
+    from: &str,
+    machines: Vec<MachineNews>,
+    now: Ms,
+) {
     for n in machines {
-        let Some(mix) = view.learn_machine(&n.name, &n.rig, &n.zone, n.spot, now) else {
+        let Some(mix) = cluster.learn_machine(&n.name, &n.machine_type, &n.zone, n.spot, now)
+        else {
             continue;
         };
-        let told_by_owner = view.machine(mix).is_some_and(|m| {
-            let owner = &view.shards[m.shard.at()].rec.owner;
-            owner == from && !rules.owns(view, m.shard)
+        let told_by_owner = cluster.machine(mix).is_some_and(|m| {
+            let owner = &cluster.shards[m.shard.at()].rec.owner;
+            owner == from && !config.owns(cluster, m.shard)
         });
-        let Some(m) = view.machine_mut(mix).filter(|_| told_by_owner) else {
+        let Some(m) = cluster.machine_mut(mix).filter(|_| told_by_owner) else {
             continue;
         };
         m.addr = n.addr;
@@ -242,7 +252,7 @@
         Ask::Poll { .. } => "peer's poll",
         _ => "peer's other asks",
     };
-    node.meter.time(name, || answer(node, ask))
+    node.metrics.time(name, || answer(node, ask))
 }
 
 fn answer(node: &Rc<Node>, ask: Ask) -> Reply {
@@ -258,12 +268,12 @@
                 p.heard.set(Some(now));
                 p.store_ok.set(store_ok);
                 if p.hears_workers.replace(hears_workers) != hears_workers {
-                    node.members.ring();
+                    node.members.notify();
                 }
             }
             take_news(
-                &mut node.view.borrow_mut(),
-                &node.rules,
+                &mut node.cluster.borrow_mut(),
+                &node.config,
                 &from,
                 machines,
                 now,
@@ -272,18 +282,18 @@
         }
         Ask::Bind { tasks } => {
             for (machine, t) in tasks {
-                let mix = node.view.borrow().machine_names.find(&machine);
+                let mix = node.cluster.borrow().machine_names.find(&machine);
                 if let Some(mix) = mix {
                     planner::enqueue(node, mix, &t, false);
                 }
             }
-            node.plan.ring();
+            node.plan.notify();
             Reply::Noted
         }
         Ask::Poll { idle, machines } => {
             let (idle, asked) = {
-                let view = node.view.borrow();
-                let find = |n: &String| view.machine_names.find(n);
+                let cluster = node.cluster.borrow();
+                let find = |n: &String| cluster.machine_names.find(n);
                 (
                     find(&idle),
                     machines.iter().filter_map(find).collect::<Vec<_>>(),
@@ -311,20 +321,20 @@
 
 /// Closes owned machines without placements; returns those that are closed now.
 pub fn close(node: &Node, machines: &[String]) -> Vec<String> {
-    let mut view = node.view.borrow_mut();
+    let mut cluster = node.cluster.borrow_mut();
     let mut out = Vec::new();
     for name in machines {
-        let Some(mix) = view.machine_names.find(name) else {
+        let Some(mix) = cluster.machine_names.find(name) else {
             continue;
         };
-        if !view.placed_on(mix).is_empty() {
+        if !cluster.placed_on(mix).is_empty() {
             continue;
         }
-        let rules = &node.rules;
-        let owned = view
+        let config = &node.config;
+        let owned = cluster
             .machine(mix)
-            .is_some_and(|m| rules.owns(&view, m.shard));
-        if let (true, Some(m)) = (owned, view.machine_mut(mix)) {
+            .is_some_and(|m| config.owns(&cluster, m.shard));
+        if let (true, Some(m)) = (owned, cluster.machine_mut(mix)) {
             m.closed = true;
             m.queue.clear();
             out.push(name.clone());
@@ -335,10 +345,10 @@
 
 /// Notes machines that the cloud has deleted.
 pub fn gone(node: &Node, machines: &[String]) {
-    let mut view = node.view.borrow_mut();
+    let mut cluster = node.cluster.borrow_mut();
     for name in machines {
-        let mix = view.intern_machine(name);
-        view.set_gone(mix);
+        let mix = cluster.intern_machine(name);
+        cluster.set_gone(mix);
     }
-    node.plan.ring();
+    node.plan.notify();
 }
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -1,11 +1,11 @@
 //! What reports and deletions prove of placements.
 
-use super::*;
+use super::{DraftTransaction, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen};
 use crate::bookkeeping::job::{Job, JobState};
-use crate::bookkeeping::names::{Index, MachineIx};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::View;
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{TaskState, Why};
 
@@ -51,15 +51,15 @@
 /// What proves an attempt gone holds for as long as no start for it goes out. While the
 /// transaction is on its way, which may take seconds, the machine may report again, lacking the
 /// attempt: to start it then would have it there when the record says that it is not.
-pub fn give_up(view: &mut View, draft: &Draft) {
+pub fn give_up(cluster: &mut ClusterState, draft: &DraftTransaction) {
     let mut gone: Vec<(MachineIx, Attempt)> = Vec::new();
     for (ix, job) in &draft.jobs {
-        let before = view.jobs[ix.at()].placements.iter();
+        let before = cluster.jobs[ix.at()].placements.iter();
         let removed = before.filter(|p| !job.placements.contains(p));
         gone.extend(removed.map(|p| (p.machine, (*ix, p.task, p.attempt))));
     }
     for (mix, a) in gone {
-        if let Some(m) = view.machine_mut(mix) {
+        if let Some(m) = cluster.machine_mut(mix) {
             m.shown.insert(a);
         }
     }
@@ -118,7 +118,7 @@
 
 /// True if a task's end may be written a little later, with others of its job: it is done, its
 /// job is an array that goes on, and its room counts as free already.
-fn deferred(view: &View, job: &Job, ix: JobIx, m: &Machine, a: Attempt) -> bool {
+fn deferred(cluster: &ClusterState, job: &Job, ix: JobIx, m: &Machine, a: Attempt) -> bool {
     let array = job.spec.as_ref().filter(|s| s.wire.shape == Shape::Array);
     let done = |m: &Machine, a| m.seen(a).is_some_and(Seen::is_done);
     let Some(spec) = array.filter(|_| job.open() && done(m, a)) else {
@@ -126,35 +126,35 @@
     };
     let over = job.placements.iter().filter(|p| {
         let a = (ix, p.task, p.attempt);
-        !job.done.has(p.task) && view.machine(p.machine).is_some_and(|m| done(m, a))
+        !job.done.has(p.task) && cluster.machine(p.machine).is_some_and(|m| done(m, a))
     });
     job.done.count() as usize + over.count() < spec.tasks() as usize
 }
 
 /// Writes down jobs that are cancelled with one that they need, a few at a time: they are so for
 /// every node without being written, and a large graph should cost no burst of changes.
-fn write_cascades(view: &View, rules: &Rules, draft: &mut Draft) {
-    let own = view.graph.unwritten.iter().filter(|ix| {
-        let id = &view.jobs[ix.at()].id;
-        rules.owns(view, view.gang_shard(id))
+fn write_cascades(cluster: &ClusterState, config: &SchedulerConfig, draft: &mut DraftTransaction) {
+    let own = cluster.graph.unwritten.iter().filter(|ix| {
+        let id = &cluster.jobs[ix.at()].id;
+        config.owns(cluster, cluster.gang_shard(id))
     });
     let some: Vec<JobIx> = own.take(draft.cascades).copied().collect();
     for ix in some {
-        let _ = draft.edit(view, rules, ix);
+        let _ = draft.edit(cluster, config, ix);
     }
 }
 
 /// Moves placements of records that are too large for the limits to come into parts, a record
 /// in a pass. What is caught too large could not even be written back smaller.
-fn spill(view: &View, rules: &Rules, draft: &mut Draft) {
-    let limits = rules.limits(view);
-    if !view.second_form {
+fn spill(cluster: &ClusterState, config: &SchedulerConfig, draft: &mut DraftTransaction) {
+    let limits = config.limits(cluster);
+    if !cluster.second_form {
         return;
     }
-    let large = view.active_jobs().find(|(ix, job)| {
+    let large = cluster.active_jobs().find(|(ix, job)| {
         job.size() > limits.value_bytes
             && job.placements.iter().any(|p| p.part == 0)
-            && rules.owns(view, view.gang_shard(&job.id))
+            && config.owns(cluster, cluster.gang_shard(&job.id))
             && !draft.jobs.contains_key(ix)
     });
     let Some((ix, job)) = large else { return };
@@ -166,7 +166,7 @@
         let mut p = job.placements.remove(at);
         let part = job.parts_for(1, limits.value_bytes, true);
         p.part = part.map_or(0, |p| p[0]);
-        let moved = p.part > 0 && draft.touch(view, rules, ix, p.part);
+        let moved = p.part > 0 && draft.touch(cluster, config, ix, p.part);
         if !moved {
             p.part = 0;
             job.placements.push(p);
@@ -174,45 +174,50 @@
         }
         job.placements.push(p);
     }
-    if let Some(j) = draft.edit(view, rules, ix) {
+    if let Some(j) = draft.edit(cluster, config, ix) {
         *j = job;
     }
 }
 
 /// Takes what reports and deletions prove into the draft.
-pub fn settle(view: &View, rules: &Rules, draft: &mut Draft, now: Ms) {
-    let own = rules.owned(view);
-    spill(view, rules, draft);
-    for team in &view.suspect_teams {
+pub fn settle(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    draft: &mut DraftTransaction,
+    now: Ms,
+) {
+    let own = config.owned(cluster);
+    spill(cluster, config, draft);
+    for team in &cluster.suspect_teams {
         // The same for shares: writing them once more shuts the late transaction out.
-        if draft.has_room(view, rules, 1) {
-            let rec = view.teams[team.at()].rec.clone();
+        if draft.has_room(cluster, config, 1) {
+            let rec = cluster.teams[team.at()].rec.clone();
             draft.teams.insert(*team, rec);
         }
     }
-    write_cascades(view, rules, draft);
-    for (ix, job) in view.active_jobs() {
-        if view.suspects.contains(&ix) {
+    write_cascades(cluster, config, draft);
+    for (ix, job) in cluster.active_jobs() {
+        if cluster.suspects.contains(&ix) {
             // A write with an unknown outcome may still be applied: writing the
             // record once more, whatever it says, shuts the late one out.
-            let _ = draft.edit(view, rules, ix);
+            let _ = draft.edit(cluster, config, ix);
         }
         for p in &job.placements {
-            if view.is_gone(p.machine) {
+            if cluster.is_gone(p.machine) {
                 // Deletion is proof for everyone, whoever owns the shard.
-                if draft.touch(view, rules, ix, p.part) {
-                    if let Some(j) = draft.edit(view, rules, ix) {
+                if draft.touch(cluster, config, ix, p.part) {
+                    if let Some(j) = draft.edit(cluster, config, ix) {
                         j.remove(p.task, p.attempt);
                     }
                 }
                 continue;
             }
             let owned = own.get(p.shard.at()).copied().unwrap_or(false);
-            let Some(m) = view.machine(p.machine).filter(|_| owned) else {
+            let Some(m) = cluster.machine(p.machine).filter(|_| owned) else {
                 continue;
             };
             let a = (ix, p.task, p.attempt);
-            let token = view.shards[m.shard.at()].rec.token;
+            let token = cluster.shards[m.shard.at()].rec.token;
             // Only under the own token: an owner that was away may remember an end of an earlier
             // session, after which another owner has started the same attempt once more; and a
             // copy of an old report may show an end that is long past to a new owner.
@@ -221,15 +226,15 @@
             let exit = exit.filter(|_| !waits_again(job, m, a));
             let exit = exit.filter(|s| s.why != Some(Why::Alone) || ended_alone(m, token, a));
             let absent = proven_absent(m, token, a) && (unwanted(job, m, a) || given_up(m, a));
-            let lost = exit.is_none() && (absent || lease_over(m, token, rules.dead_ms, now));
-            if exit.is_none() && !lost || draft.defer && deferred(view, job, ix, m, a) {
+            let lost = exit.is_none() && (absent || lease_over(m, token, config.dead_ms, now));
+            if exit.is_none() && !lost || draft.defer && deferred(cluster, job, ix, m, a) {
                 continue;
             }
-            if !draft.touch(view, rules, ix, p.part) {
+            if !draft.touch(cluster, config, ix, p.part) {
                 continue;
             }
             let wall_ms = draft.wall_ms;
-            let Some(j) = draft.edit(view, rules, ix) else {
+            let Some(j) = draft.edit(cluster, config, ix) else {
                 continue;
             };
             if exit.is_some_and(|s| s.why == Some(Why::Done)) && j.open() {
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -1,22 +1,25 @@
 //! Gangs of more than one task, which skip the queues.
 
-use super::*;
+use super::claims::place;
+use super::order::backed_off;
+use super::room::{allowed, fetch_ms, smallest_need, Room};
+use super::{DraftTransaction, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::{Job, Spec};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ZoneIx};
-use crate::bookkeeping::units::{Ms, Res};
-use crate::bookkeeping::view::View;
+use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::Rank;
 use std::collections::{BTreeMap, HashMap};
 
 /// Wide gangs that wait, oldest of the highest priority first.
-pub fn waiting_gangs(view: &View, now: Ms) -> Vec<JobIx> {
-    let mut out: Vec<(Rank, u64, JobIx)> = view
+pub fn waiting_gangs(cluster: &ClusterState, now: Ms) -> Vec<JobIx> {
+    let mut out: Vec<(Rank, u64, JobIx)> = cluster
         .active_jobs()
-        .filter(|(ix, j)| j.runnable() && j.placements.is_empty() && !backed_off(view, *ix, now))
+        .filter(|(ix, j)| j.runnable() && j.placements.is_empty() && !backed_off(cluster, *ix, now))
         .filter_map(|(ix, j)| {
             j.spec.as_ref().filter(|s| s.is_wide_gang())?;
-            Some((j.around.rank, j.around.since, ix))
+            Some((j.dependency_state.rank, j.dependency_state.since, ix))
         })
         .collect();
     out.sort();
@@ -25,7 +28,7 @@
 
 /// Machines of one zone (or all) for a gang: as many as it has tasks, or `None`.
 fn gather<'a>(
-    view: &'a View,
+    cluster: &'a ClusterState,
     ix: JobIx,
     job: &Job,
     spec: &Spec,
@@ -36,7 +39,7 @@
     let mut zones: BTreeMap<ZoneIx, Vec<(MachineIx, &Machine)>> = BTreeMap::new();
     for (mix, m) in machines.iter().copied() {
         let mut room = free.get(mix).unwrap_or_default();
-        if !spec.need.fits(room) || !usable(m) || !allowed(view, job, ix, spec, mix, m) {
+        if !spec.need.fits(room) || !usable(m) || !allowed(cluster, job, ix, spec, mix, m) {
             continue;
         }
         let zone = if spec.wire.one_zone {
@@ -48,7 +51,7 @@
         while spec.need.fits(room) {
             slots.push((mix, m));
             room = room.minus(spec.need);
-            if spec.need == Res::default() {
+            if spec.need == Resources::default() {
                 break;
             }
         }
@@ -57,7 +60,7 @@
     let mut best: Option<(u64, Vec<(MachineIx, &Machine)>)> = None;
     for mut slots in zones.into_values() {
         // A gang begins with the last of its fetches.
-        slots.sort_by_key(|(mix, m)| (fetch_ms(view, spec, m), !m.spot, *mix));
+        slots.sort_by_key(|(mix, m)| (fetch_ms(cluster, spec, m), !m.spot, *mix));
         if spec.wire.spread {
             let cap = spec.zone_cap();
             let mut per: HashMap<ZoneIx, u32> = HashMap::new();
@@ -71,7 +74,7 @@
             continue;
         }
         slots.truncate(n);
-        let last = slots.iter().map(|(_, m)| fetch_ms(view, spec, m)).max();
+        let last = slots.iter().map(|(_, m)| fetch_ms(cluster, spec, m)).max();
         let last = last.unwrap_or(0);
         if best.as_ref().is_none_or(|(l, _)| last < *l) {
             best = Some((last, slots));
@@ -81,33 +84,39 @@
 }
 
 /// Places gangs whose shard this node owns, all tasks in one claim.
-pub(super) fn claim_gangs(view: &View, rules: &Rules, draft: &mut Draft, free: &mut Room, now: Ms) {
-    let own: Vec<(JobIx, &Job, &Spec)> = waiting_gangs(view, now)
+pub(super) fn claim_gangs(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    draft: &mut DraftTransaction,
+    free: &mut Room,
+    now: Ms,
+) {
+    let own: Vec<(JobIx, &Job, &Spec)> = waiting_gangs(cluster, now)
         .into_iter()
-        .map(|ix| (ix, &view.jobs[ix.at()]))
-        .filter(|(_, job)| rules.owns(view, view.gang_shard(&job.id)))
+        .map(|ix| (ix, &cluster.jobs[ix.at()]))
+        .filter(|(_, job)| config.owns(cluster, cluster.gang_shard(&job.id)))
         .filter_map(|(ix, job)| Some((ix, job, job.spec.as_deref()?)))
         .collect();
-    let Some(least) = least_need(own.iter().map(|(.., s)| *s)) else {
+    let Some(least) = smallest_need(own.iter().map(|(.., s)| *s)) else {
         return;
     };
-    let machines: Vec<(MachineIx, &Machine)> = view
+    let machines: Vec<(MachineIx, &Machine)> = cluster
         .all_machines()
         .filter(|(mix, m)| {
-            free.get(*mix).is_some_and(|f| least.fits(f)) && m.takes(now, rules.silent_ms)
+            free.get(*mix).is_some_and(|f| least.fits(f)) && m.takes(now, config.silent_ms)
         })
         .collect();
     for (ix, job, spec) in own {
         let usable = |m: &Machine| !m.held.is_some_and(|(j, until)| j != ix && now < until);
-        let Some(slots) = gather(view, ix, job, spec, free, &machines, usable) else {
+        let Some(slots) = gather(cluster, ix, job, spec, free, &machines, usable) else {
             continue;
         };
         let on: Vec<_> = (0..spec.tasks())
             .zip(&slots)
             .map(|(t, (mix, m))| (t, *mix, *m))
             .collect();
-        let payer = view.gang_shard(&job.id);
-        if place(view, rules, draft, ix, spec, &on, payer) {
+        let payer = cluster.gang_shard(&job.id);
+        if place(cluster, config, draft, ix, spec, &on, payer) {
             for (mix, _) in slots {
                 free.take(mix, spec.need);
             }
@@ -120,45 +129,48 @@
 /// All nodes see the same order of gangs, and a machine is kept for the first
 /// that wants it: two gangs never hold halves of what either needs.
 pub fn gang_holds(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     now: Ms,
     wall_ms: u64,
 ) -> Vec<(JobIx, Vec<MachineIx>)> {
     let long = |ix: &JobIx| {
-        let job = &view.jobs[ix.at()];
-        wall_ms.saturating_sub(job.around.since) >= rules.gang_hold_ms
+        let job = &cluster.jobs[ix.at()];
+        wall_ms.saturating_sub(job.dependency_state.since) >= config.gang_hold_ms
     };
-    let gangs: Vec<JobIx> = waiting_gangs(view, now).into_iter().filter(long).collect();
+    let gangs: Vec<JobIx> = waiting_gangs(cluster, now)
+        .into_iter()
+        .filter(long)
+        .collect();
     if gangs.is_empty() {
         return Vec::new();
     }
     // Machines that are nearly free come first: without their present load. The order is the
     // same for all gangs, so it is made once.
-    let mut machines: Vec<(i64, MachineIx, &Machine, Res)> = view
+    let mut machines: Vec<(i64, MachineIx, &Machine, Resources)> = cluster
         .all_machines()
-        .filter(|(_, m)| m.takes(now, rules.silent_ms))
+        .filter(|(_, m)| m.takes(now, config.silent_ms))
         .filter_map(|(mix, m)| {
-            let whole = view.rigs.get(&m.rig)?.room;
-            let load = whole.minus(view.free_on(mix).unwrap_or_default());
+            let whole = cluster.machine_types.get(&m.machine_type)?.room;
+            let load = whole.minus(cluster.free_on(mix).unwrap_or_default());
             Some((load.gpu + load.cpu, mix, m, whole))
         })
         .collect();
     machines.sort_unstable_by_key(|(load, mix, ..)| (*load, *mix));
     let mut out = Vec::new();
     for ix in gangs {
-        let job = &view.jobs[ix.at()];
+        let job = &cluster.jobs[ix.at()];
         let Some(spec) = &job.spec else { continue };
         let n = spec.tasks() as usize;
         let mut best: Option<(i64, Vec<MachineIx>)> = None;
-        for z in 0..view.zone_names.len() {
+        for z in 0..cluster.zone_names.len() {
             let z = ZoneIx::new(z);
             let chosen: Vec<(i64, MachineIx)> = machines
                 .iter()
                 .filter(|(_, mix, m, whole)| {
                     (!spec.wire.one_zone || m.zone == z)
                         && spec.need.fits(*whole)
-                        && allowed(view, job, ix, spec, *mix, m)
+                        && allowed(cluster, job, ix, spec, *mix, m)
                 })
                 .map(|(load, mix, ..)| (*load, *mix))
                 .take(n)
@@ -170,7 +182,7 @@
         }
         if let Some((_, b)) = best {
             machines.retain(|(_, mix, ..)| !b.contains(mix));
-            if rules.owns(view, view.gang_shard(&job.id)) {
+            if config.owns(cluster, cluster.gang_shard(&job.id)) {
                 out.push((ix, b));
             }
         }
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -4,10 +4,10 @@
 //! machines with free room. Its result is one transaction, conditional on
 //! every job record it changes and on every shard record it rests on.
 
+use crate::bookkeeping::cluster_state::{ClusterState, TeamRecord};
 use crate::bookkeeping::job::{Job, Placement};
 use crate::bookkeeping::names::{Index, JobIx, ShardIx, TeamIx};
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::{TeamRecord, View};
 use crate::protocol::state::Limits;
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -32,7 +32,7 @@
 
 /// What a controller decides by.
 #[derive(Clone, Debug)]
-pub struct Rules {
+pub struct SchedulerConfig {
     /// This node.
     pub node: String,
     /// Its incarnation.
@@ -77,49 +77,49 @@
 /// Machines looked at when there are more: a sample in place of a full search.
 pub const SAMPLE: usize = 64;
 
-impl Rules {
+impl SchedulerConfig {
     /// Limits that hold for what is written.
     ///
     /// Once every node knows how to keep to those that come, nothing is written any more that
     /// only today's allow: what is stored and too large can't be written back later.
-    pub fn limits(&self, view: &View) -> Limits {
+    pub fn limits(&self, cluster: &ClusterState) -> Limits {
         let now = self.limits_now.least(self.limits_seen.get());
-        if view.second_form {
+        if cluster.second_form {
             now.least(self.limits_next)
         } else {
             now
         }
     }
     /// True if this incarnation owns the shard, as far as is known.
-    pub fn owns(&self, view: &View, shard: ShardIx) -> bool {
-        let r = &view.shards[shard.at()].rec;
+    pub fn owns(&self, cluster: &ClusterState, shard: ShardIx) -> bool {
+        let r = &cluster.shards[shard.at()].rec;
         r.owner == self.node && r.incarnation == self.incarnation
     }
     /// The same for all shards, by index: for loops over machines and placements.
-    pub fn owned(&self, view: &View) -> Vec<bool> {
-        let shards = (0..view.shards.len()).map(ShardIx::new);
-        shards.map(|s| self.owns(view, s)).collect()
+    pub fn owned(&self, cluster: &ClusterState) -> Vec<bool> {
+        let shards = (0..cluster.shards.len()).map(ShardIx::new);
+        shards.map(|s| self.owns(cluster, s)).collect()
     }
     /// True if an owner may renew the leases of machines with tasks: a task whose cancellation it
     /// has not heard of by then would outlive the time for cancellations.
     ///
     /// An owner that reaches neither the state service nor its peers may have missed some. Its
     /// answer gives a worker one more lease, so it gives the last one while enough time is left.
-    pub fn may_renew(&self, view: &View, now: Ms) -> bool {
-        let age = view.knowledge.age_ms(now);
+    pub fn may_renew(&self, cluster: &ClusterState, now: Ms) -> bool {
+        let age = cluster.knowledge.age_ms(now);
         age.is_some_and(|age| age <= self.renew_ms)
     }
     /// True if tasks may be started: their jobs' records, read a moment ago, may be out of date,
     /// but not by more than it takes to hear of a cancellation.
-    pub fn may_start(&self, view: &View, now: Ms) -> bool {
-        let age = view.knowledge.age_ms(now);
+    pub fn may_start(&self, cluster: &ClusterState, now: Ms) -> bool {
+        let age = cluster.knowledge.age_ms(now);
         age.is_some_and(|age| age <= START_MS.min(self.renew_ms))
     }
 }
 
 /// Changes to be committed together.
 #[derive(Default, Debug)]
-pub struct Draft {
+pub struct DraftTransaction {
     /// Jobs as they shall be.
     pub jobs: BTreeMap<JobIx, Job>,
     /// Shards whose ownership the changes rest on.
@@ -141,13 +141,13 @@
     bytes: usize,
 }
 
-impl Draft {
+impl DraftTransaction {
     /// A draft that may leave arrays' small news for later.
-    pub fn deferring(defer: bool, wall_ms: u64) -> Draft {
-        Draft {
+    pub fn deferring(defer: bool, wall_ms: u64) -> DraftTransaction {
+        DraftTransaction {
             defer,
             wall_ms,
-            ..Draft::default()
+            ..DraftTransaction::default()
         }
     }
     /// True if nothing changes.
@@ -155,33 +155,44 @@
         self.jobs.is_empty() && self.teams.is_empty()
     }
     /// True if `more` changed keys still go into the transaction.
-    fn has_room(&self, view: &View, rules: &Rules, more: usize) -> bool {
+    fn has_room(&self, cluster: &ClusterState, config: &SchedulerConfig, more: usize) -> bool {
         let changes = self.jobs.len() + self.teams.len() + self.parts.len();
-        changes + more <= rules.limits(view).txn_ops && self.bytes < TXN_BYTES
+        changes + more <= config.limits(cluster).txn_ops && self.bytes < TXN_BYTES
     }
     /// Notes that a part of a job's record changes; false if the transaction is full.
-    fn touch(&mut self, view: &View, rules: &Rules, ix: JobIx, part: u16) -> bool {
+    fn touch(
+        &mut self,
+        cluster: &ClusterState,
+        config: &SchedulerConfig,
+        ix: JobIx,
+        part: u16,
+    ) -> bool {
         if part == 0 || self.parts.contains(&(ix, part)) {
             return true;
         }
-        if !self.has_room(view, rules, 1) {
+        if !self.has_room(cluster, config, 1) {
             self.cut = true;
             return false;
         }
         self.parts.insert((ix, part))
     }
     /// The job as drafted so far.
-    pub fn job<'a>(&'a self, view: &'a View, ix: JobIx) -> &'a Job {
-        self.jobs.get(&ix).unwrap_or(&view.jobs[ix.at()])
+    pub fn job<'a>(&'a self, cluster: &'a ClusterState, ix: JobIx) -> &'a Job {
+        self.jobs.get(&ix).unwrap_or(&cluster.jobs[ix.at()])
     }
     /// The job, to change it; `None` if the transaction is full.
-    fn edit(&mut self, view: &View, rules: &Rules, ix: JobIx) -> Option<&mut Job> {
+    fn edit(
+        &mut self,
+        cluster: &ClusterState,
+        config: &SchedulerConfig,
+        ix: JobIx,
+    ) -> Option<&mut Job> {
         if !self.jobs.contains_key(&ix) {
-            if !self.has_room(view, rules, 1) {
+            if !self.has_room(cluster, config, 1) {
                 self.cut = true;
                 return None;
             }
-            let job = view.jobs[ix.at()].clone();
+            let job = cluster.jobs[ix.at()].clone();
             self.bytes += job.size();
             self.jobs.insert(ix, job);
         }
--- a/src/coordination/plan/order.rs
+++ b/src/coordination/plan/order.rs
@@ -1,16 +1,16 @@
 //! The order of service.
 
-use super::*;
+use super::{DraftTransaction, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::job::{Job, Spec};
 use crate::bookkeeping::names::JobIx;
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::bookkeeping::view::View;
 use crate::protocol::users::Rank;
 use std::rc::Rc;
 
-pub(super) fn backed_off(view: &View, ix: JobIx, now: Ms) -> bool {
-    view.suspects.contains(&ix)
-        || view
+pub(super) fn backed_off(cluster: &ClusterState, ix: JobIx, now: Ms) -> bool {
+    cluster.suspects.contains(&ix)
+        || cluster
             .failures
             .get(&ix)
             .is_some_and(|(_, until)| now < *until)
@@ -36,11 +36,14 @@
 /// Two bounds keep any job from starving, whatever younger or smaller work comes: after two
 /// minutes, or two and a half times the time allowed if that is less, its first task goes
 /// before all, and in one second of five all late work does, the oldest first.
-pub fn put_back(rules: &Rules, job: &Job, spec: &Spec, wall_ms: u64) -> u8 {
-    let age = wall_ms.saturating_sub(job.around.since);
+pub fn put_back(config: &SchedulerConfig, job: &Job, spec: &Spec, wall_ms: u64) -> u8 {
+    let age = wall_ms.saturating_sub(job.dependency_state.since);
     let begun = !job.placements.is_empty() || job.done.count() > 0;
-    let class = rules.finish_within.get(&spec.wire.class);
-    let own = job.around.due.map(|d| d.saturating_sub(job.around.since));
+    let class = config.finish_within.get(&spec.wire.class);
+    let own = job
+        .dependency_state
+        .due
+        .map(|d| d.saturating_sub(job.dependency_state.since));
     let times = own.into_iter().chain(class.into_iter().flatten().copied());
     let (first, last) = times.fold((None, 0), |(f, l), t| (f.or(Some(t)), l.max(t)));
     let begin_by = first.map_or(BEGIN_MS, |d| BEGIN_MS.min(d * 5 / 2));
@@ -68,7 +71,7 @@
 /// Not so where a class is only expected to finish within some time: there a team's guarantee
 /// and the waits count as much, and the oldest first serves them better.
 fn size_step(job: &Job, back: u8) -> u32 {
-    if back != 1 || job.around.due.is_none() {
+    if back != 1 || job.dependency_state.due.is_none() {
         return 0;
     }
     job.waiting_count().max(1).ilog2()
@@ -76,23 +79,29 @@
 
 /// Jobs with waiting tasks in the order of service, wide gangs apart.
 pub fn waiting_jobs(
-    view: &View,
-    rules: &Rules,
-    draft: &Draft,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    draft: &DraftTransaction,
     now: Ms,
     wall_ms: u64,
 ) -> Vec<Waiting> {
-    let mut out: Vec<(Rank, u8, u32, u64, Waiting)> = view
+    let mut out: Vec<(Rank, u8, u32, u64, Waiting)> = cluster
         .active_jobs()
-        .filter(|(ix, _)| !backed_off(view, *ix, now))
+        .filter(|(ix, _)| !backed_off(cluster, *ix, now))
         .filter_map(|(ix, _)| {
-            let j = draft.job(view, ix);
+            let j = draft.job(cluster, ix);
             let spec = j.spec.clone()?;
             (j.waiting_count() > 0 && !spec.is_wide_gang()).then(|| {
-                let rank = j.around.rank;
-                let back = put_back(rules, j, &spec, wall_ms);
+                let rank = j.dependency_state.rank;
+                let back = put_back(config, j, &spec, wall_ms);
                 let size = size_step(j, back);
-                (rank, back, size, j.around.since, Waiting { ix, rank, spec })
+                (
+                    rank,
+                    back,
+                    size,
+                    j.dependency_state.since,
+                    Waiting { ix, rank, spec },
+                )
             })
         })
         .collect();
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -1,29 +1,35 @@
 //! Orders to workers.
 
-use super::*;
+use super::evidence::{given_up, may_start_late, unanswered_start, unwanted, waits_again};
+use super::SchedulerConfig;
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::{Attempt, LateStart, Machine};
 use crate::bookkeeping::names::{Index, MachineIx};
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::View;
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{Order, TaskState, Why};
 
 /// Orders for a machine in answer to its newest report. Notes the starts it sends.
-pub fn orders(view: &mut View, rules: &Rules, mix: MachineIx, now: Ms) -> Vec<Order> {
-    let Some(m) = view.machine(mix) else {
+pub fn orders(
+    cluster: &mut ClusterState,
+    config: &SchedulerConfig,
+    mix: MachineIx,
+    now: Ms,
+) -> Vec<Order> {
+    let Some(m) = cluster.machine(mix) else {
         return Vec::new();
     };
-    if !rules.owns(view, m.shard) {
+    if !config.owns(cluster, m.shard) {
         return Vec::new();
     }
-    let token = view.shards[m.shard.at()].rec.token;
-    let starts = rules.may_start(view, now);
+    let token = cluster.shards[m.shard.at()].rec.token;
+    let starts = config.may_start(cluster, now);
     let mut out = Vec::new();
     let mut again = Vec::new();
     for s in &m.tasks {
         let (piece, attempt) = (s.name.to_string(), s.attempt);
-        let known = s.job.map(|j| (j, &view.jobs[j.at()]));
-        let here = view.placed_on(mix);
+        let known = s.job.map(|j| (j, &cluster.jobs[j.at()]));
+        let here = cluster.placed_on(mix);
         let placed = s.attempt_of().is_some_and(|a| here.contains(&a));
         match (s.state, placed) {
             // An exit is forgotten only after the record has it: the worker keeps it until then.
@@ -44,7 +50,7 @@
                 let a = (ix, s.task, attempt);
                 if starts && waits_again(job, m, a) && !unanswered_start(m, token, a) {
                     out.push(Order::Forget { piece, attempt });
-                    out.push(start(view, a));
+                    out.push(start(cluster, a));
                     again.push(a);
                 }
             }
@@ -76,30 +82,30 @@
     }
     let reported = m.reported;
     let missing = match starts {
-        true => missing_starts(view, mix, m),
+        true => missing_starts(cluster, mix, m),
         false => Vec::new(),
     };
-    out.extend(missing.iter().map(|a| start(view, *a)));
+    out.extend(missing.iter().map(|a| start(cluster, *a)));
     for a in missing.into_iter().chain(again) {
-        if let Some(m) = view.machine_mut(mix) {
+        if let Some(m) = cluster.machine_mut(mix) {
             m.start_sent.insert(a, reported);
         }
     }
     out
 }
 
-fn start(view: &View, a: Attempt) -> Order {
+fn start(cluster: &ClusterState, a: Attempt) -> Order {
     Order::Start {
-        piece: format!("{}/{}", view.jobs[a.0.at()].id, a.1),
+        piece: format!("{}/{}", cluster.jobs[a.0.at()].id, a.1),
         attempt: a.2,
     }
 }
 
 /// Placements on a machine whose start it has not shown yet.
-fn missing_starts(view: &View, mix: MachineIx, m: &Machine) -> Vec<Attempt> {
-    let here = view.placed_on(mix).iter().copied();
+fn missing_starts(cluster: &ClusterState, mix: MachineIx, m: &Machine) -> Vec<Attempt> {
+    let here = cluster.placed_on(mix).iter().copied();
     here.filter(|a| {
-        let job = &view.jobs[a.0.at()];
+        let job = &cluster.jobs[a.0.at()];
         m.seen(*a).is_none() && !unwanted(job, m, *a) && !given_up(m, *a)
     })
     .collect()
@@ -126,22 +132,24 @@
 /// They are noted as possibly late until the worker has answered. `place` tells whether there
 /// is a connection left for one more.
 pub fn pushes(
-    view: &mut View,
-    rules: &Rules,
+    cluster: &mut ClusterState,
+    config: &SchedulerConfig,
     now: Ms,
     mut place: impl FnMut() -> bool,
 ) -> Vec<Push> {
     let mut out = Vec::new();
-    if !rules.may_start(view, now) {
+    if !config.may_start(cluster, now) {
         return out;
     }
-    let own = rules.owned(view);
-    for i in 0..view.machines.len() {
+    let own = config.owned(cluster);
+    for i in 0..cluster.machines.len() {
         let mix = MachineIx::new(i);
-        let Some(m) = view.machine(mix) else { continue };
-        let token = view.shards[m.shard.at()].rec.token;
+        let Some(m) = cluster.machine(mix) else {
+            continue;
+        };
+        let token = cluster.shards[m.shard.at()].rec.token;
         let ready = own[m.shard.at()]
-            && m.takes(now, rules.silent_ms)
+            && m.takes(now, config.silent_ms)
             && m.answering == 0
             && m.token == token
             && m.stamp.0 > 0
@@ -156,7 +164,7 @@
             sent: now,
             answered: false,
         };
-        let attempts: Vec<Attempt> = missing_starts(view, mix, m)
+        let attempts: Vec<Attempt> = missing_starts(cluster, mix, m)
             .into_iter()
             .filter(|a| !m.start_sent.contains_key(a) && !m.late_starts.contains_key(a))
             .collect();
@@ -166,8 +174,8 @@
         if !place() {
             break;
         }
-        let orders = attempts.iter().map(|a| start(view, *a)).collect();
-        if let Some(m) = view.machine_mut(mix) {
+        let orders = attempts.iter().map(|a| start(cluster, *a)).collect();
+        if let Some(m) = cluster.machine_mut(mix) {
             m.late_starts.extend(attempts.iter().map(|a| (*a, late)));
         }
         out.push(Push {
@@ -194,8 +202,8 @@
 }
 
 /// Notes how direct starts went.
-pub fn note_pushed(view: &mut View, p: &Push, how: Pushed) {
-    let Some(m) = view.machine_mut(p.machine) else {
+pub fn note_pushed(cluster: &mut ClusterState, p: &Push, how: Pushed) {
+    let Some(m) = cluster.machine_mut(p.machine) else {
         return;
     };
     for a in &p.attempts {
@@ -210,15 +218,15 @@
 }
 
 /// Attempts that should leave a machine that goes, with the time to save.
-pub fn on_notice(view: &View, mix: MachineIx) -> Vec<(Attempt, f64)> {
-    let Some(m) = view.machine(mix).filter(|m| m.leaves.is_some()) else {
+pub fn on_notice(cluster: &ClusterState, mix: MachineIx) -> Vec<(Attempt, f64)> {
+    let Some(m) = cluster.machine(mix).filter(|m| m.leaves.is_some()) else {
         return Vec::new();
     };
     m.tasks
         .iter()
         .filter_map(|t| {
             let ix = t.job?;
-            let s = view.jobs[ix.at()].spec.as_ref()?;
+            let s = cluster.jobs[ix.at()].spec.as_ref()?;
             let saves = s.wire.checkpoint_s > 0.0 && t.state == TaskState::Running;
             let moves = s.wire.shape == Shape::Service || t.state == TaskState::Fetching;
             (saves || moves).then_some(((ix, t.task, t.attempt), s.wire.save_s + 1.0))
--- a/src/coordination/plan/preempt.rs
+++ b/src/coordination/plan/preempt.rs
@@ -1,10 +1,13 @@
 //! Room made for work of a higher priority.
 
-use super::*;
+use super::order::waiting_jobs;
+use super::room::{allowed, free_room};
+use super::shares::used_by_team;
+use super::{DraftTransaction, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::{Attempt, Machine};
 use crate::bookkeeping::names::{Index, MachineIx, ShardIx};
-use crate::bookkeeping::units::{Ms, Res};
-use crate::bookkeeping::view::View;
+use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::Rank;
 use crate::protocol::workers::TaskState;
 
@@ -13,43 +16,46 @@
 ///
 /// The shards take turns, so that no two owners stop work for the same task.
 pub fn preempt(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     turn: ShardIx,
     now: Ms,
     wall_ms: u64,
 ) -> Vec<(MachineIx, Attempt, f64)> {
     let mut out = Vec::new();
-    if !rules.owns(view, turn) {
+    if !config.owns(cluster, turn) {
         return out;
     }
-    let mut free = free_room(view, &Draft::default());
-    for (mix, m) in view.all_machines() {
+    let mut free = free_room(cluster, &DraftTransaction::default());
+    for (mix, m) in cluster.all_machines() {
         // What is being stopped is room already.
         for a in m.stopping.keys() {
-            let spec = view.jobs[a.0.at()].spec.as_ref();
+            let spec = cluster.jobs[a.0.at()].spec.as_ref();
             if let (Some(s), Some(_)) = (spec, m.seen(*a)) {
                 free.give(mix, s.need);
             }
         }
     }
-    for w in waiting_jobs(view, rules, &Draft::default(), now, wall_ms) {
-        let job = &view.jobs[w.ix.at()];
+    for w in waiting_jobs(cluster, config, &DraftTransaction::default(), now, wall_ms) {
+        let job = &cluster.jobs[w.ix.at()];
         let patience = match w.rank {
             Rank::Production => 1500,
             Rank::High => 4000,
             _ => continue,
         };
-        let limits = &view.team_limits[w.spec.team.at()];
-        let used = used_by_team(view, &Draft::default(), w.spec.team);
+        let limits = &cluster.team_limits[w.spec.team.at()];
+        let used = used_by_team(cluster, &DraftTransaction::default(), w.spec.team);
         let fits_limit = limits.allows((used.0 + w.spec.need.cpu, used.1 + w.spec.need.gpu));
-        if wall_ms.saturating_sub(job.around.since) < patience || !fits_limit || out.len() >= 8 {
+        if wall_ms.saturating_sub(job.dependency_state.since) < patience
+            || !fits_limit
+            || out.len() >= 8
+        {
             continue;
         }
         let good = |mix: MachineIx, m: &Machine| {
-            m.takes(now, rules.silent_ms) && allowed(view, job, w.ix, &w.spec, mix, m)
+            m.takes(now, config.silent_ms) && allowed(cluster, job, w.ix, &w.spec, mix, m)
         };
-        let room = view
+        let room = cluster
             .all_machines()
             .find(|(mix, m)| free.get(*mix).is_some_and(|f| w.spec.need.fits(f)) && good(*mix, m));
         if let Some((mix, _)) = room {
@@ -57,13 +63,13 @@
             continue;
         }
         let mut best: Option<(usize, MachineIx, Vec<Victim>)> = None;
-        for (mix, m) in view.all_machines() {
+        for (mix, m) in cluster.all_machines() {
             if m.shard != turn || !good(mix, m) {
                 continue;
             }
             let mut left = free.get(mix).unwrap_or_default();
             let mut victims = Vec::new();
-            for t in victims_on(view, m, w.rank) {
+            for t in victims_on(cluster, m, w.rank) {
                 // One that goes for another task already makes room only once.
                 if out.iter().any(|(_, a, _)| *a == t) {
                     continue;
@@ -71,7 +77,7 @@
                 if w.spec.need.fits(left) {
                     break;
                 }
-                if let Some(s) = &view.jobs[t.0.at()].spec {
+                if let Some(s) = &cluster.jobs[t.0.at()].spec {
                     left = left.plus(s.need);
                     victims.push((t, s.need));
                 }
@@ -87,7 +93,7 @@
                 free.give(mix, *need);
             }
             out.extend(victims.into_iter().map(|(a, _)| {
-                let grace = view.jobs[a.0.at()]
+                let grace = cluster.jobs[a.0.at()]
                     .spec
                     .as_ref()
                     .map_or(0.0, |s| s.wire.save_s + 1.0);
@@ -99,19 +105,19 @@
 }
 
 /// An attempt to be stopped and the room that it gives.
-type Victim = (Attempt, Res);
+type Victim = (Attempt, Resources);
 
 /// Tasks of a lower priority on a machine, the cheapest to stop first: those that still
 /// fetch, then those that save. Others lose their work and are left alone, but for replicas.
-fn victims_on(view: &View, m: &Machine, rank: Rank) -> Vec<Attempt> {
+fn victims_on(cluster: &ClusterState, m: &Machine, rank: Rank) -> Vec<Attempt> {
     let mut out: Vec<(u8, Rank, Attempt)> = m
         .tasks
         .iter()
         .filter_map(|t| {
             let ix = t.job?;
             let a = (ix, t.task, t.attempt);
-            let job = &view.jobs[ix.at()];
-            let (s, own) = (job.spec.as_ref()?, job.around.rank);
+            let job = &cluster.jobs[ix.at()];
+            let (s, own) = (job.spec.as_ref()?, job.dependency_state.rank);
             let cost = match t.state {
                 TaskState::Fetching => 0,
                 TaskState::Running if s.wire.checkpoint_s > 0.0 => 1,
--- a/src/coordination/plan/room.rs
+++ b/src/coordination/plan/room.rs
@@ -1,32 +1,32 @@
 //! Free room, and how well machines suit tasks.
 
-use super::*;
+use super::{DraftTransaction, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::{Job, Spec};
-use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, ZoneIx};
-use crate::bookkeeping::units::{ms_of, Res};
-use crate::bookkeeping::view::View;
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, MachineTypeIx, ZoneIx};
+use crate::bookkeeping::units::{ms_of, Resources};
 use crate::protocol::users::Rank;
 use crate::protocol::workers::TaskState;
 
 /// Free room by machine, drafted changes included.
 #[derive(Clone, Debug)]
-pub struct Room(Vec<Option<Res>>);
+pub struct Room(Vec<Option<Resources>>);
 
 impl Room {
     /// What is free on a machine.
-    pub fn get(&self, m: MachineIx) -> Option<Res> {
+    pub fn get(&self, m: MachineIx) -> Option<Resources> {
         self.0.get(m.at()).copied().flatten()
     }
     /// Takes some of it; parts may become negative.
-    pub fn take(&mut self, m: MachineIx, need: Res) {
+    pub fn take(&mut self, m: MachineIx, need: Resources) {
         self.change(m, |f| f.minus(need));
     }
     /// Gives some back.
-    pub fn give(&mut self, m: MachineIx, need: Res) {
+    pub fn give(&mut self, m: MachineIx, need: Resources) {
         self.change(m, |f| f.plus(need));
     }
-    fn change(&mut self, m: MachineIx, by: impl FnOnce(Res) -> Res) {
+    fn change(&mut self, m: MachineIx, by: impl FnOnce(Resources) -> Resources) {
         if let Some(Some(f)) = self.0.get_mut(m.at()) {
             *f = by(*f);
         }
@@ -34,10 +34,10 @@
 }
 
 /// Free room of machines, after placements and whatever else was reported.
-pub fn free_room(view: &View, draft: &Draft) -> Room {
-    let mut free = Room(view.room().to_vec());
+pub fn free_room(cluster: &ClusterState, draft: &DraftTransaction) -> Room {
+    let mut free = Room(cluster.room().to_vec());
     for (ix, job) in &draft.jobs {
-        let old = &view.jobs[ix.at()];
+        let old = &cluster.jobs[ix.at()];
         let Some(s) = &job.spec else { continue };
         for p in job
             .placements
@@ -54,7 +54,7 @@
             // What a report still shows takes its room until it has exited, and what is done
             // takes none in the view either.
             let a = (*ix, p.task, p.attempt);
-            let there = view.machine(p.machine).and_then(|m| m.seen(a));
+            let there = cluster.machine(p.machine).and_then(|m| m.seen(a));
             if there.is_none_or(|t| t.state == TaskState::Exited && !t.is_done()) {
                 free.give(p.machine, s.need);
             }
@@ -65,40 +65,46 @@
 
 /// True if the job may have a task on this machine, room aside, given its other placements.
 pub fn allowed(
-    view: &View,
+    cluster: &ClusterState,
     job: &Job,
     ix: JobIx,
     spec: &Spec,
     mix: MachineIx,
     m: &Machine,
 ) -> bool {
-    let kind = spec.rigs.as_ref().is_none_or(|r| r.contains(&m.rig))
+    let kind = spec
+        .machine_types
+        .as_ref()
+        .is_none_or(|r| r.contains(&m.machine_type))
         && spec.zone.is_none_or(|z| z == m.zone)
         && (spec.wire.spot || !m.spot);
-    let failed_here = view
+    let failed_here = cluster
         .failures
         .get(&ix)
         .is_some_and(|(on, _)| on.contains(&mix));
-    kind && !failed_here && zone_allowed(view, job, spec, m.zone)
+    kind && !failed_here && zone_allowed(cluster, job, spec, m.zone)
 }
 
 /// Zone rules against all placements of the record, old attempts counted until proven gone.
-fn zone_allowed(view: &View, job: &Job, spec: &Spec, zone: ZoneIx) -> bool {
+fn zone_allowed(cluster: &ClusterState, job: &Job, spec: &Spec, zone: ZoneIx) -> bool {
     let zones = || {
         job.placements
             .iter()
-            .filter_map(|p| view.shard_zone(p.shard))
+            .filter_map(|p| cluster.shard_zone(p.shard))
     };
     (!spec.wire.one_zone || zones().all(|z| z == zone))
         && (zones().filter(|z| *z == zone).count() as u32) < spec.zone_cap()
 }
 
 /// Time a machine needs for a task's image.
-pub(super) fn fetch_ms(view: &View, spec: &Spec, m: &Machine) -> u64 {
+pub(super) fn fetch_ms(cluster: &ClusterState, spec: &Spec, m: &Machine) -> u64 {
     if m.has_image(spec.image) {
         return 0;
     }
-    let rate = view.rigs.get(&m.rig).map(|r| r.flavor.fetch_gb_per_s);
+    let rate = cluster
+        .machine_types
+        .get(&m.machine_type)
+        .map(|r| r.flavor.fetch_gb_per_s);
     ms_of(spec.wire.image_gb / rate.unwrap_or(0.0).max(0.01))
 }
 
@@ -106,12 +112,12 @@
 ///
 /// Fetching an image is time lost. Room that nothing else can use once the task is
 /// there is lost too, and spot machines are for the work that may run on them.
-pub fn misfit(view: &View, spec: &Spec, m: &Machine, free: Res) -> i64 {
-    let Some(rig) = view.rigs.get(&m.rig) else {
+pub fn misfit(cluster: &ClusterState, spec: &Spec, m: &Machine, free: Resources) -> i64 {
+    let Some(machine_type) = cluster.machine_types.get(&m.machine_type) else {
         return i64::MAX;
     };
-    let fetch = fetch_ms(view, spec, m) as f64 / 1000.0;
-    let whole = rig.room;
+    let fetch = fetch_ms(cluster, spec, m) as f64 / 1000.0;
+    let whole = machine_type.room;
     let left = free.minus(spec.need);
     let part = |a: i64, b: i64| if b > 0 { a as f64 / b as f64 } else { 0.0 };
     let parts = [
@@ -128,8 +134,11 @@
     ((fetch + stranded + kind + spare) * 1000.0) as i64
 }
 
-pub(super) fn is_empty(view: &View, m: &Machine, free: Res) -> bool {
-    view.rigs.get(&m.rig).is_some_and(|r| r.room == free)
+pub(super) fn is_empty(cluster: &ClusterState, m: &Machine, free: Resources) -> bool {
+    cluster
+        .machine_types
+        .get(&m.machine_type)
+        .is_some_and(|r| r.room == free)
 }
 
 /// True if a task that may run on spot machines should leave this one alone for now: an
@@ -140,27 +149,27 @@
 /// The dearer ordinary machines of that type are, the longer: at four times the spot price the
 /// whole of the operators' patience, at twice the price or less none.
 pub fn leaves_alone(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     spec: &Spec,
     rank: Rank,
     waited_ms: u64,
-    on: (RigIx, bool),
+    on: (MachineTypeIx, bool),
     empty: bool,
 ) -> bool {
-    let (rig, spot) = on;
+    let (machine_type, spot) = on;
     if !spec.wire.spot || spot || !empty || rank <= Rank::High {
         return false;
     }
-    let ratio = view
-        .rigs
-        .get(&rig)
+    let ratio = cluster
+        .machine_types
+        .get(&machine_type)
         .map_or(4.0, |r| r.flavor.price / r.flavor.spot_price.max(0.001));
     let part = ((ratio - 2.0) / 2.0).clamp(0.0, 1.0);
-    (waited_ms as f64) < rules.spot_patience_ms as f64 * part
+    (waited_ms as f64) < config.spot_patience_ms as f64 * part
 }
 
 /// The least of each part that any of these needs: a machine without that suits none of them.
-pub fn least_need<'a>(specs: impl Iterator<Item = &'a Spec>) -> Option<Res> {
-    specs.map(|s| s.need).reduce(Res::least)
+pub fn smallest_need<'a>(specs: impl Iterator<Item = &'a Spec>) -> Option<Resources> {
+    specs.map(|s| s.need).reduce(Resources::least)
 }
--- a/src/coordination/plan/shares.rs
+++ b/src/coordination/plan/shares.rs
@@ -1,18 +1,19 @@
 //! Teams' limits and the shards' shares of them.
 
-use super::*;
+use super::gangs::waiting_gangs;
+use super::{DraftTransaction, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::job::{Job, Spec};
 use crate::bookkeeping::names::{Index, ShardIx, TeamIx};
-use crate::bookkeeping::units::{Ms, Res};
-use crate::bookkeeping::view::View;
+use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::{Rank, Shape};
 
 /// What placements of a team use, whoever pays.
-pub fn used_by_team(view: &View, draft: &Draft, team: TeamIx) -> (i64, i64) {
-    let mut used = view.used(team);
+pub fn used_by_team(cluster: &ClusterState, draft: &DraftTransaction, team: TeamIx) -> (i64, i64) {
+    let mut used = cluster.used(team);
     for (ix, job) in &draft.jobs {
         if let Some(s) = job.spec.as_ref().filter(|s| s.team == team) {
-            let n = job.placements.len() as i64 - view.jobs[ix.at()].placements.len() as i64;
+            let n = job.placements.len() as i64 - cluster.jobs[ix.at()].placements.len() as i64;
             used = (used.0 + n * s.need.cpu, used.1 + n * s.need.gpu);
         }
     }
@@ -20,8 +21,8 @@
 }
 
 /// What services of a team use of its limit, which comes free only when their users cancel them.
-fn used_by_services(view: &View, team: TeamIx) -> (i64, i64) {
-    let jobs = view.active_jobs().filter_map(|(_, job)| {
+fn used_by_services(cluster: &ClusterState, team: TeamIx) -> (i64, i64) {
+    let jobs = cluster.active_jobs().filter_map(|(_, job)| {
         let spec = job.spec.as_ref()?;
         let counts = spec.team == team && spec.wire.shape == Shape::Service && job.open();
         counts.then(|| spec.need.times(job.placements.len() as u32))
@@ -31,10 +32,10 @@
 
 /// True if all of a gang fits into its team's limit once the team's other work but services has
 /// ended. One that does not fit waits for a user, and nothing else may wait for it meanwhile.
-pub(crate) fn fits_beside_services(view: &View, gang: &Spec) -> bool {
-    let services = used_by_services(view, gang.team);
+pub(crate) fn fits_beside_services(cluster: &ClusterState, gang: &Spec) -> bool {
+    let services = used_by_services(cluster, gang.team);
     let all = gang.need.times(gang.tasks());
-    view.team_limits[gang.team.at()].allows((services.0 + all.cpu, services.1 + all.gpu))
+    cluster.team_limits[gang.team.at()].allows((services.0 + all.cpu, services.1 + all.gpu))
 }
 
 /// Wait after which a job leaves none of its team's limit to gangs any more: work that could run
@@ -43,32 +44,37 @@
 
 /// True if a job has waited long enough to take room that a gang of its team waits for.
 pub(crate) fn past_courtesy(job: &Job, wall_ms: u64) -> bool {
-    wall_ms.saturating_sub(job.around.since) >= LONGEST_COURTESY_MS
+    wall_ms.saturating_sub(job.dependency_state.since) >= LONGEST_COURTESY_MS
 }
 
 /// A gang that has waited for its share of its team's limit.
 pub(super) struct Claimant {
     team: TeamIx,
     order: (Rank, u64),
-    all: Res,
+    all: Resources,
 }
 
 /// Gangs for whose sake younger work of their team takes no more of its limit.
 ///
 /// Small tasks use every bit of a limit as it comes free, so a gang that needs much at once
 /// would wait for as long as any come.
-pub(super) fn claimants(view: &View, rules: &Rules, now: Ms, wall_ms: u64) -> Vec<Claimant> {
+pub(super) fn claimants(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    now: Ms,
+    wall_ms: u64,
+) -> Vec<Claimant> {
     let mut out: Vec<Claimant> = Vec::new();
-    for ix in waiting_gangs(view, now) {
-        let job = &view.jobs[ix.at()];
+    for ix in waiting_gangs(cluster, now) {
+        let job = &cluster.jobs[ix.at()];
         let Some(s) = &job.spec else { continue };
         let first = out.iter().all(|c| c.team != s.team);
-        let waited = wall_ms.saturating_sub(job.around.since) >= rules.gang_hold_ms;
-        let limited = !view.team_limits[s.team.at()].unlimited();
-        if first && waited && limited && fits_beside_services(view, s) {
+        let waited = wall_ms.saturating_sub(job.dependency_state.since) >= config.gang_hold_ms;
+        let limited = !cluster.team_limits[s.team.at()].unlimited();
+        if first && waited && limited && fits_beside_services(cluster, s) {
             out.push(Claimant {
                 team: s.team,
-                order: (job.around.rank, job.around.since),
+                order: (job.dependency_state.rank, job.dependency_state.since),
                 all: s.need.times(s.tasks()),
             });
         }
@@ -78,8 +84,8 @@
 
 /// True if a task would take what an older gang of its team waits for.
 pub(super) fn crowds_out(
-    view: &View,
-    draft: &Draft,
+    cluster: &ClusterState,
+    draft: &DraftTransaction,
     claimants: &[Claimant],
     job: &Job,
     s: &Spec,
@@ -88,33 +94,35 @@
     let Some(c) = claimants.iter().find(|c| c.team == s.team) else {
         return false;
     };
-    if (job.around.rank, job.around.since) < c.order || past_courtesy(job, wall_ms) {
+    if (job.dependency_state.rank, job.dependency_state.since) < c.order
+        || past_courtesy(job, wall_ms)
+    {
         return false;
     }
-    let used = used_by_team(view, draft, s.team);
+    let used = used_by_team(cluster, draft, s.team);
     let all = c.all.plus(s.need);
-    !view.team_limits[s.team.at()].allows((used.0 + all.cpu, used.1 + all.gpu))
+    !cluster.team_limits[s.team.at()].allows((used.0 + all.cpu, used.1 + all.gpu))
 }
 
 /// Makes room in the payer's share of the team's limit, raising the share if the limit allows.
 pub(super) fn pay(
-    view: &View,
-    rules: &Rules,
-    draft: &mut Draft,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    draft: &mut DraftTransaction,
     team: TeamIx,
     payer: ShardIx,
-    need: Res,
+    need: Resources,
     n: u32,
 ) -> bool {
-    let limits = &view.team_limits[team.at()];
+    let limits = &cluster.team_limits[team.at()];
     if limits.unlimited() {
         return true;
     }
     // A claim of unknown outcome may still take what looks free, and a share that is lowered by
     // one may be less than it looks: what fits into a share is claimed without its record.
-    let doubtful = view.suspect_teams.contains(&team)
-        || view.suspects.iter().any(|j| {
-            view.jobs[j.at()]
+    let doubtful = cluster.suspect_teams.contains(&team)
+        || cluster.suspects.iter().any(|j| {
+            cluster.jobs[j.at()]
                 .spec
                 .as_ref()
                 .is_some_and(|s| s.team == team)
@@ -122,20 +130,23 @@
     if doubtful {
         return false;
     }
-    let mut used = view.paid(team, payer);
+    let mut used = cluster.paid(team, payer);
     for (ix, j) in &draft.jobs {
         let Some(s) = j.spec.as_ref().filter(|s| s.team == team) else {
             continue;
         };
         let count = |j: &Job| j.placements.iter().filter(|p| p.payer == payer).count() as i64;
         // Only what the draft adds counts: what it frees is free once committed.
-        let added = (count(j) - count(&view.jobs[ix.at()])).max(0);
+        let added = (count(j) - count(&cluster.jobs[ix.at()])).max(0);
         used.0 += added * s.need.cpu;
         used.1 += added * s.need.gpu;
     }
     let all = need.times(n);
     let wanted = (used.0 + all.cpu, used.1 + all.gpu);
-    let record = draft.teams.get(&team).unwrap_or(&view.teams[team.at()].rec);
+    let record = draft
+        .teams
+        .get(&team)
+        .unwrap_or(&cluster.teams[team.at()].rec);
     let share = record.share(payer);
     if wanted.0 <= share.0 && wanted.1 <= share.1 {
         return true;
@@ -143,7 +154,7 @@
     let mut raised = record.clone();
     raised.set(payer, (share.0.max(wanted.0), share.1.max(wanted.1)));
     let fresh = usize::from(!draft.teams.contains_key(&team));
-    if !limits.allows(raised.total()) || !draft.has_room(view, rules, fresh + 1) {
+    if !limits.allows(raised.total()) || !draft.has_room(cluster, config, fresh + 1) {
         // What this draft frees is free for others once it is committed.
         draft.cut = true;
         return false;
@@ -153,31 +164,40 @@
 }
 
 /// Lowers shares of owned shards that are not used while work of the team waits.
-pub fn lower_shares(view: &View, rules: &Rules, draft: &mut Draft) {
-    for (t, limits) in view.team_limits.iter().enumerate() {
+pub fn lower_shares(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    draft: &mut DraftTransaction,
+) {
+    for (t, limits) in cluster.team_limits.iter().enumerate() {
         let team = TeamIx::new(t);
-        if limits.unlimited() || draft.teams.contains_key(&team) || !draft.has_room(view, rules, 1)
+        if limits.unlimited()
+            || draft.teams.contains_key(&team)
+            || !draft.has_room(cluster, config, 1)
         {
             continue;
         }
         let of_team = |j: &Job| j.spec.as_ref().is_some_and(|s| s.team == team);
-        let waits = view
+        let waits = cluster
             .active_jobs()
             .any(|(_, j)| of_team(j) && j.waiting_count() > 0);
-        let doubtful = view.suspects.iter().any(|j| of_team(&view.jobs[j.at()]));
+        let doubtful = cluster
+            .suspects
+            .iter()
+            .any(|j| of_team(&cluster.jobs[j.at()]));
         // A draft that changes one of its jobs has its say first.
         if !waits || doubtful || draft.jobs.values().any(of_team) {
             continue;
         }
-        let mut rec = view.teams[t].rec.clone();
-        for s in (0..view.shards.len()).map(ShardIx::new) {
-            let (share, used) = (rec.share(s), view.paid(team, s));
-            if rules.owns(view, s) && share != used {
+        let mut rec = cluster.teams[t].rec.clone();
+        for s in (0..cluster.shards.len()).map(ShardIx::new) {
+            let (share, used) = (rec.share(s), cluster.paid(team, s));
+            if config.owns(cluster, s) && share != used {
                 rec.set(s, used);
                 draft.shards.insert(s);
             }
         }
-        if rec != view.teams[t].rec {
+        if rec != cluster.teams[t].rec {
             draft.teams.insert(team, rec);
         }
     }
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -1,7 +1,7 @@
 //! The planning duty: passes, their commits, and the pull between controllers.
 
 use super::node::{wall_ms, Direct, Node};
-use super::plan::{self, Draft, Push, Pushed};
+use super::plan::{self, DraftTransaction, Push, Pushed};
 use super::store::Outcome;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::Placement;
@@ -85,32 +85,34 @@
     let mut last_poll: HashMap<MachineIx, (u64, u64)> = HashMap::new();
     let mut changes = Changes::default();
     loop {
-        node.plan.rung(changes.wait_ms(node.now())).await;
-        if !node.view.borrow().loaded {
+        node.plan.notified(changes.wait_ms(node.now())).await;
+        if !node.cluster.borrow().loaded {
             continue;
         }
         let waiters = node.plan.take_waiters();
-        let limit = node.rules.limits(&node.view.borrow()).write_rps;
-        let defer = changes.defer(node.now(), node.view.borrow().changes, limit);
+        let limit = node.config.limits(&node.cluster.borrow()).write_rps;
+        let defer = changes.defer(node.now(), node.cluster.borrow().changes, limit);
         let mut idle = Vec::new();
         for _ in 0..PASSES {
             let now = node.now();
             let draft = {
-                let view = node.view.borrow();
-                let mut d = Draft::deferring(defer, wall_ms());
+                let cluster = node.cluster.borrow();
+                let mut d = DraftTransaction::deferring(defer, wall_ms());
                 if now.since(cascaded) >= CASCADE_MS {
                     cascaded = now;
                     d.cascades = CASCADES;
                 }
-                let meter = &node.meter;
-                meter.time("- settle", || plan::settle(&view, &node.rules, &mut d, now));
-                idle = meter.time("- claim", || {
-                    plan::claim(&view, &node.rules, &mut d, now, wall_ms())
+                let metrics = &node.metrics;
+                metrics.time("- settle", || {
+                    plan::settle(&cluster, &node.config, &mut d, now)
+                });
+                idle = metrics.time("- claim", || {
+                    plan::claim(&cluster, &node.config, &mut d, now, wall_ms())
                 });
                 if now.since(lowered) > 2000 {
-                    plan::lower_shares(&view, &node.rules, &mut d);
+                    plan::lower_shares(&cluster, &node.config, &mut d);
                     lowered = now;
-                    last_poll.retain(|m, _| view.machine(*m).is_some());
+                    last_poll.retain(|m, _| cluster.machine(*m).is_some());
                 }
                 d
             };
@@ -155,21 +157,21 @@
         for w in waiters {
             let _ = w.try_send(true);
         }
-        node.meter.time("- pushes", || push_starts(&node));
-        node.meter
+        node.metrics.time("- pushes", || push_starts(&node));
+        node.metrics
             .time("- pulls", || pull(&node, &idle, &mut last_poll));
     }
 }
 
 /// Which tasks a draft claims, for which machine, and how long after their job came.
-fn claims_told(node: &Node, draft: &Draft) -> Vec<String> {
+fn claims_told(node: &Node, draft: &DraftTransaction) -> Vec<String> {
     if !log::log_enabled!(log::Level::Debug) {
         return Vec::new();
     }
-    let view = node.view.borrow();
+    let cluster = node.cluster.borrow();
     let line = |(ix, p): &(JobIx, Placement)| {
-        let job = &view.jobs[ix.at()];
-        let (spec, m) = (job.spec.as_ref()?, view.machine(p.machine)?);
+        let job = &cluster.jobs[ix.at()];
+        let (spec, m) = (job.spec.as_ref()?, cluster.machine(p.machine)?);
         Some(format!(
             "claim {}/{} attempt {} ({}, {} tasks) on {} ({}, spot: {}, image there: {}) after {} ms",
             job.id,
@@ -178,10 +180,10 @@
             spec.wire.class,
             spec.tasks(),
             m.name,
-            view.rig_names.name(m.rig),
+            cluster.machine_type_names.name(m.machine_type),
             m.spot,
             m.has_image(spec.image),
-            wall_ms().saturating_sub(job.around.since)
+            wall_ms().saturating_sub(job.dependency_state.since)
         ))
     };
     draft.claims.iter().filter_map(line).collect()
@@ -193,8 +195,8 @@
     // What finds no place goes out with the answer to the machine's next report.
     let mut place = || node.direct().map(|slot| slots.push(slot)).is_some();
     let pushes = plan::pushes(
-        &mut node.view.borrow_mut(),
-        &node.rules,
+        &mut node.cluster.borrow_mut(),
+        &node.config,
         node.now(),
         &mut place,
     );
@@ -238,11 +240,11 @@
     if answer.is_some() {
         node.heard_worker();
     }
-    let mut view = node.view.borrow_mut();
-    plan::note_pushed(&mut view, &p, how);
+    let mut cluster = node.cluster.borrow_mut();
+    plan::note_pushed(&mut cluster, &p, how);
     let report = answer.and_then(|f| rmp_serde::from_slice::<Report>(&f.body).ok());
     if let Some(r) = report {
-        super::reports::take(&mut view, p.machine, &r, node.now(), None);
+        super::reports::take(&mut cluster, p.machine, &r, node.now(), None);
     }
 }
 
@@ -252,8 +254,8 @@
     let mut queues: Option<Vec<(MachineIx, usize)>> = None;
     for mix in idle {
         let (stamp, chosen) = {
-            let view = node.view.borrow();
-            let Some(m) = view.machine(*mix) else {
+            let cluster = node.cluster.borrow();
+            let Some(m) = cluster.machine(*mix) else {
                 continue;
             };
             if last.get(mix) == Some(&m.stamp) {
@@ -261,7 +263,7 @@
             }
             let queues = queues.get_or_insert_with(|| {
                 let waits = |o: &Machine| !o.queue.is_empty() || o.queued_elsewhere > 0;
-                let with = view.all_machines().filter(|(_, o)| waits(o));
+                let with = cluster.all_machines().filter(|(_, o)| waits(o));
                 with.map(|(ix, o)| (ix, o.shard.at())).collect()
             });
             let others = queues.iter().copied().filter(|(ix, _)| ix != mix);
@@ -274,11 +276,11 @@
         let mut remote: HashMap<String, Vec<String>> = HashMap::new();
         let mut found = false;
         for (other, shard) in chosen {
-            let owner = node.view.borrow().shards[shard].rec.owner.clone();
-            if owner == node.rules.node {
+            let owner = node.cluster.borrow().shards[shard].rec.owner.clone();
+            if owner == node.config.node {
                 found = found || hand_over(node, other, *mix, true).is_some();
             } else {
-                let name = node.view.borrow().machine_names.name(other).to_string();
+                let name = node.cluster.borrow().machine_names.name(other).to_string();
                 remote.entry(owner).or_default().push(name);
             }
             if found {
@@ -286,7 +288,7 @@
             }
         }
         if found {
-            node.plan.ring();
+            node.plan.notify();
             continue;
         }
         for (owner, machines) in remote {
@@ -300,7 +302,7 @@
 }
 
 async fn poll_peer(node: Rc<Node>, owner: String, machines: Vec<String>, mix: MachineIx) {
-    let idle = node.view.borrow().machine_names.name(mix).to_string();
+    let idle = node.cluster.borrow().machine_names.name(mix).to_string();
     let Some(peer) = node.peer(&owner) else {
         return;
     };
@@ -310,7 +312,7 @@
         .await
     {
         if enqueue(&node, mix, &t, true) {
-            node.plan.ring();
+            node.plan.notify();
         }
     }
 }
@@ -321,32 +323,32 @@
 pub fn hand_over(node: &Node, other: MachineIx, idle: MachineIx, local: bool) -> Option<TaskRef> {
     let now = node.now();
     let found = {
-        let view = node.view.borrow();
-        let m = view.machine(idle)?;
-        let room = view.free_on(idle)?;
-        let queue = &view.machine(other)?.queue;
+        let cluster = node.cluster.borrow();
+        let m = cluster.machine(idle)?;
+        let room = cluster.free_on(idle)?;
+        let queue = &cluster.machine(other)?.queue;
         queue.iter().position(|(ix, task, _)| {
-            let j = &view.jobs[ix.at()];
+            let j = &cluster.jobs[ix.at()];
             j.waits(*task)
-                && j.spec
-                    .as_ref()
-                    .is_some_and(|s| s.need.fits(room) && plan::allowed(&view, j, *ix, s, idle, m))
+                && j.spec.as_ref().is_some_and(|s| {
+                    s.need.fits(room) && plan::allowed(&cluster, j, *ix, s, idle, m)
+                })
         })?
     };
-    let mut view = node.view.borrow_mut();
-    let (ix, task, _) = view.machine_mut(other)?.queue.remove(found)?;
+    let mut cluster = node.cluster.borrow_mut();
+    let (ix, task, _) = cluster.machine_mut(other)?.queue.remove(found)?;
     if local {
-        view.machine_mut(idle)?.queue.push_front((ix, task, now));
+        cluster.machine_mut(idle)?.queue.push_front((ix, task, now));
     }
-    let job = view.jobs[ix.at()].id.to_string();
+    let job = cluster.jobs[ix.at()].id.to_string();
     Some(TaskRef { job, task })
 }
 
 /// Puts a task into an owned machine's queue; false if it does not wait or the queue is full.
 pub fn enqueue(node: &Node, mix: MachineIx, t: &TaskRef, front: bool) -> bool {
     let now = node.now();
-    let mut view = node.view.borrow_mut();
-    let Some((ix, job)) = view.job(&t.job) else {
+    let mut cluster = node.cluster.borrow_mut();
+    let Some((ix, job)) = cluster.job(&t.job) else {
         return false;
     };
     if !job.waits(t.task) {
@@ -354,7 +356,7 @@
     }
     // A free machine may take a few tasks at once; the cap is for those that wait.
     let cap = node.operator.queue_cap.max(8);
-    let Some(m) = view.machine_mut(mix) else {
+    let Some(m) = cluster.machine_mut(mix) else {
         return false;
     };
     if m.queue.len() >= cap || m.queue.iter().any(|q| (q.0, q.1) == (ix, t.task)) {
@@ -370,23 +372,35 @@
 
 /// Binds the tasks of a job just accepted here to machines, wherever their queues are.
 pub fn bind_job(node: &Rc<Node>, ix: JobIx) {
-    let bound = plan::bind(&node.view.borrow(), &node.rules, ix, node.now(), wall_ms());
+    let bound = plan::bind(
+        &node.cluster.borrow(),
+        &node.config,
+        ix,
+        node.now(),
+        wall_ms(),
+    );
     let mut remote: HashMap<String, Vec<(String, TaskRef)>> = HashMap::new();
     for (task, mix) in bound {
         let (job, owner, name) = {
-            let view = node.view.borrow();
-            let Some(m) = view.machine(mix) else { continue };
-            let owner = view.shards[m.shard.at()].rec.owner.clone();
-            (view.jobs[ix.at()].id.to_string(), owner, m.name.to_string())
+            let cluster = node.cluster.borrow();
+            let Some(m) = cluster.machine(mix) else {
+                continue;
+            };
+            let owner = cluster.shards[m.shard.at()].rec.owner.clone();
+            (
+                cluster.jobs[ix.at()].id.to_string(),
+                owner,
+                m.name.to_string(),
+            )
         };
         let t = TaskRef { job, task };
-        if owner == node.rules.node {
+        if owner == node.config.node {
             enqueue(node, mix, &t, false);
         } else {
             remote.entry(owner).or_default().push((name, t));
         }
     }
-    node.plan.ring();
+    node.plan.notify();
     for (owner, tasks) in remote {
         let node = node.clone();
         node.ex
@@ -406,16 +420,16 @@
 /// Marks work to be stopped for work of a higher priority.
 pub fn make_room(node: &Node) {
     let (now, wall) = (node.now(), wall_ms());
-    let mut view = node.view.borrow_mut();
-    let turn = ShardIx::new((wall / TURN_MS) as usize % (view.shards.len() - 1));
-    for (mix, a, grace) in plan::preempt(&view, &node.rules, turn, now, wall) {
+    let mut cluster = node.cluster.borrow_mut();
+    let turn = ShardIx::new((wall / TURN_MS) as usize % (cluster.shards.len() - 1));
+    for (mix, a, grace) in plan::preempt(&cluster, &node.config, turn, now, wall) {
         log::info!(
             "{}/{} on {} makes room for work of a higher priority",
-            view.jobs[a.0.at()].id,
+            cluster.jobs[a.0.at()].id,
             a.1,
-            view.machine_names.name(mix)
+            cluster.machine_names.name(mix)
         );
-        if let Some(m) = view.machine_mut(mix) {
+        if let Some(m) = cluster.machine_mut(mix) {
             m.stopping.insert(a, grace);
         }
     }
@@ -423,9 +437,9 @@
 
 /// Drops queue entries that no longer wait.
 pub fn sweep_queues(node: &Node) {
-    let mut view = node.view.borrow_mut();
-    let view = &mut *view;
-    for m in view.machines.iter_mut().flatten() {
-        m.queue.retain(|(ix, t, _)| view.jobs[ix.at()].waits(*t));
+    let mut cluster = node.cluster.borrow_mut();
+    let cluster = &mut *cluster;
+    for m in cluster.machines.iter_mut().flatten() {
+        m.queue.retain(|(ix, t, _)| cluster.jobs[ix.at()].waits(*t));
     }
 }
--- a/src/coordination/pace.rs
+++ b/src/coordination/rate_limiter.rs
@@ -4,7 +4,7 @@
 
 /// A budget of requests that fills with time.
 #[derive(Clone, Debug)]
-pub struct Pace {
+pub struct RateLimiter {
     rate: f64,
     left: f64,
     at: Option<Ms>,
@@ -13,13 +13,13 @@
 /// Requests that may be saved up, in seconds' worth, as the cloud's protocol allows.
 const BURST_S: f64 = 2.0;
 
-impl Pace {
+impl RateLimiter {
     /// A budget of `rate` requests a second. It begins full: what another may have spent just
     /// before is refused at worst, and asked for again.
-    pub fn new(rate: f64) -> Pace {
-        Pace {
+    pub fn new(rate: f64) -> RateLimiter {
+        RateLimiter {
             rate,
-            left: Pace::most(rate),
+            left: RateLimiter::most(rate),
             at: None,
         }
     }
@@ -31,7 +31,7 @@
         let passed = self.at.map_or(0, |at| now.since(at));
         self.at = Some(now);
         let filled = self.left + self.rate * passed as f64 / 1000.0;
-        self.left = filled.min(Pace::most(self.rate));
+        self.left = filled.min(RateLimiter::most(self.rate));
         let good = self.left >= 1.0 + keep;
         if good {
             self.left -= 1.0;
--- a/src/coordination/renting/bookings.rs
+++ b/src/coordination/renting/bookings.rs
@@ -1,9 +1,9 @@
 //! Bookings: intents on record, requests, and what came of them.
 
-use super::{requests, supply, wanted, Desk, Pool, AT_ONCE, CALL_MS};
+use super::{requests, supply, wanted, Pool, RentingDuty, AT_ONCE, CALL_MS};
+use crate::bookkeeping::cluster_state::{BookingRecord, ROOT};
 use crate::bookkeeping::names::Index;
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::{BookingRecord, ROOT};
 use crate::coordination::node::{wall_ms, Node};
 use crate::coordination::store::{set, Outcome};
 use crate::protocol::cloud::{Booking, Hosts};
@@ -13,27 +13,28 @@
 use std::rc::Rc;
 
 /// Asks once more for bookings without an answer: a repeated one rents nothing twice.
-pub(super) async fn repeat_bookings(node: &Rc<Node>, desk: &mut Desk) {
+pub(super) async fn repeat_bookings(node: &Rc<Node>, duty: &mut RentingDuty) {
     let now = node.now();
     let open: Vec<(String, BookingRecord)> = {
-        let view = node.view.borrow();
-        view.bookings
+        let cluster = node.cluster.borrow();
+        cluster
+            .bookings
             .iter()
             .filter(|(_, b)| b.rec.hosts.is_empty())
-            .filter(|(n, _)| desk.booked_at.get(*n).is_none_or(|t| now.since(*t) > 2000))
+            .filter(|(n, _)| duty.booked_at.get(*n).is_none_or(|t| now.since(*t) > 2000))
             .map(|(n, b)| (n.clone(), b.rec.clone()))
             .take(AT_ONCE)
-            .take_while(|_| desk.pace.take(now, 0.0))
+            .take_while(|_| duty.pace.take(now, 0.0))
             .collect()
     };
-    book_all(node, desk, open).await;
+    book_all(node, duty, open).await;
 }
 
 /// Sends bookings side by side and notes together what came of them.
-async fn book_all(node: &Rc<Node>, desk: &mut Desk, list: Vec<(String, BookingRecord)>) {
+async fn book_all(node: &Rc<Node>, duty: &mut RentingDuty, list: Vec<(String, BookingRecord)>) {
     let mut running = Vec::new();
     for (name, rec) in list {
-        desk.booked_at.insert(name.clone(), node.now());
+        duty.booked_at.insert(name.clone(), node.now());
         let n = node.clone();
         running.push(node.ex.spawn(async move {
             let answer = book(&n, &name, &rec).await;
@@ -43,7 +44,7 @@
     let mut notes: Vec<(String, Option<BookingRecord>)> = Vec::new();
     for task in running {
         let (name, rec, answer) = task.await;
-        notes.extend(note_booking(node, desk, &name, rec, answer).map(|r| (name, r)));
+        notes.extend(note_booking(node, duty, &name, rec, answer).map(|r| (name, r)));
     }
     store_bookings(node, &notes).await;
 }
@@ -52,7 +53,7 @@
 async fn book(node: &Rc<Node>, name: &str, rec: &BookingRecord) -> Option<(u16, Option<Hosts>)> {
     let request = Booking {
         request: name.to_string(),
-        rig: rec.rig.clone(),
+        machine_type: rec.machine_type.clone(),
         zone: rec.zone.clone(),
         spot: rec.spot,
         count: rec.count,
@@ -71,16 +72,16 @@
 /// What the record of a booking shall be after an answer; the outer `None` leaves it as it is.
 fn note_booking(
     node: &Rc<Node>,
-    desk: &mut Desk,
+    duty: &mut RentingDuty,
     name: &str,
     mut rec: BookingRecord,
     answer: Option<(u16, Option<Hosts>)>,
 ) -> Option<Option<BookingRecord>> {
     let now = node.now();
-    let mut view = node.view.borrow_mut();
+    let mut cluster = node.cluster.borrow_mut();
     let pool = Pool {
-        rig: view.rig_names.intern(&rec.rig),
-        zone: view.zone_names.find(&rec.zone)?,
+        machine_type: cluster.machine_type_names.intern(&rec.machine_type),
+        zone: cluster.zone_names.find(&rec.zone)?,
         spot: rec.spot,
     };
     match answer? {
@@ -89,24 +90,29 @@
                 "rented {} of {} {} in {} (spot: {})",
                 h.hosts.len(),
                 rec.count,
-                rec.rig,
+                rec.machine_type,
                 rec.zone,
                 rec.spot
             );
             if (h.hosts.len() as u32) < rec.count {
-                back_off(desk, pool, now);
+                back_off(duty, pool, now);
             } else {
-                desk.backoff.remove(&pool);
+                duty.backoff.remove(&pool);
             }
             for n in &h.hosts {
-                view.learn_machine(n, &rec.rig, &rec.zone, rec.spot, now);
+                cluster.learn_machine(n, &rec.machine_type, &rec.zone, rec.spot, now);
             }
             rec.hosts = h.hosts;
             Some((!rec.hosts.is_empty()).then_some(rec))
         }
         (503, _) => {
-            log::info!("no {} in {} (spot: {})", rec.rig, rec.zone, rec.spot);
-            back_off(desk, pool, now);
+            log::info!(
+                "no {} in {} (spot: {})",
+                rec.machine_type,
+                rec.zone,
+                rec.spot
+            );
+            back_off(duty, pool, now);
             Some(None)
         }
         (429, _) => None,
@@ -117,8 +123,8 @@
     }
 }
 
-fn back_off(desk: &mut Desk, pool: Pool, now: Ms) {
-    let entry = desk.backoff.entry(pool).or_insert((now, 3000));
+fn back_off(duty: &mut RentingDuty, pool: Pool, now: Ms) {
+    let entry = duty.backoff.entry(pool).or_insert((now, 3000));
     entry.1 = (entry.1 * 2).min(20_000);
     entry.0 = now.plus(entry.1);
 }
@@ -126,11 +132,11 @@
 /// Writes or removes bookings, as long as this node owns the duty.
 async fn store_bookings(node: &Rc<Node>, list: &[(String, Option<BookingRecord>)]) -> bool {
     let mut all = true;
-    let at_once = node.rules.limits(&node.view.borrow()).txn_ops;
+    let at_once = node.config.limits(&node.cluster.borrow()).txn_ops;
     for part in list.chunks(at_once) {
         let txn = {
-            let view = node.view.borrow();
-            let shard = view.renting();
+            let cluster = node.cluster.borrow();
+            let shard = cluster.renting();
             let write = |(name, rec): &(String, Option<BookingRecord>)| {
                 let key = format!("{ROOT}book/{name}");
                 match rec {
@@ -140,8 +146,8 @@
             };
             Transaction {
                 conditions: vec![Condition {
-                    key: view.shard_key(shard),
-                    version: view.shards[shard.at()].version,
+                    key: cluster.shard_key(shard),
+                    version: cluster.shards[shard.at()].version,
                 }],
                 writes: part.iter().filter_map(write).collect(),
             }
@@ -153,67 +159,71 @@
 }
 
 /// Removes bookings whose machines are all in the list, or should long be.
-pub(super) async fn clear_bookings(node: &Rc<Node>, desk: &mut Desk, lag_ms: u64) {
+pub(super) async fn clear_bookings(node: &Rc<Node>, duty: &mut RentingDuty, lag_ms: u64) {
     let now = node.now();
     let old: Vec<String> = {
-        let view = node.view.borrow();
-        view.bookings
+        let cluster = node.cluster.borrow();
+        cluster
+            .bookings
             .iter()
             .filter(|(n, b)| {
-                let at = *desk.booked_at.entry((*n).clone()).or_insert(now);
-                let listed = b.rec.hosts.iter().all(|h| desk.listed.contains_key(h));
+                let at = *duty.booked_at.entry((*n).clone()).or_insert(now);
+                let listed = b.rec.hosts.iter().all(|h| duty.listed.contains_key(h));
                 !b.rec.hosts.is_empty()
                     && now.since(at) > lag_ms * 2
                     && (listed || now.since(at) > lag_ms * 4 + 10_000)
             })
             .map(|(n, _)| n.clone())
-            .take(node.rules.limits(&view).txn_ops)
+            .take(node.config.limits(&cluster).txn_ops)
             .collect()
     };
     let removed: Vec<_> = old.into_iter().map(|n| (n, None)).collect();
     store_bookings(node, &removed).await;
     for (n, _) in removed {
-        desk.booked_at.remove(&n);
+        duty.booked_at.remove(&n);
     }
 }
 
-pub(super) async fn rent(node: &Rc<Node>, desk: &mut Desk) {
+pub(super) async fn rent(node: &Rc<Node>, duty: &mut RentingDuty) {
     let now = node.now();
     // Without a list of this owner's time, what is rented already is not known.
-    if desk.listed_at.is_none() {
+    if duty.listed_at.is_none() {
         return;
     }
-    let blocked: HashSet<Pool> = desk
+    let blocked: HashSet<Pool> = duty
         .backoff
         .iter()
         .filter(|(_, (until, _))| now < *until)
         .map(|(p, _)| *p)
         .collect();
     let plan = {
-        let view = node.view.borrow();
-        let mut have = supply(&view, &desk.listed, node.rules.silent_ms, now);
-        wanted(&view, &node.rules, &mut have, &blocked, now, wall_ms())
+        let cluster = node.cluster.borrow();
+        let mut have = supply(&cluster, &duty.listed, node.config.silent_ms, now);
+        wanted(&cluster, &node.config, &mut have, &blocked, now, wall_ms())
     };
     let mut list = Vec::new();
-    desk.needed = plan.needed;
+    duty.needed = plan.needed;
     for (pool, count) in requests(plan.rent) {
         // While there is something to return one request is left for that: those who wait for a
         // machine to be proven gone wait as long as those who need a new one.
-        let keep = if desk.returns_due { 1.0 } else { 0.0 };
-        if !desk.pace.take(node.now(), keep) {
+        let keep = if duty.returns_due { 1.0 } else { 0.0 };
+        if !duty.pace.take(node.now(), keep) {
             break;
         }
-        desk.counter += 1;
-        let view = node.view.borrow();
+        duty.counter += 1;
+        let cluster = node.cluster.borrow();
         let rec = BookingRecord {
-            rig: view.rig_names.name(pool.rig).to_string(),
-            zone: view.zone_names.name(pool.zone).to_string(),
+            machine_type: cluster
+                .machine_type_names
+                .name(pool.machine_type)
+                .to_string(),
+            zone: cluster.zone_names.name(pool.zone).to_string(),
             spot: pool.spot,
             count,
             hosts: Vec::new(),
         };
         // The token is of this owner alone, so no name is ever used twice.
-        list.push((format!("b-{}-{}", desk.token, desk.counter), rec));
+        list.push((format!("b-{}-{}", duty.token, duty.counter), rec));
     }
     // The intent is on record before the request: whoever takes over asks again.
     let intents: Vec<_> = list
@@ -221,6 +231,6 @@
         .map(|(n, r)| (n.clone(), Some(r.clone())))
         .collect();
     if !list.is_empty() && store_bookings(node, &intents).await {
-        book_all(node, desk, list).await;
+        book_all(node, duty, list).await;
     }
 }
--- a/src/coordination/renting/demand.rs
+++ b/src/coordination/renting/demand.rs
@@ -1,12 +1,12 @@
 //! What is to be rented: pure functions of the view.
 
 use super::AT_ONCE;
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::job::{Job, Spec};
-use crate::bookkeeping::names::{Index, JobIx, MachineIx, RigIx, TeamIx, ZoneIx};
-use crate::bookkeeping::units::{ms_of, Ms, Res};
-use crate::bookkeeping::view::View;
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, MachineTypeIx, TeamIx, ZoneIx};
+use crate::bookkeeping::units::{ms_of, Ms, Resources};
 use crate::coordination::plan;
-use crate::coordination::plan::{Draft, Rules};
+use crate::coordination::plan::{DraftTransaction, SchedulerConfig};
 use crate::protocol::cloud::Listed;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
 pub struct Pool {
     /// Type.
-    pub rig: RigIx,
+    pub machine_type: MachineTypeIx,
     /// Zone.
     pub zone: ZoneIx,
     /// Spot.
@@ -40,7 +40,7 @@
     /// What it is.
     pub pool: Pool,
     /// Room that waiting tasks may use.
-    pub free: Res,
+    pub free: Resources,
     /// Zone limits and the like are those of a machine of this index, if it is up.
     pub machine: Option<MachineIx>,
 }
@@ -53,19 +53,24 @@
 }
 
 /// How many of each job's waiting tasks its team's limit lets run now.
-fn demands(view: &View, now: Ms, wall_ms: u64) -> Vec<Demand> {
+fn demands(cluster: &ClusterState, now: Ms, wall_ms: u64) -> Vec<Demand> {
     let mut room: Vec<(i64, i64)> = Vec::new();
-    for (t, l) in view.team_limits.iter().enumerate() {
-        let used = plan::used_by_team(view, &Draft::default(), TeamIx::new(t));
+    for (t, l) in cluster.team_limits.iter().enumerate() {
+        let used = plan::used_by_team(cluster, &DraftTransaction::default(), TeamIx::new(t));
         let left = |most: i64, used: i64| if most == 0 { i64::MAX } else { most - used };
         room.push((left(l.most.0, used.0), left(l.most.1, used.1)));
     }
-    let mut jobs: Vec<(JobIx, &Job)> = view
+    let mut jobs: Vec<(JobIx, &Job)> = cluster
         .active_jobs()
         .filter(|(_, j)| j.waiting_count() > 0)
-        .filter(|(ix, _)| view.failures.get(ix).is_none_or(|(_, until)| now >= *until))
+        .filter(|(ix, _)| {
+            cluster
+                .failures
+                .get(ix)
+                .is_none_or(|(_, until)| now >= *until)
+        })
         .collect();
-    jobs.sort_by_key(|(ix, j)| (j.around.rank, j.around.since, *ix));
+    jobs.sort_by_key(|(ix, j)| (j.dependency_state.rank, j.dependency_state.since, *ix));
     let mut out = Vec::new();
     // Teams one of whose gangs waits for the rest of the limit.
     let mut claimed: HashSet<TeamIx> = HashSet::new();
@@ -87,7 +92,7 @@
         if s.is_wide_gang() && tasks < s.tasks() {
             // It waits for its team's limit; younger work of the team does not overtake it.
             *r = before;
-            if plan::fits_beside_services(view, s) {
+            if plan::fits_beside_services(cluster, s) {
                 claimed.insert(s.team);
             }
             continue;
@@ -104,22 +109,22 @@
 }
 
 /// Room for jobs that are likely to come while a machine boots, by what came lately.
-fn expected(view: &View, rules: &Rules, wall_ms: u64) -> Vec<Demand> {
+fn expected(cluster: &ClusterState, config: &SchedulerConfig, wall_ms: u64) -> Vec<Demand> {
     let mut classes: BTreeMap<&str, (u32, Rc<Spec>)> = BTreeMap::new();
-    let Some(first) = view.opened else {
+    let Some(first) = cluster.opened else {
         return Vec::new();
     };
     // What is there when the service opens is a backlog, not a rate.
     let from = wall_ms.saturating_sub(ARRIVALS_MS).max(first + BACKLOG_MS);
     let span = wall_ms.saturating_sub(from).max(60_000);
-    for (_, spec) in view.arrivals.iter().filter(|(at, _)| *at >= from) {
+    for (_, spec) in cluster.arrivals.iter().filter(|(at, _)| *at >= from) {
         let class = classes
             .entry(spec.wire.class.as_str())
             .or_insert((0, spec.clone()));
         *class = (class.0 + spec.tasks(), spec.clone());
     }
-    let boot_ms = view
-        .rigs
+    let boot_ms = cluster
+        .machine_types
         .values()
         .map(|r| ms_of(r.flavor.boot_s))
         .max()
@@ -127,9 +132,9 @@
     let mut out = Vec::new();
     for (tasks, spec) in classes.into_values() {
         let part = if spec.wire.spot {
-            rules.headroom
+            config.headroom
         } else {
-            rules.headroom_ordinary
+            config.headroom_ordinary
         };
         let per_boot = f64::from(tasks) * boot_ms as f64 / span as f64;
         let tasks = (per_boot * part).round() as u32;
@@ -155,21 +160,21 @@
 
 /// What to rent so that waiting and expected tasks find room.
 pub fn wanted(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     supply: &mut Vec<Supply>,
     blocked: &HashSet<Pool>,
     now: Ms,
     wall_ms: u64,
 ) -> Wanted {
     let mut out = Wanted::default();
-    let spares = expected(view, rules, wall_ms);
-    for d in demands(view, now, wall_ms).into_iter().chain(spares) {
+    let spares = expected(cluster, config, wall_ms);
+    for d in demands(cluster, now, wall_ms).into_iter().chain(spares) {
         let spec = &d.spec;
-        let job = d.ix.map(|ix| (ix, &view.jobs[ix.at()]));
+        let job = d.ix.map(|ix| (ix, &cluster.jobs[ix.at()]));
         let mut per_zone: HashMap<ZoneIx, u32> = HashMap::new();
         for p in job.iter().flat_map(|(_, j)| &j.placements) {
-            if let Some(z) = view.shard_zone(p.shard) {
+            if let Some(z) = cluster.shard_zone(p.shard) {
                 *per_zone.entry(z).or_default() += 1;
             }
         }
@@ -181,14 +186,24 @@
             u32::MAX
         };
         let kind_ok = |p: &Pool| {
-            spec.rigs.as_ref().is_none_or(|r| r.contains(&p.rig))
+            spec.machine_types
+                .as_ref()
+                .is_none_or(|r| r.contains(&p.machine_type))
                 && spec.zone.is_none_or(|z| z == p.zone)
                 && (spec.wire.spot || !p.spot)
         };
-        let rank = job.map_or(spec.rank(), |(_, j)| j.around.rank);
-        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.around.since));
+        let rank = job.map_or(spec.rank(), |(_, j)| j.dependency_state.rank);
+        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.dependency_state.since));
         let alone = |p: &Pool, empty: bool| {
-            plan::leaves_alone(view, rules, spec, rank, waited, (p.rig, p.spot), empty)
+            plan::leaves_alone(
+                cluster,
+                config,
+                spec,
+                rank,
+                waited,
+                (p.machine_type, p.spot),
+                empty,
+            )
         };
         // Room for what may come is kept at the low price only, if it may be had there.
         let dear = |p: &Pool| job.is_none() && spec.wire.spot && !p.spot;
@@ -197,7 +212,11 @@
         };
         // A gang that must be in one zone: where it can be complete, with the most room now.
         let only = (one_zone && spec.is_wide_gang())
-            .then(|| gang_zone(view, supply, spec, |p| kind_ok(p) && !blocked.contains(p)))
+            .then(|| {
+                gang_zone(cluster, supply, spec, |p| {
+                    kind_ok(p) && !blocked.contains(p)
+                })
+            })
             .flatten();
         let mut next = 0;
         for _ in 0..d.tasks {
@@ -210,14 +229,14 @@
                 let Some(s) = supply.get(next) else {
                     break None;
                 };
-                let here = s.machine.and_then(|m| Some((m, view.machine(m)?)));
+                let here = s.machine.and_then(|m| Some((m, cluster.machine(m)?)));
                 let good = spec.need.fits(s.free)
                     && ok(&s.pool, &per_zone)
-                    && !(dear(&s.pool) && whole(view, s))
-                    && !alone(&s.pool, whole(view, s))
-                    && here
-                        .zip(job)
-                        .is_none_or(|((mix, m), (ix, j))| plan::allowed(view, j, ix, spec, mix, m));
+                    && !(dear(&s.pool) && whole(cluster, s))
+                    && !alone(&s.pool, whole(cluster, s))
+                    && here.zip(job).is_none_or(|((mix, m), (ix, j))| {
+                        plan::allowed(cluster, j, ix, spec, mix, m)
+                    });
                 if good {
                     break supply.get_mut(next);
                 }
@@ -229,19 +248,19 @@
                 out.needed.extend(s.machine);
                 continue;
             }
-            let Some(pool) = cheapest(view, &spec.need, d.tasks, |p| {
+            let Some(pool) = cheapest(cluster, &spec.need, d.tasks, |p| {
                 ok(p, &per_zone) && !blocked.contains(p) && !alone(p, true) && !dear(p)
             }) else {
                 break;
             };
-            let Some(rig) = view.rigs.get(&pool.rig) else {
+            let Some(machine_type) = cluster.machine_types.get(&pool.machine_type) else {
                 break;
             };
             *out.rent.entry(pool).or_default() += 1;
             *per_zone.entry(pool.zone).or_default() += 1;
             supply.push(Supply {
                 pool,
-                free: rig.room.minus(spec.need),
+                free: machine_type.room.minus(spec.need),
                 machine: None,
             });
         }
@@ -251,12 +270,12 @@
 
 /// The zone for a gang that must be in one.
 fn gang_zone(
-    view: &View,
+    cluster: &ClusterState,
     supply: &[Supply],
     spec: &Spec,
     open: impl Fn(&Pool) -> bool,
 ) -> Option<ZoneIx> {
-    let zones = (0..view.zone_names.len()).map(ZoneIx::new);
+    let zones = (0..cluster.zone_names.len()).map(ZoneIx::new);
     zones
         .filter(|z| spec.zone.is_none_or(|only| only == *z))
         .max_by_key(|z| {
@@ -266,10 +285,10 @@
                     s.pool.zone == *z && (spec.wire.spot || !s.pool.spot) && spec.need.fits(s.free)
                 })
                 .count() as u32;
-            let more = view.rigs.keys().any(|rig| {
+            let more = cluster.machine_types.keys().any(|machine_type| {
                 [false, true].into_iter().any(|spot| {
                     open(&Pool {
-                        rig: *rig,
+                        machine_type: *machine_type,
                         zone: *z,
                         spot,
                     })
@@ -279,35 +298,43 @@
         })
 }
 
-fn whole(view: &View, s: &Supply) -> bool {
-    view.rigs.get(&s.pool.rig).is_some_and(|r| r.room == s.free)
+fn whole(cluster: &ClusterState, s: &Supply) -> bool {
+    cluster
+        .machine_types
+        .get(&s.pool.machine_type)
+        .is_some_and(|r| r.room == s.free)
 }
 
 /// The pool with the least cost for a task; boot time counts a little.
-fn cheapest(view: &View, need: &Res, tasks: u32, ok: impl Fn(&Pool) -> bool) -> Option<Pool> {
+fn cheapest(
+    cluster: &ClusterState,
+    need: &Resources,
+    tasks: u32,
+    ok: impl Fn(&Pool) -> bool,
+) -> Option<Pool> {
     let mut best: Option<(f64, Pool)> = None;
-    let mut rigs: Vec<_> = view.rigs.iter().collect();
-    rigs.sort_by_key(|(ix, _)| **ix);
-    for (ix, rig) in rigs {
-        if !need.fits(rig.room) {
+    let mut machine_types: Vec<_> = cluster.machine_types.iter().collect();
+    machine_types.sort_by_key(|(ix, _)| **ix);
+    for (ix, machine_type) in machine_types {
+        if !need.fits(machine_type.room) {
             continue;
         }
         let mut fit = 0u32;
-        let mut left = rig.room;
+        let mut left = machine_type.room;
         while fit < tasks.max(1) && need.fits(left) && fit < 64 {
             left = left.minus(*need);
             fit += 1;
         }
         // What a task leaves free is used by others more often than not.
-        let share = need.share_of(rig.room) * f64::from(fit);
+        let share = need.share_of(machine_type.room) * f64::from(fit);
         let used = share.clamp(0.5, 1.0) * 0.5 + share.min(1.0) * 0.5;
-        for zone in &rig.flavor.zones {
-            let Some(zone) = view.zone_names.find(zone) else {
+        for zone in &machine_type.flavor.zones {
+            let Some(zone) = cluster.zone_names.find(zone) else {
                 continue;
             };
             for spot in [false, true] {
                 let pool = Pool {
-                    rig: *ix,
+                    machine_type: *ix,
                     zone,
                     spot,
                 };
@@ -315,11 +342,12 @@
                     continue;
                 }
                 let price = if spot {
-                    rig.flavor.spot_price
+                    machine_type.flavor.spot_price
                 } else {
-                    rig.flavor.price
+                    machine_type.flavor.price
                 };
-                let cost = price * used / f64::from(fit.max(1)) * (1.0 + rig.flavor.boot_s / 300.0);
+                let cost = price * used / f64::from(fit.max(1))
+                    * (1.0 + machine_type.flavor.boot_s / 300.0);
                 // Equal pools share the load between zones.
                 let cost = cost * (1.0 + fastrand::f64() * 0.02);
                 if best.as_ref().is_none_or(|(c, _)| cost < *c) {
@@ -332,22 +360,27 @@
 }
 
 /// Everything rented, as supply for what waits.
-pub fn supply(view: &View, list: &HashMap<String, Listed>, silent_ms: u64, now: Ms) -> Vec<Supply> {
-    let free = plan::free_room(view, &Draft::default());
-    let booked: HashSet<&str> = view
+pub fn supply(
+    cluster: &ClusterState,
+    list: &HashMap<String, Listed>,
+    silent_ms: u64,
+    now: Ms,
+) -> Vec<Supply> {
+    let free = plan::free_room(cluster, &DraftTransaction::default());
+    let booked: HashSet<&str> = cluster
         .bookings
         .values()
         .flat_map(|b| b.rec.hosts.iter().map(String::as_str))
         .collect();
     let mut out = Vec::new();
-    for (mix, m) in view.all_machines() {
+    for (mix, m) in cluster.all_machines() {
         let name = &*m.name;
         let listed = list.get(name);
         let up = m.takes(now, silent_ms);
         // One that is long overdue may never come up: what waits is not to wait for it.
-        let boot_ms = view
-            .rigs
-            .get(&m.rig)
+        let boot_ms = cluster
+            .machine_types
+            .get(&m.machine_type)
             .map_or(0, |r| ms_of(r.flavor.boot_s * OVERDUE));
         let coming = m.heard.is_none()
             && now.since(m.known) < boot_ms
@@ -359,7 +392,7 @@
         if let Some(free) = free.get(mix) {
             out.push(Supply {
                 pool: Pool {
-                    rig: m.rig,
+                    machine_type: m.machine_type,
                     zone: m.zone,
                     spot: m.spot,
                 },
@@ -369,20 +402,20 @@
         }
     }
     // Bookings without an answer may have rented what they ask for.
-    for b in view.bookings.values().filter(|b| b.rec.hosts.is_empty()) {
-        let (Some(rig), Some(zone)) = (
-            view.rig_names.find(&b.rec.rig),
-            view.zone_names.find(&b.rec.zone),
+    for b in cluster.bookings.values().filter(|b| b.rec.hosts.is_empty()) {
+        let (Some(machine_type), Some(zone)) = (
+            cluster.machine_type_names.find(&b.rec.machine_type),
+            cluster.zone_names.find(&b.rec.zone),
         ) else {
             continue;
         };
-        let Some(r) = view.rigs.get(&rig) else {
+        let Some(r) = cluster.machine_types.get(&machine_type) else {
             continue;
         };
         for _ in 0..b.rec.count {
             out.push(Supply {
                 pool: Pool {
-                    rig,
+                    machine_type,
                     zone,
                     spot: b.rec.spot,
                 },
--- a/src/coordination/renting/list.rs
+++ b/src/coordination/renting/list.rs
@@ -1,8 +1,8 @@
 //! The cloud's list of machines, read page by page.
 
-use super::{Desk, CALL_MS};
+use super::{RentingDuty, CALL_MS};
 use crate::bookkeeping::units::Ms;
-use crate::coordination::node::{Node, Outside};
+use crate::coordination::node::{ExternalService, Node};
 use crate::protocol::cloud::{HostList, Listed};
 use http_types::Method;
 use std::rc::Rc;
@@ -49,35 +49,35 @@
 }
 
 /// Reads pages of the machine list as far as the cloud's limit lets it.
-pub(super) async fn read_list(node: &Rc<Node>, desk: &mut Desk) {
+pub(super) async fn read_list(node: &Rc<Node>, duty: &mut RentingDuty) {
     let list = loop {
         let now = node.now();
-        if !desk.pace.take(now, 0.0) {
+        if !duty.pace.take(now, 0.0) {
             return;
         }
-        let Some(page) = read_page(node, desk.pages.next(now)).await else {
-            desk.list_due = node.now().plus(500);
+        let Some(page) = read_page(node, duty.pages.next(now)).await else {
+            duty.list_due = node.now().plus(500);
             return;
         };
-        if let Some(list) = desk.pages.take(page) {
+        if let Some(list) = duty.pages.take(page) {
             break list;
         }
     };
     let now = node.now();
     let pages = list.len() / PAGE + 1;
-    desk.list_due = now.plus(list_every_ms(node.platform.settings.cloud.rps, pages));
-    desk.listed_at = Some(now);
-    let mut view = node.view.borrow_mut();
+    duty.list_due = now.plus(list_every_ms(node.platform.settings.cloud.rps, pages));
+    duty.listed_at = Some(now);
+    let mut cluster = node.cluster.borrow_mut();
     for h in &list {
-        if let Some(mix) = view.learn_machine(&h.name, &h.rig, &h.zone, h.spot, now) {
-            if let Some(m) = view.machine_mut(mix).filter(|m| m.addr.is_empty()) {
+        if let Some(mix) = cluster.learn_machine(&h.name, &h.machine_type, &h.zone, h.spot, now) {
+            if let Some(m) = cluster.machine_mut(mix).filter(|m| m.addr.is_empty()) {
                 m.addr.clone_from(&h.addr);
             }
         }
     }
-    desk.listed = list.into_iter().map(|h| (h.name.clone(), h)).collect();
-    desk.released
-        .retain(|n, t| desk.listed.contains_key(n) || now.since(*t) < STALE_MS);
+    duty.listed = list.into_iter().map(|h| (h.name.clone(), h)).collect();
+    duty.released
+        .retain(|n, t| duty.listed.contains_key(n) || now.since(*t) < STALE_MS);
 }
 
 async fn read_page(node: &Rc<Node>, from: &str) -> Option<HostList> {
@@ -85,18 +85,18 @@
     let answer = node.cloud.call(Method::Get, &path, Vec::new(), CALL_MS);
     match answer.await {
         Ok(f) if f.status == 200 => {
-            node.note_served(Outside::Cloud, true);
+            node.note_served(ExternalService::Cloud, true);
             rmp_serde::from_slice(&f.body).ok()
         }
         Ok(f) => {
             log::debug!("machine list refused with {}", f.status);
             // 429 is our own haste, not the cloud's trouble.
-            node.note_served(Outside::Cloud, f.status == 429);
+            node.note_served(ExternalService::Cloud, f.status == 429);
             None
         }
         Err(e) => {
             log::debug!("machine list: {e}");
-            node.note_served(Outside::Cloud, false);
+            node.note_served(ExternalService::Cloud, false);
             node.cloud.reset();
             None
         }
--- a/src/coordination/renting/mod.rs
+++ b/src/coordination/renting/mod.rs
@@ -1,10 +1,10 @@
 //! Renting and returning machines: one duty with one fenced owner.
 
+use crate::bookkeeping::cluster_state::ROOT;
 use crate::bookkeeping::names::{Index, MachineIx};
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::bookkeeping::view::ROOT;
 use crate::coordination::node::Node;
-use crate::coordination::pace::Pace;
+use crate::coordination::rate_limiter::RateLimiter;
 use crate::coordination::store::{set, Outcome};
 use crate::protocol::cloud::{Flavors, Listed};
 use crate::protocol::state::{Condition, Transaction};
@@ -35,8 +35,8 @@
 const AT_ONCE: usize = 4;
 
 /// What the duty remembers between turns; lost at a change of owner, which only costs time.
-struct Desk {
-    pace: Pace,
+struct RentingDuty {
+    pace: RateLimiter,
     pages: Pages,
     listed: HashMap<String, Listed>,
     listed_at: Option<Ms>,
@@ -52,10 +52,10 @@
     needed: HashSet<MachineIx>,
 }
 
-impl Desk {
-    fn new(rps: f64, token: u64, owner_since: Option<Ms>) -> Desk {
-        Desk {
-            pace: Pace::new(rps),
+impl RentingDuty {
+    fn new(rps: f64, token: u64, owner_since: Option<Ms>) -> RentingDuty {
+        RentingDuty {
+            pace: RateLimiter::new(rps),
             pages: Pages::default(),
             listed: HashMap::new(),
             listed_at: None,
@@ -75,45 +75,45 @@
 /// Duty: rents and returns machines while this node owns the renting shard.
 pub async fn run(node: Rc<Node>) {
     let rps = node.platform.settings.cloud.rps;
-    let mut desk = Desk::new(rps, 0, None);
+    let mut duty = RentingDuty::new(rps, 0, None);
     loop {
-        let idle = desk.owner_since.is_none() && {
-            let view = node.view.borrow();
-            view.loaded && !view.rigs.is_empty() && view.flavors_version > 0
+        let idle = duty.owner_since.is_none() && {
+            let cluster = node.cluster.borrow();
+            cluster.loaded && !cluster.machine_types.is_empty() && cluster.flavors_version > 0
         };
         if idle {
             node.beat(OTHERS_MS, Some(&node.rent)).await;
         } else {
             node.pause(TICK_MS).await;
         }
-        if !node.view.borrow().loaded {
+        if !node.cluster.borrow().loaded {
             continue;
         }
         learn_flavors(&node).await;
         let token = {
-            let view = node.view.borrow();
-            let shard = view.renting();
-            node.rules
-                .owns(&view, shard)
-                .then(|| view.shards[shard.at()].rec.token)
+            let cluster = node.cluster.borrow();
+            let shard = cluster.renting();
+            node.config
+                .owns(&cluster, shard)
+                .then(|| cluster.shards[shard.at()].rec.token)
         };
         let Some(token) = token else {
-            desk.owner_since = None;
+            duty.owner_since = None;
             continue;
         };
         let now = node.now();
-        if desk.owner_since.is_none() || desk.token != token {
-            desk = Desk::new(rps, token, Some(now));
+        if duty.owner_since.is_none() || duty.token != token {
+            duty = RentingDuty::new(rps, token, Some(now));
         }
-        turn(&node, &mut desk).await;
+        turn(&node, &mut duty).await;
     }
 }
 
 /// Machine types: from the state service, or from the cloud, then shared through the state service.
 async fn learn_flavors(node: &Rc<Node>) {
     let (known, version) = {
-        let view = node.view.borrow();
-        (!view.rigs.is_empty(), view.flavors_version)
+        let cluster = node.cluster.borrow();
+        (!cluster.machine_types.is_empty(), cluster.flavors_version)
     };
     if known && version > 0 {
         return;
@@ -132,7 +132,7 @@
     if f.status != 200 || flavors.types.is_empty() {
         return;
     }
-    node.view.borrow_mut().set_flavors(&flavors);
+    node.cluster.borrow_mut().set_flavors(&flavors);
     let key = format!("{ROOT}flavors/all");
     let txn = Transaction {
         conditions: vec![Condition {
@@ -142,13 +142,13 @@
         writes: set(key, &flavors, None).into_iter().collect(),
     };
     if let Outcome::Done(r) = node.commit(&txn).await {
-        node.view.borrow_mut().flavors_version = r;
+        node.cluster.borrow_mut().flavors_version = r;
     } else {
         node.refreshed(1500).await;
     }
 }
 
-async fn turn(node: &Rc<Node>, desk: &mut Desk) {
+async fn turn(node: &Rc<Node>, duty: &mut RentingDuty) {
     if !node.store_ok() {
         // Whether the duty is still ours can't be known, and nothing could be recorded.
         return;
@@ -156,11 +156,11 @@
     let s = &node.platform.settings;
     let lag_ms = ms_of(s.cloud.list_lag_s);
     let now = node.now();
-    if now >= desk.list_due {
-        read_list(node, desk).await;
+    if now >= duty.list_due {
+        read_list(node, duty).await;
     }
-    repeat_bookings(node, desk).await;
-    clear_bookings(node, desk, lag_ms).await;
-    rent(node, desk).await;
-    release(node, desk).await;
+    repeat_bookings(node, duty).await;
+    clear_bookings(node, duty, lag_ms).await;
+    rent(node, duty).await;
+    release(node, duty).await;
 }
--- a/src/coordination/renting/returns.rs
+++ b/src/coordination/renting/returns.rs
@@ -1,13 +1,13 @@
 //! Which machines go back, and when.
 
-use super::{Desk, CALL_MS};
+use super::{RentingDuty, CALL_MS};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::names::{Index, MachineIx, ZoneIx};
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::bookkeeping::view::View;
 use crate::coordination::node::Node;
-use crate::coordination::plan::Rules;
-use crate::coordination::siblings;
+use crate::coordination::peer_messages;
+use crate::coordination::plan::SchedulerConfig;
 use crate::protocol::cloud::{Hosts, Listed};
 use crate::protocol::peers::{Ask, Reply};
 use http_types::Method;
@@ -53,9 +53,9 @@
     }
     /// The limit of a machine. After a change of owner it may still talk to the old one, who
     /// does not know: until the new token has reached it, its silence here proves little.
-    pub fn of(&self, view: &View, rules: &Rules, m: &Machine) -> u64 {
-        let token = view.shards[m.shard.at()].rec.token;
-        let sure = if rules.owns(view, m.shard) {
+    pub fn of(&self, cluster: &ClusterState, config: &SchedulerConfig, m: &Machine) -> u64 {
+        let token = cluster.shards[m.shard.at()].rec.token;
+        let sure = if config.owns(cluster, m.shard) {
             m.token == token
         } else {
             m.sure
@@ -69,9 +69,13 @@
 }
 
 /// Machines to be released now, with the reason.
-fn to_release(node: &Node, desk: &Desk, now: Ms) -> (Vec<(String, &'static str)>, Vec<String>) {
+fn to_release(
+    node: &Node,
+    duty: &RentingDuty,
+    now: Ms,
+) -> (Vec<(String, &'static str)>, Vec<String>) {
     let s = &node.platform.settings;
-    let view = node.view.borrow();
+    let cluster = node.cluster.borrow();
     let lease_ms = ms_of(s.workers.lease_s);
     let limits = Silence {
         sure_ms: ms_of(s.workers.report_s * 4.0) + 4000,
@@ -80,23 +84,26 @@
     let idle_ms = ms_of(node.operator.idle_return_s);
     // By how long its owner, who must have told lately, has waited for it for too long.
     let overdue = |m: &Machine| {
-        let owner_here = node.rules.owns(&view, m.shard);
-        let peer = view.live_owner(m.shard).and_then(|o| node.peer(o));
+        let owner_here = node.config.owns(&cluster, m.shard);
+        let peer = cluster.live_owner(m.shard).and_then(|o| node.peer(o));
         let told = peer.is_some_and(|p| p.heard.get().is_some_and(|t| now.since(t) < 3000));
         let base = if owner_here {
             node.listened_since(m.shard)
         } else {
-            desk.owner_since.max(node.woke.get())
+            duty.owner_since.max(node.woke.get())
         };
-        let waited = siblings::silence(m.heard, m.known, base, now);
-        let over = waited.checked_sub(limits.of(&view, &node.rules, m))?;
+        let waited = peer_messages::silence(m.heard, m.known, base, now);
+        let over = waited.checked_sub(limits.of(&cluster, &node.config, m))?;
         (owner_here || told).then_some(over)
     };
     let mut by_zone: HashMap<ZoneIx, (u32, u32)> = HashMap::new();
-    for (_, m) in view.all_machines().filter(|(_, m)| m.heard.is_some()) {
+    for (_, m) in cluster.all_machines().filter(|(_, m)| m.heard.is_some()) {
         let (all, silent) = by_zone.entry(m.zone).or_default();
         *all += 1;
-        *silent += u32::from(m.heard.is_some_and(|h| now.since(h) > node.rules.silent_ms));
+        *silent += u32::from(
+            m.heard
+                .is_some_and(|h| now.since(h) > node.config.silent_ms),
+        );
     }
     let cut = cut_zones(&by_zone);
     let silent = |m: &Machine| {
@@ -107,20 +114,23 @@
         };
         overdue(m).is_some_and(|over| over > more)
     };
-    let asked = |n: &str, ms: u64| desk.released.get(n).is_some_and(|t| now.since(*t) < ms);
+    let asked = |n: &str, ms: u64| duty.released.get(n).is_some_and(|t| now.since(*t) < ms);
     let mut dead = Vec::new();
     let mut idle = Vec::new();
-    for h in desk.listed.values() {
+    for h in duty.listed.values() {
         if asked(&h.name, 5000) {
             continue;
         }
-        let mix = view.machine_names.find(&h.name);
-        let m: Option<&Machine> = mix.and_then(|m| view.machine(m));
+        let mix = cluster.machine_names.find(&h.name);
+        let m: Option<&Machine> = mix.and_then(|m| cluster.machine(m));
         // A list may show a deleted machine for some time.
         let (Some(mix), Some(m)) = (mix, m) else {
             continue;
         };
-        let boot = view.rigs.get(&m.rig).map_or(60.0, |r| r.flavor.boot_s);
+        let boot = cluster
+            .machine_types
+            .get(&m.machine_type)
+            .map_or(60.0, |r| r.flavor.boot_s);
         if h.status == "failed" {
             dead.push((h.name.clone(), "failed"));
         } else if m.sick {
@@ -131,26 +141,26 @@
             }
         } else if silent(m) {
             dead.push((h.name.clone(), "silent"));
-        } else if m.is_closed() && view.placed_on(mix).is_empty() {
+        } else if m.is_closed() && cluster.placed_on(mix).is_empty() {
             // It takes nothing any more, whatever became of its first release.
             idle.push(h.name.clone());
-        } else if view.placed_on(mix).is_empty()
+        } else if cluster.placed_on(mix).is_empty()
             && m.heard.is_some()
-            && !desk.needed.contains(&mix)
+            && !duty.needed.contains(&mix)
             && m.idle_since.is_some_and(|t| now.since(t) > idle_ms)
             && m.held.is_none_or(|(_, until)| now > until)
         {
             idle.push(h.name.clone());
         }
     }
-    let unheard = |mix: MachineIx| match view.machine(mix) {
+    let unheard = |mix: MachineIx| match cluster.machine(mix) {
         Some(m) => silent(m),
         // Nobody has told of it since this duty began here.
-        None => desk
+        None => duty
             .owner_since
             .is_some_and(|t| now.since(t) > limits.unsure()),
     };
-    let lost = lost(&view, &desk.listed, unheard).into_iter();
+    let lost = lost(&cluster, &duty.listed, unheard).into_iter();
     dead.extend(lost.filter(|n| !asked(n, 5000)).map(|n| (n, "lost")));
     dead.sort();
     idle.sort();
@@ -162,22 +172,23 @@
 /// The cloud took them while no owner lived that had heard them: nothing else proves their
 /// tasks gone, and their jobs would wait for ever. Deleting an unknown name is answered too.
 pub fn lost(
-    view: &View,
+    cluster: &ClusterState,
     listed: &HashMap<String, Listed>,
     silent: impl Fn(MachineIx) -> bool,
 ) -> Vec<String> {
-    let names = &view.machine_names;
-    view.occupied()
-        .filter(|m| !view.is_gone(*m) && !listed.contains_key(&**names.name(*m)) && silent(*m))
+    let names = &cluster.machine_names;
+    cluster
+        .occupied()
+        .filter(|m| !cluster.is_gone(*m) && !listed.contains_key(&**names.name(*m)) && silent(*m))
         .map(|m| names.name(m).to_string())
         .collect()
 }
 
 fn note_idle(node: &Node, now: Ms) {
-    let mut view = node.view.borrow_mut();
-    for mix in (0..view.machines.len()).map(MachineIx::new) {
-        let placed = !view.placed_on(mix).is_empty();
-        let Some(m) = view.machine_mut(mix) else {
+    let mut cluster = node.cluster.borrow_mut();
+    for mix in (0..cluster.machines.len()).map(MachineIx::new) {
+        let placed = !cluster.placed_on(mix).is_empty();
+        let Some(m) = cluster.machine_mut(mix) else {
             continue;
         };
         let busy = placed || !m.queue.is_empty() || m.queued_elsewhere > 0;
@@ -188,23 +199,23 @@
     }
 }
 
-pub(super) async fn release(node: &Rc<Node>, desk: &mut Desk) {
+pub(super) async fn release(node: &Rc<Node>, duty: &mut RentingDuty) {
     let now = node.now();
     note_idle(node, now);
     // Just after a change of owner little is known yet.
-    if desk.owner_since.is_none_or(|t| now.since(t) < 3000) {
+    if duty.owner_since.is_none_or(|t| now.since(t) < 3000) {
         return;
     }
-    let (dead, idle) = to_release(node, desk, now);
-    desk.returns_due = !dead.is_empty() || !idle.is_empty();
-    if !desk.returns_due {
+    let (dead, idle) = to_release(node, duty, now);
+    duty.returns_due = !dead.is_empty() || !idle.is_empty();
+    if !duty.returns_due {
         return;
     }
     // Nothing fences a release but this: an owner that was cut off from the state service
     // would go on returning machines that others have long put to use.
     let still = node.refreshed(1500).await && {
-        let view = node.view.borrow();
-        node.rules.owns(&view, view.renting())
+        let cluster = node.cluster.borrow();
+        node.config.owns(&cluster, cluster.renting())
     };
     if !still {
         log::debug!("nothing is returned: not surely in charge");
@@ -214,7 +225,7 @@
     let closed = closed.into_iter().map(|n| (n, "idle"));
     let returned: Vec<(String, &str)> = dead.into_iter().chain(closed).take(RETURNS).collect();
     let names: Vec<String> = returned.iter().map(|(n, _)| n.clone()).collect();
-    if names.is_empty() || !desk.pace.take(node.now(), 0.0) {
+    if names.is_empty() || !duty.pace.take(node.now(), 0.0) {
         return;
     }
     for (n, why) in &returned {
@@ -230,12 +241,12 @@
         .call(Method::Post, "/hosts/release", body, CALL_MS)
         .await;
     for n in &names {
-        desk.released.insert(n.clone(), node.now());
+        duty.released.insert(n.clone(), node.now());
     }
     match answer {
         Ok(f) if f.status == 200 => {
             // The only proof there is for a machine that does not talk any more.
-            siblings::gone(node, &names);
+            peer_messages::gone(node, &names);
             for p in &node.peers {
                 let ask = Ask::Gone {
                     machines: names.clone(),
@@ -255,19 +266,22 @@
 async fn close_idle(node: &Rc<Node>, idle: &[String]) -> Vec<String> {
     let mut by_owner: HashMap<String, Vec<String>> = HashMap::new();
     {
-        let view = node.view.borrow();
+        let cluster = node.cluster.borrow();
         for n in idle {
-            let m = view.machine_names.find(n).and_then(|m| view.machine(m));
+            let m = cluster
+                .machine_names
+                .find(n)
+                .and_then(|m| cluster.machine(m));
             if let Some(m) = m {
-                let owner = view.shards[m.shard.at()].rec.owner.clone();
+                let owner = cluster.shards[m.shard.at()].rec.owner.clone();
                 by_owner.entry(owner).or_default().push(n.clone());
             }
         }
     }
     let mut out = Vec::new();
     for (owner, machines) in by_owner {
-        if owner == node.rules.node {
-            out.extend(siblings::close(node, &machines));
+        if owner == node.config.node {
+            out.extend(peer_messages::close(node, &machines));
         } else if let Some(p) = node.peer(&owner) {
             if let Ok(Reply::Closed(c)) = p.client.ask(&Ask::Close { machines }, 800).await {
                 out.extend(c);
