--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -1,11 +1,11 @@
 //! Workers' reports.
 
 use super::node::Node;
-use super::plan::{self, Rules};
+use super::plan::{self, SchedulerConfig};
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen, Stamp};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::bookkeeping::view::View;
 use crate::protocol::workers::{split_task, Elsewhere, Report, ReportAnswer, TaskState, Why};
 use crate::transport::http::Answer;
 use std::rc::Rc;
@@ -29,13 +29,13 @@
         return Answer::bare(400);
     };
     node.heard_worker();
-    if !node.view.borrow().loaded {
+    if !node.cluster.borrow().loaded {
         return Answer::later(1);
     }
     let lease_ms = ms_of(node.platform.settings.workers.lease_s);
     let received = {
-        let mut view = node.view.borrow_mut();
-        receive(&mut view, &node.rules, &report, lease_ms, node.now())
+        let mut cluster = node.cluster.borrow_mut();
+        receive(&mut cluster, &node.config, &report, lease_ms, node.now())
     };
     let (mix, token, taken) = match received {
         Received::Elsewhere(owner) => return elsewhere(owner),
@@ -43,7 +43,7 @@
     };
     if taken == Taken::News {
         let answering = |by: i32| {
-            if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
+            if let Some(m) = node.cluster.borrow_mut().machine_mut(mix) {
                 m.answering = m.answering.saturating_add_signed(by);
             }
         };
@@ -51,19 +51,31 @@
         node.plan.turn(PLAN_MS).await;
         answering(-1);
     }
-    let mut view = node.view.borrow_mut();
+    let mut cluster = node.cluster.borrow_mut();
     let now = node.now();
-    match reply(&mut view, &node.rules, &report, (mix, token, taken), now) {
+    match reply(
+        &mut cluster,
+        &node.config,
+        &report,
+        (mix, token, taken),
+        now,
+    ) {
         Some(answer) => Answer::of(200, &answer),
         None => elsewhere(None),
     }
 }
 
 /// True if this answer would renew the lease of a machine with tasks although some of them may
-/// have been cancelled too long ago, see [`Rules::may_renew`]. One without tasks loses nothing.
-fn outdated(view: &View, rules: &Rules, report: &Report, mix: MachineIx, now: Ms) -> bool {
+/// have been cancelled too long ago, see [`SchedulerConfig::may_renew`]. One without tasks loses nothing.
+fn outdated(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    report: &Report,
+    mix: MachineIx,
+    now: Ms,
+) -> bool {
     let runs = report.tasks.iter().any(|t| t.state != TaskState::Exited);
-    (runs || !view.placed_on(mix).is_empty()) && !rules.may_renew(view, now)
+    (runs || !cluster.placed_on(mix).is_empty()) && !config.may_renew(cluster, now)
 }
 
 /// What becomes of a report.
@@ -77,21 +89,27 @@
 
 /// Takes a report if its machine is this node's.
 pub fn receive(
-    view: &mut View,
-    rules: &Rules,
+    cluster: &mut ClusterState,
+    config: &SchedulerConfig,
     report: &Report,
     lease_ms: u64,
     now: Ms,
 ) -> Received {
-    let learnt = view.learn_machine(&report.machine, &report.rig, &report.zone, report.spot, now);
-    let Some((mix, shard)) = learnt.and_then(|mix| Some((mix, view.machine(mix)?.shard))) else {
+    let learnt = cluster.learn_machine(
+        &report.machine,
+        &report.machine_type,
+        &report.zone,
+        report.spot,
+        now,
+    );
+    let Some((mix, shard)) = learnt.and_then(|mix| Some((mix, cluster.machine(mix)?.shard))) else {
         return Received::Elsewhere(None);
     };
-    if !rules.owns(view, shard) {
-        let owner = view.live_owner(shard).map(str::to_string);
-        return Received::Elsewhere(owner.filter(|o| *o != rules.node));
+    if !config.owns(cluster, shard) {
+        let owner = cluster.live_owner(shard).map(str::to_string);
+        return Received::Elsewhere(owner.filter(|o| *o != config.node));
     }
-    let token = view.shards[shard.at()].rec.token;
+    let token = cluster.shards[shard.at()].rec.token;
     if report.token > token {
         // Someone else commands this machine: stand down.
         log::info!(
@@ -101,25 +119,25 @@
         );
         return Received::Elsewhere(None);
     }
-    let taken = take(view, mix, report, now, Some((token, lease_ms)));
+    let taken = take(cluster, mix, report, now, Some((token, lease_ms)));
     Received::Taken(mix, token, taken)
 }
 
 /// The answer to a taken report; `None` if ownership went while the planner was waited for, or
 /// if too little is known of cancellations to renew the lease.
 pub fn reply(
-    view: &mut View,
-    rules: &Rules,
+    cluster: &mut ClusterState,
+    config: &SchedulerConfig,
     report: &Report,
     (mix, token, taken): (MachineIx, u64, Taken),
     now: Ms,
 ) -> Option<ReportAnswer> {
-    let m = view.machine(mix)?;
-    if !rules.owns(view, m.shard) || view.shards[m.shard.at()].rec.token != token {
+    let m = cluster.machine(mix)?;
+    if !config.owns(cluster, m.shard) || cluster.shards[m.shard.at()].rec.token != token {
         return None;
     }
-    let outdated = outdated(view, rules, report, mix, now);
-    let m = view.machine_mut(mix)?;
+    let outdated = outdated(cluster, config, report, mix, now);
+    let m = cluster.machine_mut(mix)?;
     if outdated {
         // The session will end for that, and not because nothing reaches the machine.
         m.answered_since = Some(now);
@@ -131,7 +149,7 @@
     // A late copy is not what its worker waits for: no order in this answer would arrive.
     let newest = taken != Taken::Old && m.stamp == (report.session, report.seq);
     let orders = if newest {
-        plan::orders(view, rules, mix, now)
+        plan::orders(cluster, config, mix, now)
     } else {
         Vec::new()
     };
@@ -153,7 +171,7 @@
 ///
 /// `under`: for a report, the owner's token and the workers' lease.
 pub fn take(
-    view: &mut View,
+    cluster: &mut ClusterState,
     mix: MachineIx,
     r: &Report,
     now: Ms,
@@ -165,7 +183,7 @@
         .filter_map(|t| {
             let (job, task) = split_task(&t.task)?;
             Some(Seen {
-                job: view.job(job).map(|(ix, _)| ix),
+                job: cluster.job(job).map(|(ix, _)| ix),
                 name: t.task.as_str().into(),
                 task,
                 attempt: t.attempt,
@@ -176,9 +194,9 @@
         .collect();
     let mut failed: Vec<JobIx> = Vec::new();
     let news;
-    let placed = view.placed_on(mix).to_vec();
+    let placed = cluster.placed_on(mix).to_vec();
     {
-        let Some(m) = view.machine_mut(mix) else {
+        let Some(m) = cluster.machine_mut(mix) else {
             return Taken::Old;
         };
         if (r.session, r.seq) <= m.stamp {
@@ -263,7 +281,7 @@
         }
     }
     for ix in failed {
-        let entry = view.failures.entry(ix).or_default();
+        let entry = cluster.failures.entry(ix).or_default();
         entry.0.insert(mix);
         let on = entry.0.len();
         if on >= BAD_JOB_MACHINES {
@@ -273,17 +291,17 @@
             entry.0.clear();
             log::warn!(
                 "job {} fails on different machines, next try in {wait} ms",
-                view.jobs[ix.at()].id
+                cluster.jobs[ix.at()].id
             );
         }
     }
-    for (a, grace) in plan::on_notice(view, mix) {
-        if let Some(m) = view.machine_mut(mix) {
+    for (a, grace) in plan::on_notice(cluster, mix) {
+        if let Some(m) = cluster.machine_mut(mix) {
             m.stopping.entry(a).or_insert(grace);
         }
     }
-    prune(view, mix, &placed);
-    view.recount(mix);
+    prune(cluster, mix, &placed);
+    cluster.recount(mix);
     if news {
         Taken::News
     } else {
@@ -342,8 +360,8 @@
 }
 
 /// Drops what is remembered of attempts that have no placement here any more.
-fn prune(view: &mut View, mix: MachineIx, placed: &[Attempt]) {
-    if let Some(m) = view.machine_mut(mix) {
+fn prune(cluster: &mut ClusterState, mix: MachineIx, placed: &[Attempt]) {
+    if let Some(m) = cluster.machine_mut(mix) {
         // Late starts stay: they outlive their placement.
         m.start_sent.retain(|a, _| placed.contains(a));
         m.shown.retain(|a| placed.contains(a));
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -1,12 +1,12 @@
 //! Dealings with the state service: transactions, the watch and fresh reads.
 
 use super::node::Node;
-use super::plan::Draft;
+use super::plan::DraftTransaction;
+use crate::bookkeeping::cluster_state::{ClusterState, ROOT};
 use crate::bookkeeping::job::Job;
 use crate::bookkeeping::names::{Index, JobIx};
 use crate::bookkeeping::records::PartRecord;
 use crate::bookkeeping::units::Ms;
-use crate::bookkeeping::view::{View, ROOT};
 use crate::protocol::state::{Changes, Committed, Condition, Event, Page, Transaction, Write};
 use crate::transport::http::{jittered, Fetched};
 use crate::transport::{pause, TransportError};
@@ -80,14 +80,14 @@
     }
 
     /// Commits a draft and takes it over into the view.
-    pub async fn commit_draft(&self, draft: &Draft) -> Outcome {
-        super::plan::give_up(&mut self.view.borrow_mut(), draft);
-        let txn = transaction(&self.view.borrow(), draft);
+    pub async fn commit_draft(&self, draft: &DraftTransaction) -> Outcome {
+        super::plan::give_up(&mut self.cluster.borrow_mut(), draft);
+        let txn = transaction(&self.cluster.borrow(), draft);
         let outcome = self.commit(&txn).await;
         if outcome == Outcome::Refused(400) {
             self.adapt(&txn);
         }
-        conclude(&mut self.view.borrow_mut(), draft, &outcome);
+        conclude(&mut self.cluster.borrow_mut(), draft, &outcome);
         outcome
     }
 
@@ -98,7 +98,7 @@
             Write::Remove { .. } => 0,
         };
         let largest = txn.writes.iter().map(size).max().unwrap_or(0);
-        let seen = &self.rules.limits_seen;
+        let seen = &self.config.limits_seen;
         let (before, changes) = (seen.get(), txn.writes.len());
         let after = before.refused(changes, largest);
         if after != before {
@@ -133,7 +133,7 @@
             };
             revision.get_or_insert(page.revision);
             keys += page.entries.len();
-            self.view
+            self.cluster
                 .borrow_mut()
                 .take_page(&page.entries, &mut fleeting);
             match page.entries.last() {
@@ -141,14 +141,14 @@
                 _ => break,
             }
         }
-        let mut view = self.view.borrow_mut();
-        view.end_read(&fleeting, revision.unwrap_or(0));
-        view.knowledge.read(began);
+        let mut cluster = self.cluster.borrow_mut();
+        cluster.end_read(&fleeting, revision.unwrap_or(0));
+        cluster.knowledge.read(began);
         self.current.set(Some(self.now()));
         log::info!(
             "records read: {keys} keys, {} open jobs, revision {}",
-            view.active.len(),
-            view.revision
+            cluster.active.len(),
+            cluster.revision
         );
         true
     }
@@ -159,7 +159,7 @@
         let path = format!("/keys/{ROOT}none");
         let f = self.store_call(Method::Get, &path, Vec::new()).await.ok()?;
         let now = rmp_serde::from_slice::<Committed>(&f.body).ok()?.revision;
-        Some(now.saturating_sub(self.view.borrow().revision))
+        Some(now.saturating_sub(self.cluster.borrow().revision))
     }
 
     /// One watch call; false if it did not bring the view up to date.
@@ -174,7 +174,7 @@
             }
         }
         let began = self.now();
-        let from = self.view.borrow().revision;
+        let from = self.cluster.borrow().revision;
         let path = format!("/watch?prefix={ROOT}&from={from}&wait_ms={wait_ms}");
         let answer = if wait_ms == 0 {
             self.store_call(Method::Get, &path, Vec::new()).await
@@ -197,16 +197,16 @@
                     return false;
                 };
                 {
-                    let mut view = self.view.borrow_mut();
-                    view.take_changes(from, c.revision, &c.events);
-                    view.knowledge.read(began);
+                    let mut cluster = self.cluster.borrow_mut();
+                    cluster.take_changes(from, c.revision, &c.events);
+                    cluster.knowledge.read(began);
                 }
                 if c.events.iter().any(tells_of_members) {
-                    self.members.ring();
+                    self.members.notify();
                 }
                 self.current.set(Some(self.now()));
                 if !c.events.is_empty() {
-                    self.plan.ring();
+                    self.plan.notify();
                 }
                 true
             }
@@ -232,26 +232,29 @@
 }
 
 /// The transaction of a draft: conditional on every record it changes or rests on.
-pub fn transaction(view: &View, draft: &Draft) -> Transaction {
+pub fn transaction(cluster: &ClusterState, draft: &DraftTransaction) -> Transaction {
     let mut txn = Transaction::default();
     let mut condition = |key: String, version| txn.conditions.push(Condition { key, version });
     for ix in draft.jobs.keys() {
-        let job = &view.jobs[ix.at()];
-        condition(View::job_key(&job.id), job.version);
+        let job = &cluster.jobs[ix.at()];
+        condition(ClusterState::job_key(&job.id), job.version);
     }
     for s in &draft.shards {
-        condition(view.shard_key(*s), view.shards[s.at()].version);
+        condition(cluster.shard_key(*s), cluster.shards[s.at()].version);
     }
     for t in draft.teams.keys() {
-        condition(view.team_key(*t), view.teams[t.at()].version);
+        condition(cluster.team_key(*t), cluster.teams[t.at()].version);
     }
     for (ix, job) in &draft.jobs {
-        txn.writes
-            .extend(set(View::job_key(&job.id), &view.record(job), None));
+        txn.writes.extend(set(
+            ClusterState::job_key(&job.id),
+            &cluster.record(job),
+            None,
+        ));
         // Parts change with their job's record only, whose version so stands for all of them.
-        for part in view.changed_parts(*ix, job) {
-            let key = View::part_key(&job.id, part);
-            let placements = view.stored_part(job, part);
+        for part in cluster.changed_parts(*ix, job) {
+            let key = ClusterState::part_key(&job.id, part);
+            let placements = cluster.stored_part(job, part);
             txn.writes.extend(match placements.is_empty() {
                 true => Some(Write::Remove { remove: key }),
                 false => set(key, &PartRecord { placements }, None),
@@ -259,39 +262,39 @@
         }
     }
     for (t, rec) in &draft.teams {
-        txn.writes.extend(set(view.team_key(*t), rec, None));
+        txn.writes.extend(set(cluster.team_key(*t), rec, None));
     }
     txn
 }
 
 /// Takes the outcome of a draft over into the view.
-pub fn conclude(view: &mut View, draft: &Draft, outcome: &Outcome) {
+pub fn conclude(cluster: &mut ClusterState, draft: &DraftTransaction, outcome: &Outcome) {
     match outcome {
         Outcome::Done(revision) => {
             for (ix, job) in &draft.jobs {
-                let rec = view.record(job);
-                let parts = view.changed_parts(*ix, job).into_iter();
-                let parts: Vec<_> = parts.map(|p| (p, view.stored_part(job, p))).collect();
-                view.put_job(&job.id, *revision, &rec);
+                let rec = cluster.record(job);
+                let parts = cluster.changed_parts(*ix, job).into_iter();
+                let parts: Vec<_> = parts.map(|p| (p, cluster.stored_part(job, p))).collect();
+                cluster.put_job(&job.id, *revision, &rec);
                 for (part, stored) in parts {
-                    view.put_part(&job.id, part, *revision, &stored);
+                    cluster.put_part(&job.id, part, *revision, &stored);
                 }
             }
             for (t, rec) in &draft.teams {
-                view.put_team(*t, *revision, rec.clone());
+                cluster.put_team(*t, *revision, rec.clone());
             }
         }
         // It may still be applied, until the records have other versions.
         Outcome::Unknown => {
-            let unchanged = |(ix, j): &(&JobIx, &Job)| view.jobs[ix.at()].version == j.version;
+            let unchanged = |(ix, j): &(&JobIx, &Job)| cluster.jobs[ix.at()].version == j.version;
             let doubtful: Vec<JobIx> = draft
                 .jobs
                 .iter()
                 .filter(unchanged)
                 .map(|(ix, _)| *ix)
                 .collect();
-            view.suspects.extend(doubtful);
-            view.suspect_teams.extend(draft.teams.keys());
+            cluster.suspects.extend(doubtful);
+            cluster.suspect_teams.extend(draft.teams.keys());
         }
         Outcome::Conflict(_) | Outcome::Refused(_) => {}
     }
@@ -308,7 +311,7 @@
 /// Duty: keeps the view close to the records.
 pub async fn watch(node: Rc<Node>) {
     loop {
-        let loaded = node.view.borrow().loaded;
+        let loaded = node.cluster.borrow().loaded;
         let ok = if loaded {
             node.watch_once(WATCH_MS).await
         } else {
@@ -329,7 +332,7 @@
     let apart_ms = nodes * 1000.0 / (node.platform.settings.state.rps * READS_PART);
     let mut began = Ms(0);
     loop {
-        node.fresh.rung(60_000).await;
+        node.fresh.notified(60_000).await;
         let left = (apart_ms as u64).saturating_sub(node.now().since(began));
         if left > 0 {
             pause(left).await;
@@ -342,7 +345,7 @@
         let mut ok = false;
         // Over the limit a read is refused; the next moment's may not be.
         for _ in 0..3 {
-            ok = node.view.borrow().loaded && node.watch_once(0).await;
+            ok = node.cluster.borrow().loaded && node.watch_once(0).await;
             if ok {
                 break;
             }
--- a/src/coordination/reach.rs
+++ b/src/coordination/worker_connectivity.rs
@@ -1,11 +1,11 @@
 //! Reaching workers directly: showing tokens, asking whether they hear this node, and it them.
 
 use super::node::Node;
-use super::plan::Rules;
+use super::plan::SchedulerConfig;
+use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::names::{Index, MachineIx, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::bookkeeping::view::View;
 use crate::protocol::workers::{Commands, Report};
 use crate::transport::http::{Client, Fetched};
 use http_types::Method;
@@ -25,12 +25,12 @@
     loop {
         node.beat(POKE_MS, None).await;
         let now = node.now();
-        let quiet = node.rules.silent_ms;
+        let quiet = node.config.silent_ms;
         let own = |s: ShardIx| {
             let for_ms = now.since(node.owned_since.borrow().get(&s).copied()?);
             (for_ms > quiet / 2 && for_ms < POKED_MS).then_some(())
         };
-        let targets = behind(&node.view.borrow(), &node.rules, &mut tried, now, own);
+        let targets = behind(&node.cluster.borrow(), &node.config, &mut tried, now, own);
         for (mix, addr, token) in targets {
             if !node.spawn_direct(raise_token(addr, token)) {
                 break;
@@ -38,7 +38,7 @@
             tried.insert(mix, now);
         }
         listen_out(&node);
-        let deaf = unheard(&mut node.view.borrow_mut(), &node.rules, lease_ms, now);
+        let deaf = unheard(&mut node.cluster.borrow_mut(), &node.config, lease_ms, now);
         for (mix, addr) in deaf {
             if !node.spawn_direct(probe(node.clone(), mix, addr)) {
                 break;
@@ -50,12 +50,12 @@
 /// Asks a few workers for an answer if none has been heard for a while.
 fn listen_out(node: &Rc<Node>) {
     let now = node.now();
-    if !node.ear.get().doubts(now) {
+    if !node.worker_contact.get().doubts(now) {
         return;
     }
     let addrs: Vec<String> = {
-        let view = node.view.borrow();
-        let up = view
+        let cluster = node.cluster.borrow();
+        let up = cluster
             .all_machines()
             .filter(|(_, m)| !m.addr.is_empty() && m.heard.is_some());
         let some = fastrand::choose_multiple(up, LISTEN_TO);
@@ -87,24 +87,25 @@
 /// Owned machines that have not shown their owner's token, those first that were tried least
 /// lately: dozens of unreachable ones hold back none of the rest.
 pub fn behind(
-    view: &View,
-    rules: &Rules,
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
     tried: &mut HashMap<MachineIx, Ms>,
     now: Ms,
     own: impl Fn(ShardIx) -> Option<()>,
 ) -> Vec<(MachineIx, String, u64)> {
-    let due: Vec<bool> = rules
-        .owned(view)
+    let due: Vec<bool> = config
+        .owned(cluster)
         .into_iter()
         .enumerate()
         .map(|(s, owned)| owned && own(ShardIx::new(s)).is_some())
         .collect();
-    let token = |m: &Machine| view.shards[m.shard.at()].rec.token;
+    let token = |m: &Machine| cluster.shards[m.shard.at()].rec.token;
     tried.retain(|mix, _| {
-        view.machine(*mix)
+        cluster
+            .machine(*mix)
             .is_some_and(|m| due[m.shard.at()] && m.token < token(m))
     });
-    let mut out: Vec<(Option<Ms>, MachineIx, &Machine)> = view
+    let mut out: Vec<(Option<Ms>, MachineIx, &Machine)> = cluster
         .all_machines()
         .filter(|(_, m)| due[m.shard.at()] && m.token < token(m) && !m.addr.is_empty())
         .map(|(mix, m)| (tried.get(&mix).copied(), mix, m))
@@ -118,11 +119,18 @@
 
 /// Owned machines that seem to hear nothing, to be asked whether they do after all. One that
 /// stays so for a lease counts as faulty, and so is returned.
-pub fn unheard(view: &mut View, rules: &Rules, lease_ms: u64, now: Ms) -> Vec<(MachineIx, String)> {
+pub fn unheard(
+    cluster: &mut ClusterState,
+    config: &SchedulerConfig,
+    lease_ms: u64,
+    now: Ms,
+) -> Vec<(MachineIx, String)> {
     let mut out = Vec::new();
-    for mix in (0..view.machines.len()).map(MachineIx::new) {
-        let owned = view.machine(mix).is_some_and(|m| rules.owns(view, m.shard));
-        let Some(m) = view.machine_mut(mix).filter(|_| owned) else {
+    for mix in (0..cluster.machines.len()).map(MachineIx::new) {
+        let owned = cluster
+            .machine(mix)
+            .is_some_and(|m| config.owns(cluster, m.shard));
+        let Some(m) = cluster.machine_mut(mix).filter(|_| owned) else {
             continue;
         };
         let Some(since) = m.deaf else { continue };
@@ -149,7 +157,7 @@
     if status(&addr).await.is_none_or(|(f, _)| f.status != 200) {
         return;
     }
-    if let Some(m) = node.view.borrow_mut().machine_mut(mix) {
+    if let Some(m) = node.cluster.borrow_mut().machine_mut(mix) {
         log::info!("machine {} is reached again", m.name);
         m.reached(node.now());
     }
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -49,7 +49,8 @@
     #[serde(rename = "booking")]
     pub request: String,
     /// Machine type.
-    pub rig: String,
+    #[serde(rename = "rig")]
+    pub machine_type: String,
     /// Zone.
     #[serde(rename = "yard")]
     pub zone: String,
@@ -77,7 +78,8 @@
     #[serde(rename = "endpoint", default)]
     pub addr: String,
     /// Type.
-    pub rig: String,
+    #[serde(rename = "rig")]
+    pub machine_type: String,
     /// Zone.
     #[serde(rename = "yard")]
     pub zone: String,
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -36,7 +36,7 @@
     /// Worker's address.
     pub addr: String,
     /// Type.
-    pub rig: String,
+    pub machine_type: String,
     /// Zone.
     pub zone: String,
     /// Spot.
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -85,7 +85,7 @@
     pub addr: String,
     /// Machine type.
     #[serde(rename = "rig")]
-    pub rig: String,
+    pub machine_type: String,
     /// Zone.
     #[serde(rename = "yard")]
     pub zone: String,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 with MessagePack bodies, server and client.
 
-use super::lanes::Lanes;
-use super::opened::Opened;
+use super::executor_priorities::Lanes;
+use super::request_reading::Opened;
 use super::{within, Counted, TransportError};
 use async_dup::Arc;
 use async_executor::LocalExecutor;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,10 +1,10 @@
 //! TCP, HTTP, frames, deadlines and limits.
 
 pub mod deadlines;
+pub mod executor_priorities;
 pub mod frames;
 pub mod http;
-pub mod lanes;
-mod opened;
+mod request_reading;
 
 use deadlines::Deadline;
 use futures_lite::FutureExt;
--- a/tests/troubles.rs
+++ b/tests/fault_injection.rs
@@ -7,8 +7,8 @@
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::names::{ShardIx, ZoneIx};
 use pointhook::bookkeeping::units::Ms;
-use pointhook::coordination::node::{self, outage_is_everyones, Ear, PeerSeen, Signal};
-use pointhook::coordination::{members, plan, reach, renting, siblings};
+use pointhook::coordination::node::{self, outage_is_everyones, Notifier, PeerSeen, WorkerContact};
+use pointhook::coordination::{membership, peer_messages, plan, renting, worker_connectivity};
 use pointhook::protocol::peers::MachineNews;
 use pointhook::protocol::users::Shape;
 use pointhook::protocol::workers::Order;
@@ -38,10 +38,10 @@
     assert!(w.has("job-1/0"));
     // A copy of the report from before the start, well over a lease later.
     play(&mut c, &mut store, &mut [&mut w], 2500, 30_000);
-    let heard = c.view.machine(c.machine("m1")).unwrap().heard;
+    let heard = c.cluster.machine(c.machine("m1")).unwrap().heard;
     let answer = c.report(&mut store, &empty, 30_000).unwrap();
     assert!(answer.orders.is_empty());
-    assert_eq!(c.view.machine(c.machine("m1")).unwrap().heard, heard);
+    assert_eq!(c.cluster.machine(c.machine("m1")).unwrap().heard, heard);
     assert_eq!(c.job("job-1").placements.len(), 1);
 }
 
@@ -57,7 +57,7 @@
     let answer = c.report(&mut store, &r, 700).unwrap();
     assert!(answer.orders.is_empty());
     assert!(c
-        .view
+        .cluster
         .machine(c.machine("m1"))
         .unwrap()
         .start_sent
@@ -80,7 +80,7 @@
     // The machine is long gone; only copies of its reports still come.
     new.report(&mut store, &copy, 40_000).unwrap();
     let mix = new.machine("m1");
-    assert_eq!(new.view.machine(mix).unwrap().heard, None);
+    assert_eq!(new.cluster.machine(mix).unwrap().heard, None);
     assert!(new.draft(40_000).claims.is_empty());
     // The machine itself, once it has the new token, is heard and gets the work.
     let mut alive = Worker::new("m2", "north", 40_000);
@@ -95,7 +95,7 @@
     c.visit(&mut store, &mut w, 0);
     let copy = w.report(100);
     let mix = c.machine("m1");
-    c.view.set_gone(mix);
+    c.cluster.set_gone(mix);
     c.submit(&mut store, job("job-1", 1), 200);
     assert!(c.report(&mut store, &copy, 20_000).is_none());
     assert!(c.draft(20_000).claims.is_empty());
@@ -112,7 +112,7 @@
         let r = deaf.report(now);
         c.report(&mut store, &r, now).unwrap();
     }
-    assert!(c.view.machine(c.machine("m1")).unwrap().deaf.is_some());
+    assert!(c.cluster.machine(c.machine("m1")).unwrap().deaf.is_some());
     assert!(c.job("job-1").placements.is_empty());
     let mut other = Worker::new("m2", "north", 4000);
     c.visit(&mut store, &mut other, 4000);
@@ -126,15 +126,15 @@
     let mut w = Worker::new("m1", "north", 0);
     c.visit(&mut store, &mut w, 0);
     let mix = c.machine("m1");
-    c.view.machine_mut(mix).unwrap().deaf = Some(Ms(1000));
-    let asked = reach::unheard(&mut c.view, &c.rules, 10_000, Ms(5000));
+    c.cluster.machine_mut(mix).unwrap().deaf = Some(Ms(1000));
+    let asked = worker_connectivity::unheard(&mut c.cluster, &c.config, 10_000, Ms(5000));
     assert_eq!(asked.len(), 1);
-    assert!(!c.view.machine(mix).unwrap().sick);
-    let mut reached = c.view.machine(mix).unwrap().clone();
+    assert!(!c.cluster.machine(mix).unwrap().sick);
+    let mut reached = c.cluster.machine(mix).unwrap().clone();
     reached.reached(Ms(5000));
     assert!(reached.takes(Ms(500), 4000));
-    reach::unheard(&mut c.view, &c.rules, 10_000, Ms(11_500));
-    assert!(c.view.machine(mix).unwrap().sick);
+    worker_connectivity::unheard(&mut c.cluster, &c.config, 10_000, Ms(11_500));
+    assert!(c.cluster.machine(mix).unwrap().sick);
 }
 
 #[test]
@@ -147,7 +147,7 @@
         c.report(&mut store, &r, now).unwrap();
     }
     assert!(w.session > 1);
-    let m = c.view.machine(c.machine("m1")).unwrap();
+    let m = c.cluster.machine(c.machine("m1")).unwrap();
     assert!(m.deaf.is_some() && !m.takes(Ms(12_000), 4000));
 }
 
@@ -160,7 +160,7 @@
     w.advance(30_000);
     play(&mut c, &mut store, &mut [&mut w], 30_000, 31_000);
     assert!(w.session > 1);
-    assert!(c.view.machine(c.machine("m1")).unwrap().deaf.is_none());
+    assert!(c.cluster.machine(c.machine("m1")).unwrap().deaf.is_none());
 }
 
 #[test]
@@ -222,7 +222,7 @@
     assert!(!a.orders.iter().any(|o| matches!(o, Order::Start { .. })));
     assert!(w.answered(&a, r.session, 6000, 6000));
     // The new owner shows its token; the worker reports it, and the old one stands down.
-    w.token = new.view.shards[0].rec.token;
+    w.token = new.cluster.shards[0].rec.token;
     let r = w.report(7000);
     assert!(old.report_without_store(&r, 7000).is_none());
     // The task stays where it is, once: its placement is as good as before.
@@ -247,21 +247,21 @@
     new.plan(&mut store, 200_000);
     assert_eq!(new.job("job-1").placements.len(), 1);
     // It is in no list and nobody hears it: it is deleted by name, which proves it gone.
-    let names = renting::lost(&new.view, &HashMap::new(), |_| true);
+    let names = renting::lost(&new.cluster, &HashMap::new(), |_| true);
     assert_eq!(names, ["m1"]);
-    assert!(renting::lost(&new.view, &HashMap::new(), |_| false).is_empty());
+    assert!(renting::lost(&new.cluster, &HashMap::new(), |_| false).is_empty());
     let mix = new.machine("m1");
-    new.view.set_gone(mix);
+    new.cluster.set_gone(mix);
     new.plan(&mut store, 200_000);
     assert!(new.job("job-1").placements.is_empty());
-    assert!(renting::lost(&new.view, &HashMap::new(), |_| true).is_empty());
+    assert!(renting::lost(&new.cluster, &HashMap::new(), |_| true).is_empty());
 }
 
 fn news(name: &str, silent_ms: u64) -> MachineNews {
     MachineNews {
         name: name.into(),
         addr: "127.0.0.1:1".into(),
-        rig: "oven".into(),
+        machine_type: "oven".into(),
         zone: "north".into(),
         spot: true,
         silent_ms,
@@ -282,25 +282,25 @@
     new.members(&mut store, 5000);
     third.sync(&store);
     let mix = third
-        .view
+        .cluster
         .learn_machine("m1", "oven", "north", true, Ms(0))
         .unwrap();
-    siblings::take_news(
-        &mut third.view,
-        &third.rules,
+    peer_messages::take_news(
+        &mut third.cluster,
+        &third.config,
         "s1",
         vec![news("m1", 0)],
         Ms(30_000),
     );
     // The deposed owner has not heard the machine for a long time and does not know why.
-    siblings::take_news(
-        &mut third.view,
-        &third.rules,
+    peer_messages::take_news(
+        &mut third.cluster,
+        &third.config,
         "n1",
         vec![news("m1", 25_000)],
         Ms(30_100),
     );
-    assert_eq!(third.view.machine(mix).unwrap().heard, Some(Ms(30_000)));
+    assert_eq!(third.cluster.machine(mix).unwrap().heard, Some(Ms(30_000)));
 }
 
 #[test]
@@ -314,17 +314,17 @@
         closed: true,
         ..news("m1", 0)
     };
-    siblings::take_news(&mut new.view, &new.rules, "n1", vec![closed], Ms(5000));
+    peer_messages::take_news(&mut new.cluster, &new.config, "n1", vec![closed], Ms(5000));
     let mix = new.machine("m1");
-    assert!(!new.view.machine(mix).unwrap().takes(Ms(5000), 4000));
+    assert!(!new.cluster.machine(mix).unwrap().takes(Ms(5000), 4000));
     new.members(&mut store, 5000);
     new.submit(&mut store, job("job-1", 1), 5000);
     play(&mut new, &mut store, &mut [&mut worker], 5500, 8000);
     assert!(worker.has("job-1/0"));
     // What the owner itself has closed, to return it, stays so.
-    new.view.machine_mut(mix).unwrap().closed = true;
+    new.cluster.machine_mut(mix).unwrap().closed = true;
     play(&mut new, &mut store, &mut [&mut worker], 8000, 10_000);
-    assert!(!new.view.machine(mix).unwrap().takes(Ms(10_000), 4000));
+    assert!(!new.cluster.machine(mix).unwrap().takes(Ms(10_000), 4000));
 }
 
 #[test]
@@ -337,18 +337,18 @@
         lease_ms: 10_000,
     };
     let at = |c: &Controller| {
-        let m = c.view.machine(c.machine("m1")).unwrap();
-        limits.of(&c.view, &c.rules, m)
+        let m = c.cluster.machine(c.machine("m1")).unwrap();
+        limits.of(&c.cluster, &c.config, m)
     };
     assert_eq!(at(&old), 10_000);
     // The new owner knows it from news; the worker still talks to the old one.
     store.end_lease(old.lease);
     let mut new = Controller::start("s1", 2, &mut store, 5000);
     let known = new
-        .view
+        .cluster
         .learn_machine("m1", "oven", "north", true, Ms(5000))
         .unwrap();
-    new.view.machine_mut(known).unwrap().heard = Some(Ms(5000));
+    new.cluster.machine_mut(known).unwrap().heard = Some(Ms(5000));
     new.members(&mut store, 5000);
     assert_eq!(at(&new), 15_000);
     new.visit(&mut store, &mut w, 6000);
@@ -362,22 +362,22 @@
     let mut old = old;
     old.sync(&store);
     // The hand-over of a shard to s1 is on its way when s1 is killed and back at once.
-    let m = pointhook::coordination::members::Move {
+    let m = pointhook::coordination::membership::Move {
         shard: ShardIx(1),
         to: "s1".into(),
     };
-    let (txn, _) = pointhook::coordination::members::move_transaction(&old.view, &m).unwrap();
+    let (txn, _) = pointhook::coordination::membership::move_transaction(&old.cluster, &m).unwrap();
     Controller::send(&mut store, &txn, 100);
     let mut back = Controller::start("s1", 3, &mut store, 200);
     assert!(!back.owns(1));
     back.members(&mut store, 300);
-    assert!(back.owns(1) && back.view.shards[1].rec.token >= 3);
+    assert!(back.owns(1) && back.cluster.shards[1].rec.token >= 3);
     old.sync(&store);
     assert!(!old.owns(1));
     // The old incarnation's key ends later: that must not take the new one's along.
     store.end_lease(target.lease);
     back.sync(&store);
-    assert!(back.view.live_owner(ShardIx(1)).is_some());
+    assert!(back.cluster.live_owner(ShardIx(1)).is_some());
 }
 
 #[test]
@@ -398,7 +398,7 @@
     assert_eq!(c.job("job-1").state, JobState::Done);
     // A repeated start after the end of a job has no placement to rest on.
     let mix = c.machine("m1");
-    assert!(plan::orders(&mut c.view, &c.rules, mix, Ms(0))
+    assert!(plan::orders(&mut c.cluster, &c.config, mix, Ms(0))
         .iter()
         .all(|o| !matches!(o, Order::Start { .. })));
     assert_eq!(w.started.len(), 1);
@@ -406,7 +406,7 @@
 
 #[test]
 fn one_fresh_read_answers_all_who_wait_for_it() {
-    let fresh = Signal::default();
+    let fresh = Notifier::default();
     let mut waiting: Vec<_> = (0..50).map(|_| Box::pin(fresh.turn(60_000))).collect();
     for w in &mut waiting {
         assert!(block_on(poll_once(w)).is_none());
@@ -434,8 +434,8 @@
     store.end_lease(a.lease);
     let nodes = ["n1", "s1"].map(|n| Controller::start(n, 7, &mut store, 60_000));
     for c in &nodes {
-        assert!(c.view.loaded);
-        assert!((1..=30).all(|i| c.view.job(&format!("job-{i}")).is_some()));
+        assert!(c.cluster.loaded);
+        assert!((1..=30).all(|i| c.cluster.job(&format!("job-{i}")).is_some()));
     }
 }
 
@@ -445,16 +445,17 @@
     for i in 0..300 {
         let name = format!("m{i:03}");
         let mix = c
-            .view
+            .cluster
             .learn_machine(&name, "oven", "north", true, Ms(0))
             .unwrap();
-        c.view.machine_mut(mix).unwrap().addr = "127.0.0.1:1".into();
+        c.cluster.machine_mut(mix).unwrap().addr = "127.0.0.1:1".into();
     }
     // Nobody answers, and sixty connections are open at a time.
     let mut tried = HashMap::new();
     let mut reached = std::collections::HashSet::new();
     for now in [10_000u64, 11_500, 13_000, 14_500, 16_000] {
-        let due = reach::behind(&c.view, &c.rules, &mut tried, Ms(now), |_| Some(()));
+        let due =
+            worker_connectivity::behind(&c.cluster, &c.config, &mut tried, Ms(now), |_| Some(()));
         for (mix, ..) in due.into_iter().take(60) {
             tried.insert(mix, Ms(now));
             reached.insert(mix);
@@ -463,9 +464,12 @@
     assert_eq!(reached.len(), 300);
     // One that has shown the token is left alone, and one in vain is tried again only later.
     let mix = c.machine("m299");
-    c.view.machine_mut(mix).unwrap().token =
-        c.view.shards[0].rec.token.max(c.view.shards[1].rec.token);
-    let due = reach::behind(&c.view, &c.rules, &mut tried, Ms(16_500), |_| Some(()));
+    c.cluster.machine_mut(mix).unwrap().token = c.cluster.shards[0]
+        .rec
+        .token
+        .max(c.cluster.shards[1].rec.token);
+    let due =
+        worker_connectivity::behind(&c.cluster, &c.config, &mut tried, Ms(16_500), |_| Some(()));
     assert!(due.iter().all(|(m, ..)| *m != mix));
     assert!(due.len() <= 240);
 }
@@ -501,13 +505,13 @@
     let (mut store, mut c) = one();
     let mut w = Worker::new("m1", "north", 0);
     c.visit(&mut store, &mut w, 0);
-    let m = c.view.machine(c.machine("m1")).unwrap();
+    let m = c.cluster.machine(c.machine("m1")).unwrap();
     // It owned the shard from the start, and stood still from 1 s to 40 s.
     let (owned, woke) = (Some(Ms(0)), Some(Ms(40_000)));
     let now = Ms(41_000);
-    assert_eq!(siblings::silence(m.heard, m.known, owned, now), 41_000);
+    assert_eq!(peer_messages::silence(m.heard, m.known, owned, now), 41_000);
     assert_eq!(
-        siblings::silence(m.heard, m.known, node::listened(owned, woke), now),
+        peer_messages::silence(m.heard, m.known, node::listened(owned, woke), now),
         1000
     );
     assert_eq!(node::listened(owned, None), owned);
@@ -524,7 +528,7 @@
     old.submit(&mut store, job("job-1", 1), 1500);
     let draft = old.draft(1600);
     assert_eq!(draft.claims.len(), 1);
-    let late = pointhook::coordination::store::transaction(&old.view, &draft);
+    let late = pointhook::coordination::store::transaction(&old.cluster, &draft);
     // It stands still past its lease; another takes its shards and gives the task away.
     store.end_lease(old.lease);
     let mut new = Controller::start("s1", 2, &mut store, 20_000);
@@ -541,7 +545,7 @@
     assert!(!held.orders.iter().any(|o| matches!(o, Order::Start { .. })));
     let proof = old.draft(60_000);
     assert!(!proof.is_empty());
-    let by_time = pointhook::coordination::store::transaction(&old.view, &proof);
+    let by_time = pointhook::coordination::store::transaction(&old.cluster, &proof);
     assert!(!matches!(
         Controller::send(&mut store, &by_time, 60_000),
         pointhook::coordination::store::Outcome::Done(_)
@@ -557,15 +561,16 @@
     c.sync(&store);
     let seen = HashMap::from([("n1", 1), ("s1", 2)].map(|(n, i)| ((n.to_string(), i), Ms(0))));
     let moves = |c: &Controller, deaf: &[&str]| {
-        let known = members::Known {
+        let known = membership::Known {
             seen: seen.clone(),
             deaf: deaf.iter().map(|n| n.to_string()).collect(),
             owned: c.owned_for_long(),
         };
-        members::moves(&c.view, &c.rules, &c.zones, &known, false, Ms(10_000))
+        membership::moves(&c.cluster, &c.config, &c.zones, &known, false, Ms(10_000))
     };
     // It owns all; the shard of the other zone goes there in any case.
-    let to = |m: Vec<members::Move>| m.into_iter().map(|m| (m.shard.0, m.to)).collect::<Vec<_>>();
+    let to =
+        |m: Vec<membership::Move>| m.into_iter().map(|m| (m.shard.0, m.to)).collect::<Vec<_>>();
     let s1 = |shard: u32| (shard, "s1".to_string());
     assert_eq!(to(moves(&c, &[])), [s1(1)]);
     assert_eq!(to(moves(&c, &["n1"])), [s1(0), s1(1)]);
@@ -576,20 +581,22 @@
 
 #[test]
 fn hearing_is_doubted_then_lost_and_regained_only_after_a_moment() {
-    let mut ear = Ear::new(30_000);
+    let mut worker_contact = WorkerContact::new(30_000);
     // The first machine comes up late; until a while after that nothing can be said.
-    assert!(ear.hears(false, None, Ms(90_000)));
-    assert!(ear.hears(true, None, Ms(99_000)));
-    ear.heard(Ms(100_000));
-    assert!(!ear.doubts(Ms(104_000)) && ear.doubts(Ms(106_000)));
-    assert!(ear.hears(true, None, Ms(109_000)));
+    assert!(worker_contact.hears(false, None, Ms(90_000)));
+    assert!(worker_contact.hears(true, None, Ms(99_000)));
+    worker_contact.heard(Ms(100_000));
+    assert!(!worker_contact.doubts(Ms(104_000)) && worker_contact.doubts(Ms(106_000)));
+    assert!(worker_contact.hears(true, None, Ms(109_000)));
     // Without machines there is nothing to hear, and a halt is no silence.
-    assert!(ear.clone().hears(false, None, Ms(111_000)));
-    assert!(ear.clone().hears(true, Some(Ms(110_000)), Ms(111_000)));
-    assert!(!ear.hears(true, None, Ms(111_000)));
-    ear.heard(Ms(112_000));
-    assert!(!ear.hears(true, None, Ms(113_000)));
-    assert!(ear.hears(true, None, Ms(117_000)));
+    assert!(worker_contact.clone().hears(false, None, Ms(111_000)));
+    assert!(worker_contact
+        .clone()
+        .hears(true, Some(Ms(110_000)), Ms(111_000)));
+    assert!(!worker_contact.hears(true, None, Ms(111_000)));
+    worker_contact.heard(Ms(112_000));
+    assert!(!worker_contact.hears(true, None, Ms(113_000)));
+    assert!(worker_contact.hears(true, None, Ms(117_000)));
 }
 
 #[test]
@@ -613,14 +620,14 @@
     let seen = HashMap::from([("n1", 1), ("s1", 2)].map(|(n, i)| ((n.to_string(), i), Ms(0))));
     // This node has just got the shard, and does not know yet that the other is deaf.
     let south = ZoneIx(1);
-    assert_eq!(c.view.shard_zone(ShardIx(1)), Some(south));
+    assert_eq!(c.cluster.shard_zone(ShardIx(1)), Some(south));
     let moves = |c: &Controller, now: u64| {
-        let known = members::Known {
+        let known = membership::Known {
             seen: seen.clone(),
             owned: HashMap::from([(ShardIx(1), Ms(10_000))]),
             ..Default::default()
         };
-        members::moves(&c.view, &c.rules, &c.zones, &known, false, Ms(now))
+        membership::moves(&c.cluster, &c.config, &c.zones, &known, false, Ms(now))
     };
     assert!(moves(&c, 10_300).is_empty());
     assert!(moves(&c, 12_000).is_empty());
--- a/tests/doors.rs
+++ b/tests/http_api.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
+use pointhook::bookkeeping::cluster_state::ClusterState;
 use pointhook::bookkeeping::job::Ranges;
 use pointhook::bookkeeping::names::{Interner, MachineIx};
-use pointhook::bookkeeping::view::View;
 use pointhook::protocol::peers::{decode_ask, encode, Ask, TaskRef};
 use pointhook::protocol::users::{parse_job, JobSpec, Shape};
 use pointhook::protocol::workers::{split_task, Report};
@@ -78,7 +78,7 @@
 #[test]
 fn jobs_that_can_never_run_are_told_apart() {
     let zones = ["north".to_string(), "south".to_string()];
-    let mut v = View::new(&zones, &[team("ovens", 0.0), team("mixers", 2.0)], 1);
+    let mut v = ClusterState::new(&zones, &[team("ovens", 0.0), team("mixers", 2.0)], 1);
     v.set_flavors(&pointhook::protocol::cloud::Flavors {
         types: vec![cloud::flavor()],
     });
@@ -149,7 +149,7 @@
 
 #[test]
 fn unreadable_records_change_nothing() {
-    let mut v = View::new(&["north".to_string()], &[], 1);
+    let mut v = ClusterState::new(&["north".to_string()], &[], 1);
     v.put("ph/job/job-1", 5, &rmpv::Value::from("nonsense"));
     v.put("ph/shard/99", 6, &rmpv::Value::Nil);
     v.put("ph/what/ever", 7, &rmpv::Value::Nil);
@@ -170,7 +170,7 @@
 #[test]
 fn machines_map_to_their_zones_shards_for_good() {
     let zones = ["south".to_string(), "north".to_string()];
-    let v = View::new(&zones, &[], 2);
+    let v = ClusterState::new(&zones, &[], 2);
     let south = v.zone_names.find("south").unwrap();
     for i in 0..50 {
         let s = v.shard_of(south, &format!("n-{i:06}"));
--- a/tests/meetings.rs
+++ b/tests/overlapping_faults.rs
@@ -220,17 +220,17 @@
     // A newer record that is still open, from a read that began before.
     let rec = pointhook::bookkeeping::job::JobRecord {
         state: JobState::Open,
-        ..c.view.record(&c.job("job-1").clone())
+        ..c.cluster.record(&c.job("job-1").clone())
     };
-    c.view.put_job("job-1", before + 1, &rec);
+    c.cluster.put_job("job-1", before + 1, &rec);
     assert_eq!(c.job("job-1").state, JobState::Cancelled);
     assert_eq!(c.job("job-1").version, before + 1);
     // A job whose record was not read here yet.
-    assert!(c.view.learn_cancelled("job-77"));
-    assert!(!c.view.learn_cancelled("job-77"));
-    c.view.put_job("job-77", 1, &rec);
+    assert!(c.cluster.learn_cancelled("job-77"));
+    assert!(!c.cluster.learn_cancelled("job-77"));
+    c.cluster.put_job("job-77", 1, &rec);
     assert_eq!(c.job("job-77").state, JobState::Cancelled);
-    assert!(c.view.cancelled_names().contains(&"job-77".to_string()));
+    assert!(c.cluster.cancelled_names().contains(&"job-77".to_string()));
 }
 
 #[test]
@@ -317,15 +317,15 @@
     let team = pointhook::bookkeeping::names::TeamIx(1);
     let lowered = {
         let c = w.node(c);
-        let mut d = pointhook::coordination::plan::Draft::default();
-        pointhook::coordination::plan::lower_shares(&c.view, &c.rules, &mut d);
+        let mut d = pointhook::coordination::plan::DraftTransaction::default();
+        pointhook::coordination::plan::lower_shares(&c.cluster, &c.config, &mut d);
         assert!(d.teams.contains_key(&team));
         d
     };
     // Nothing is heard of it, and it is carried out after what comes next.
-    let late = pointhook::coordination::store::transaction(&w.node(c).view, &lowered);
+    let late = pointhook::coordination::store::transaction(&w.node(c).cluster, &lowered);
     let unknown = pointhook::coordination::store::Outcome::Unknown;
-    pointhook::coordination::store::conclude(&mut w.node(c).view, &lowered, &unknown);
+    pointhook::coordination::store::conclude(&mut w.node(c).cluster, &lowered, &unknown);
     let mut second = small("job-2", 2);
     second.zone = Some("north".into());
     assert!(w.submit(north, second));
@@ -388,7 +388,7 @@
     assert_eq!(answer.orders.len(), 2, "forget and start");
     // The answer is on its way when the other's machine is deleted.
     let other = c.machine("m2");
-    c.view.set_gone(other);
+    c.cluster.set_gone(other);
     c.plan(&mut store, 1600);
     let job = c.job("job-1");
     assert!(job.placement(0).is_some(), "its end is not for good");
@@ -424,7 +424,7 @@
     assert!(worker.has("job-1/0"));
     // The first has the shard back, and remembers that end.
     store.end_lease(other.lease);
-    let key = format!("{}node/n1", pointhook::bookkeeping::view::ROOT);
+    let key = format!("{}node/n1", pointhook::bookkeeping::cluster_state::ROOT);
     assert_eq!(store.version(&key), 0);
     c.sync(&store);
     c.keep_shards(&mut store, 17_000);
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
+use pointhook::bookkeeping::cluster_state::ROOT;
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::records::SECOND_FORM;
-use pointhook::bookkeeping::view::ROOT;
-use pointhook::coordination::members::begin_second_form;
+use pointhook::coordination::membership::begin_second_form;
 use pointhook::coordination::store::Outcome;
 use pointhook::protocol::state::Limits;
 use pointhook::protocol::users::{parse_job, JobSpec, Rank, Shape, MAX_AWAITS};
@@ -140,7 +140,7 @@
     // The records follow, a few at a time.
     w.run(200_000);
     for at in 0..3 {
-        assert!(w.node(at).view.graph.unwritten.is_empty());
+        assert!(w.node(at).cluster.graph.unwritten.is_empty());
     }
     w.keeps_the_rules();
 }
@@ -185,11 +185,11 @@
 
 #[test]
 fn the_answer_to_a_submission_is_no_older_than_the_cancellation_it_follows() {
-    use pointhook::coordination::intake::accepted;
+    use pointhook::coordination::job_api::accepted;
     use pointhook::protocol::users::JobStatus;
     let (mut store, mut c) = one();
     let status = |c: &Controller, id: &str| {
-        let answer = accepted(&c.view, id, c.job(id).version);
+        let answer = accepted(&c.cluster, id, c.job(id).version);
         assert_eq!(answer.status, 201);
         let body: JobStatus = rmp_serde::from_slice(&answer.body).unwrap();
         body.status
@@ -238,7 +238,7 @@
     w.run(20_000);
     let job = w.node(1).job("job-1").clone();
     assert!(job.finished > 0);
-    assert_eq!(w.node(1).job("job-2").around.since, job.finished);
+    assert_eq!(w.node(1).job("job-2").dependency_state.since, job.finished);
     let mut wide = after("job-3", 1, &["job-1"]);
     wide.vcpus = 1000.0;
     assert!(w.submit(0, wide));
@@ -251,7 +251,7 @@
         // It was submitted after that end, so that counts.
         let node = w.node(at);
         let own = node.job("job-3").submitted;
-        assert_eq!(node.job("job-3").around.since, own);
+        assert_eq!(node.job("job-3").dependency_state.since, own);
         assert_eq!(node.job("job-1").finished, job.finished);
     }
 }
@@ -265,25 +265,25 @@
     second.priority = Rank::Normal;
     c.submit(&mut store, first, 1000);
     c.submit(&mut store, second, 2000);
-    assert_eq!(c.job("job-1").around.rank, Rank::Normal);
-    assert_eq!(c.job("job-1").around.due, None);
+    assert_eq!(c.job("job-1").dependency_state.rank, Rank::Normal);
+    assert_eq!(c.job("job-1").dependency_state.due, None);
     let mut last = after("job-3", 1, &["job-2"]);
     last.priority = Rank::High;
     last.deadline_s = Some(100.0);
     last.estimate_s = 20.0;
     c.submit(&mut store, last, 3000);
     for id in ["job-1", "job-2", "job-3"] {
-        assert_eq!(c.job(id).around.rank, Rank::High);
+        assert_eq!(c.job(id).dependency_state.rank, Rank::High);
     }
-    let due = |c: &Controller, id: &str| c.job(id).around.due.unwrap();
+    let due = |c: &Controller, id: &str| c.job(id).dependency_state.due.unwrap();
     assert_eq!(due(&c, "job-3"), 103_000);
     // The end less what it takes, and a little for each stage.
     assert!((75_000..83_000).contains(&due(&c, "job-2")));
     assert!(due(&c, "job-1") < due(&c, "job-2") - 10_000);
     // Once the last is cancelled nothing of it is lent any more.
     c.cancel(&mut store, "job-3", 4000);
-    assert_eq!(c.job("job-1").around.rank, Rank::Normal);
-    assert_eq!(c.job("job-1").around.due, None);
+    assert_eq!(c.job("job-1").dependency_state.rank, Rank::Normal);
+    assert_eq!(c.job("job-1").dependency_state.due, None);
 }
 
 #[test]
@@ -310,7 +310,7 @@
         support::controller::play(&mut c, &mut store, &mut [&mut w], 4000, 12_000);
         let turn = ShardIx(0);
         let stops =
-            pointhook::coordination::plan::preempt(&c.view, &c.rules, turn, Ms(12_000), 12_000);
+            pointhook::coordination::plan::preempt(&c.cluster, &c.config, turn, Ms(12_000), 12_000);
         assert_eq!(stops.len(), usize::from(!needed));
     }
 }
@@ -319,12 +319,12 @@
 fn the_second_form_begins_when_all_nodes_live_and_know_it() {
     let (mut store, mut c) = one();
     assert!(
-        begin_second_form(&c.view, &["n1", "s1"]).is_none(),
+        begin_second_form(&c.cluster, &["n1", "s1"]).is_none(),
         "one is away"
     );
     let s1 = Controller::start("s1", 2, &mut store, 0);
     c.sync(&store);
-    let txn = begin_second_form(&c.view, &["n1", "s1"]).unwrap();
+    let txn = begin_second_form(&c.cluster, &["n1", "s1"]).unwrap();
     // One of them comes back with the old version before that is carried out.
     store.end_lease(s1.lease);
     let key = format!("{ROOT}node/s1");
@@ -341,23 +341,27 @@
     store.commit(&write, 0);
     assert_eq!(store.commit(&txn, 0).0, 409);
     c.sync(&store);
-    assert!(begin_second_form(&c.view, &["n1", "s1"]).is_none());
-    assert!(begin_second_form(&c.view, &["n1"]).is_some());
-    assert!(!c.view.second_form);
-    let txn = begin_second_form(&c.view, &["n1"]).unwrap();
+    assert!(begin_second_form(&c.cluster, &["n1", "s1"]).is_none());
+    assert!(begin_second_form(&c.cluster, &["n1"]).is_some());
+    assert!(!c.cluster.second_form);
+    let txn = begin_second_form(&c.cluster, &["n1"]).unwrap();
     assert_eq!(store.commit(&txn, 0).0, 200);
     c.sync(&store);
-    assert!(c.view.second_form);
-    assert!(begin_second_form(&c.view, &["n1"]).is_none());
+    assert!(c.cluster.second_form);
+    assert!(begin_second_form(&c.cluster, &["n1"]).is_none());
     assert_eq!(SECOND_FORM, 2);
     // And a node that starts later reads so.
-    assert!(Controller::start("s1", 9, &mut store, 0).view.second_form);
+    assert!(
+        Controller::start("s1", 9, &mut store, 0)
+            .cluster
+            .second_form
+    );
 }
 
 /// Sets what the settings say of the limits to come.
 fn expect(w: &mut World, next: Limits) {
     for c in w.nodes.iter_mut().flatten() {
-        c.rules.limits_next = next;
+        c.config.limits_next = next;
     }
 }
 
@@ -413,7 +417,7 @@
     // A node that starts now reads the same placements out of all parts.
     w.end(0);
     w.start(0);
-    let placed = |c: &Controller| c.view.job("job-4").unwrap().1.placements.len();
+    let placed = |c: &Controller| c.cluster.job("job-4").unwrap().1.placements.len();
     let (a, b) = (placed(w.node(0)), placed(w.node(2)));
     assert_eq!(a, b);
     w.run(400_000);
@@ -436,16 +440,16 @@
     // What is small anyway was refused for something else.
     assert_eq!(seen.refused(1, 100).value_bytes, 1024);
     let (_, mut c) = one();
-    c.rules.limits_seen.set(seen);
-    assert_eq!(c.rules.limits(&c.view).txn_ops, 7);
-    c.rules.limits_next.txn_ops = 5;
+    c.config.limits_seen.set(seen);
+    assert_eq!(c.config.limits(&c.cluster).txn_ops, 7);
+    c.config.limits_next.txn_ops = 5;
     assert_eq!(
-        c.rules.limits(&c.view).txn_ops,
+        c.config.limits(&c.cluster).txn_ops,
         7,
         "all may not know it yet"
     );
-    c.view.second_form = true;
-    assert_eq!(c.rules.limits(&c.view).txn_ops, 5);
+    c.cluster.second_form = true;
+    assert_eq!(c.config.limits(&c.cluster).txn_ops, 5);
 }
 
 #[test]
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use pointhook::bookkeeping::names::{Index, RigIx, ZoneIx};
-use pointhook::bookkeeping::units::{Ms, Res};
-use pointhook::bookkeeping::view::{BookingRecord, ROOT};
-use pointhook::coordination::pace::Pace;
+use pointhook::bookkeeping::cluster_state::{BookingRecord, ROOT};
+use pointhook::bookkeeping::names::{Index, MachineTypeIx, ZoneIx};
+use pointhook::bookkeeping::units::{Ms, Resources};
+use pointhook::coordination::rate_limiter::RateLimiter;
 use pointhook::coordination::renting::{
     list_every_ms, requests, supply, wanted, Pages, Pool, Supply, Wanted,
 };
@@ -26,25 +26,25 @@
     (store, c)
 }
 
-fn oven(c: &Controller) -> RigIx {
-    c.view.rig_names.find("oven").unwrap()
+fn oven(c: &Controller) -> MachineTypeIx {
+    c.cluster.machine_type_names.find("oven").unwrap()
 }
 
 fn empty(c: &Controller, zone: usize, spot: bool) -> Supply {
     Supply {
         pool: Pool {
-            rig: oven(c),
+            machine_type: oven(c),
             zone: ZoneIx::new(zone),
             spot,
         },
-        free: Res::new(16.0, 4.0, 64.0),
+        free: Resources::new(16.0, 4.0, 64.0),
         machine: None,
     }
 }
 
 fn plan(c: &Controller, mut supply: Vec<Supply>, blocked: &[Pool]) -> Wanted {
     let blocked: HashSet<Pool> = blocked.iter().copied().collect();
-    wanted(&c.view, &c.rules, &mut supply, &blocked, Ms(1000), 1000)
+    wanted(&c.cluster, &c.config, &mut supply, &blocked, Ms(1000), 1000)
 }
 
 #[test]
@@ -86,7 +86,7 @@
     c.submit(&mut store, spec, 0);
     // Two fit in the north, but nothing more is to be had there.
     let none = Pool {
-        rig: oven(&c),
+        machine_type: oven(&c),
         zone: ZoneIx(0),
         spot: false,
     };
@@ -143,7 +143,7 @@
     let (mut store, mut c) = ready();
     c.submit(&mut store, job("job-1", 8), 0);
     let mut rec = BookingRecord {
-        rig: "oven".into(),
+        machine_type: "oven".into(),
         zone: "north".into(),
         spot: true,
         count: 2,
@@ -162,15 +162,15 @@
     // Asked for, but not answered: it may have rented all it asks for.
     put(&mut c, &mut store, &rec);
     let list = HashMap::new();
-    let have = supply(&c.view, &list, 4000, Ms(1000));
+    let have = supply(&c.cluster, &list, 4000, Ms(1000));
     assert_eq!(have.len(), 2);
     assert!(plan(&c, have, &[]).rent.is_empty());
     // Answered with one machine, which the list does not show yet.
     rec.hosts = vec!["n-000007".into()];
     put(&mut c, &mut store, &rec);
-    c.view
+    c.cluster
         .learn_machine("n-000007", "oven", "north", true, Ms(1000));
-    let have = supply(&c.view, &list, 4000, Ms(1000));
+    let have = supply(&c.cluster, &list, 4000, Ms(1000));
     assert_eq!(have.len(), 1);
     assert_eq!(plan(&c, have, &[]).rent.values().sum::<u32>(), 1);
 }
@@ -179,7 +179,7 @@
     Listed {
         name: name.into(),
         addr: "127.0.0.1:1".into(),
-        rig: "oven".into(),
+        machine_type: "oven".into(),
         zone: "north".into(),
         spot: true,
         status: "running".into(),
@@ -212,7 +212,7 @@
 #[test]
 fn requests_to_the_cloud_stay_within_its_limit_and_leave_one_for_returns() {
     let rate = 3.5;
-    let mut pace = Pace::new(rate);
+    let mut pace = RateLimiter::new(rate);
     let (mut rented, mut returned) = (0u32, 0u32);
     // Renting asks as often as it can, returns come once a second.
     for now in (0..60_000u64).step_by(50) {
@@ -238,7 +238,7 @@
 fn a_thousand_machines_are_asked_for_in_few_requests_the_pools_in_turn() {
     let (_, c) = ready();
     let pool = |zone, spot| Pool {
-        rig: oven(&c),
+        machine_type: oven(&c),
         zone: ZoneIx::new(zone),
         spot,
     };
@@ -254,13 +254,13 @@
 fn a_machine_that_is_long_overdue_is_not_waited_for() {
     let (mut store, mut c) = ready();
     c.submit(&mut store, job("job-1", 4), 0);
-    c.view
+    c.cluster
         .learn_machine("n-000007", "oven", "north", true, Ms(0));
     let listed = Listed {
         status: "booting".into(),
         ..listed("n-000007")
     };
     let list = HashMap::from([(listed.name.clone(), listed)]);
-    assert_eq!(supply(&c.view, &list, 4000, Ms(20_000)).len(), 1);
-    assert!(supply(&c.view, &list, 4000, Ms(60_000)).is_empty());
+    assert_eq!(supply(&c.cluster, &list, 4000, Ms(20_000)).len(), 1);
+    assert!(supply(&c.cluster, &list, 4000, Ms(60_000)).is_empty());
 }
--- a/tests/size.rs
+++ b/tests/scaling.rs
@@ -3,10 +3,10 @@
 mod support;
 
 use pointhook::bookkeeping::job::JobState;
-use pointhook::bookkeeping::units::{Ms, Res};
+use pointhook::bookkeeping::units::{Ms, Resources};
 use pointhook::coordination::node::finish_times;
 use pointhook::coordination::planner::Changes;
-use pointhook::coordination::{plan, reports, siblings};
+use pointhook::coordination::{peer_messages, plan, reports};
 use pointhook::protocol::peers::{self, Ask, MachineNews};
 use pointhook::protocol::users::{Rank, Shape};
 use pointhook::protocol::workers::TaskState;
@@ -21,10 +21,10 @@
     for i in 0..n {
         let name = format!("m{i:03}");
         let mix = c
-            .view
+            .cluster
             .learn_machine(&name, "oven", "north", true, Ms(0))
             .unwrap();
-        c.view.machine_mut(mix).unwrap().heard = Some(Ms(0));
+        c.cluster.machine_mut(mix).unwrap().heard = Some(Ms(0));
     }
 }
 
@@ -35,13 +35,16 @@
     c.submit(&mut store, job("job-1", 1), 0);
     let image = c.job("job-1").spec.as_ref().unwrap().image;
     let warm = c.machine("m333");
-    c.view
+    c.cluster
         .machine_mut(warm)
         .unwrap()
         .use_image(image, 1.0, 100.0);
     let ix = c.job_ix("job-1");
     for _ in 0..20 {
-        assert_eq!(plan::bind(&c.view, &c.rules, ix, Ms(10), 10), [(0, warm)]);
+        assert_eq!(
+            plan::bind(&c.cluster, &c.config, ix, Ms(10), 10),
+            [(0, warm)]
+        );
     }
 }
 
@@ -58,22 +61,22 @@
     c.plan(&mut store, 10);
     c.cancel(&mut store, "job-2", 20);
     let mut placed = 0;
-    for (mix, m) in c.view.all_machines() {
-        let mut free = c.view.rigs[&m.rig].room;
-        for (ix, j) in c.view.active_jobs() {
+    for (mix, m) in c.cluster.all_machines() {
+        let mut free = c.cluster.machine_types[&m.machine_type].room;
+        for (ix, j) in c.cluster.active_jobs() {
             for p in j.placements.iter().filter(|p| p.machine == mix) {
                 free = free.minus(j.spec.as_ref().unwrap().need);
-                assert!(c.view.placed_on(mix).contains(&(ix, p.task, p.attempt)));
+                assert!(c.cluster.placed_on(mix).contains(&(ix, p.task, p.attempt)));
                 placed += 1;
             }
         }
-        assert_eq!(c.view.room()[mix.0 as usize], Some(free));
+        assert_eq!(c.cluster.room()[mix.0 as usize], Some(free));
     }
     assert!(placed > 10);
-    let need = Res::new(4.0, 1.0, 8.0);
-    let team = c.view.team_names.find("mixers").unwrap();
+    let need = Resources::new(4.0, 1.0, 8.0);
+    let team = c.cluster.team_names.find("mixers").unwrap();
     let n = c.job("job-1").placements.len() as i64;
-    assert_eq!(c.view.used(team), (n * need.cpu, n * need.gpu));
+    assert_eq!(c.cluster.used(team), (n * need.cpu, n * need.gpu));
     assert_eq!(n, 2);
 }
 
@@ -90,11 +93,11 @@
 }
 
 fn order(c: &Controller, wall: u64) -> Vec<String> {
-    let draft = plan::Draft::default();
-    let jobs = plan::waiting_jobs(&c.view, &c.rules, &draft, Ms(wall), wall);
+    let draft = plan::DraftTransaction::default();
+    let jobs = plan::waiting_jobs(&c.cluster, &c.config, &draft, Ms(wall), wall);
     let names = jobs
         .iter()
-        .map(|w| c.view.jobs[w.ix.0 as usize].id.to_string());
+        .map(|w| c.cluster.jobs[w.ix.0 as usize].id.to_string());
     names.collect()
 }
 
@@ -157,9 +160,9 @@
         if now == 10_000 {
             c.submit(&mut store, gang.clone(), now);
         }
-        for (ix, machines) in plan::gang_holds(&c.view, &c.rules, Ms(now), now) {
+        for (ix, machines) in plan::gang_holds(&c.cluster, &c.config, Ms(now), now) {
             for m in machines {
-                c.view.machine_mut(m).unwrap().held = Some((ix, Ms(now + 4000)));
+                c.cluster.machine_mut(m).unwrap().held = Some((ix, Ms(now + 4000)));
             }
         }
         for (i, w) in workers.iter_mut().enumerate() {
@@ -167,7 +170,7 @@
             w.run_ms = 3000 + (now / 500 * 7 + i as u64 * 3) % 11 * 500;
             c.visit(&mut store, w, now);
         }
-        let placed = c.view.job("job-1000").map(|j| j.1.placements.len());
+        let placed = c.cluster.job("job-1000").map(|j| j.1.placements.len());
         if begun.is_none() && placed == Some(3) {
             begun = Some(now);
         }
@@ -193,7 +196,7 @@
     let machine = |i: usize| MachineNews {
         name: format!("n-{i:06}"),
         addr: format!("10.11.{}.{}:9000", i / 250, i % 250),
-        rig: "a-rather-long-machine-type".into(),
+        machine_type: "a-rather-long-machine-type".into(),
         zone: "a-rather-long-zone".into(),
         spot: true,
         silent_ms: 1,
@@ -204,7 +207,7 @@
         sick: false,
     };
     let all: Vec<MachineNews> = (0..1000).map(machine).collect();
-    let asks = siblings::tell("node", true, true, all);
+    let asks = peer_messages::tell("node", true, true, all);
     let mut told = 0;
     for a in &asks {
         assert!(peers::encode(a).unwrap().len() < peers::MAX_FRAME);
@@ -215,7 +218,7 @@
     }
     assert_eq!(told, 1000);
     // A node without machines still tells that it is there.
-    assert_eq!(siblings::tell("node", true, true, Vec::new()).len(), 1);
+    assert_eq!(peer_messages::tell("node", true, true, Vec::new()).len(), 1);
 }
 
 #[test]
@@ -226,25 +229,29 @@
         c.submit(&mut store, job(&format!("job-{i}"), 60), 0);
     }
     c.plan(&mut store, 10);
-    let placed =
-        |c: &Controller| -> usize { c.view.active_jobs().map(|(_, j)| j.placements.len()).sum() };
+    let placed = |c: &Controller| -> usize {
+        c.cluster
+            .active_jobs()
+            .map(|(_, j)| j.placements.len())
+            .sum()
+    };
     assert_eq!(placed(&c), 720);
-    let machines: Vec<_> = c.view.occupied().collect();
+    let machines: Vec<_> = c.cluster.occupied().collect();
     assert!(machines.len() >= 180);
     for m in &machines {
-        c.view.set_gone(*m);
+        c.cluster.set_gone(*m);
     }
     let mut changes = 0;
     loop {
-        let mut d = plan::Draft::default();
-        plan::settle(&c.view, &c.rules, &mut d, Ms(20));
+        let mut d = plan::DraftTransaction::default();
+        plan::settle(&c.cluster, &c.config, &mut d, Ms(20));
         if d.is_empty() {
             break;
         }
         changes += d.jobs.len();
-        let txn = pointhook::coordination::store::transaction(&c.view, &d);
+        let txn = pointhook::coordination::store::transaction(&c.cluster, &d);
         let out = Controller::send(&mut store, &txn, 20);
-        pointhook::coordination::store::conclude(&mut c.view, &d, &out);
+        pointhook::coordination::store::conclude(&mut c.cluster, &d, &out);
     }
     assert_eq!((placed(&c), changes), (0, 12));
 }
@@ -258,16 +265,17 @@
     play(&mut c, &mut store, &mut [&mut w], 0, 1500);
     assert_eq!(c.job("job-1").placements.len(), 4);
     let later = |c: &Controller, now| {
-        let mut d = plan::Draft::deferring(true, 0);
-        plan::settle(&c.view, &c.rules, &mut d, Ms(now));
-        plan::claim(&c.view, &c.rules, &mut d, Ms(now), now);
+        let mut d = plan::DraftTransaction::deferring(true, 0);
+        plan::settle(&c.cluster, &c.config, &mut d, Ms(now));
+        plan::claim(&c.cluster, &c.config, &mut d, Ms(now), now);
         d
     };
     // Three of four are done: nothing is written yet, but what is urgent has their room.
     let mut r = w.report(4000);
     r.tasks[3].state = TaskState::Running;
     r.tasks[3].why = None;
-    let take = |c: &mut Controller, r| reports::receive(&mut c.view, &c.rules, r, 10_000, Ms(4000));
+    let take =
+        |c: &mut Controller, r| reports::receive(&mut c.cluster, &c.config, r, 10_000, Ms(4000));
     take(&mut c, &r);
     assert!(later(&c, 4000).is_empty());
     let mut urgent = job("job-2", 3);
@@ -309,13 +317,15 @@
     fleet(&mut c, 2000);
     for i in 0..1990 {
         let mix = c.machine(&format!("m{i:03}"));
-        c.view.set_gone(mix);
+        c.cluster.set_gone(mix);
     }
-    assert_eq!(c.view.all_machines().count(), 10);
+    assert_eq!(c.cluster.all_machines().count(), 10);
     // Late lists and reports bring none back.
-    let again = c.view.learn_machine("m005", "oven", "north", true, Ms(9));
+    let again = c
+        .cluster
+        .learn_machine("m005", "oven", "north", true, Ms(9));
     assert!(again.is_none());
-    assert_eq!(c.view.all_machines().count(), 10);
+    assert_eq!(c.cluster.all_machines().count(), 10);
 }
 
 #[test]
@@ -326,13 +336,13 @@
         class: Some("bake".into()),
         within_s: Some(t),
     });
-    c.rules.finish_within = finish_times(&times);
-    assert_eq!(c.rules.finish_within["bake"], [150_000, 250_000, 350_000]);
+    c.config.finish_within = finish_times(&times);
+    assert_eq!(c.config.finish_within["bake"], [150_000, 250_000, 350_000]);
     let mut c = begun_at_once(c, &mut store, "job-1", 40);
     // Younger work keeps coming that can make the first time.
     let back = |c: &Controller, age: u64| {
         let job = c.job("job-1");
-        plan::put_back(&c.rules, job, job.spec.as_ref().unwrap(), age * 1000 + 1)
+        plan::put_back(&c.config, job, job.spec.as_ref().unwrap(), age * 1000 + 1)
     };
     assert_eq!(back(&c, 100), 1);
     // It can't make 150 s any more, but the last: it goes first before that is in doubt.
@@ -342,13 +352,13 @@
     assert_eq!(back(&c, 341), 3);
     assert_eq!(back(&c, 345), 0);
     // With a deadline of its own that it missed early, it is patient for a while.
-    c.rules.finish_within.insert("bake".into(), vec![350_000]);
+    c.config.finish_within.insert("bake".into(), vec![350_000]);
     let mut spec = due("job-2", 40, 60.0);
     spec.class = "bake".into();
     c.submit(&mut store, spec, 1);
     c.plan(&mut store, 10);
     let job = c.job("job-2");
-    let at = |age: u64| plan::put_back(&c.rules, job, job.spec.as_ref().unwrap(), age * 1000 + 1);
+    let at = |age: u64| plan::put_back(&c.config, job, job.spec.as_ref().unwrap(), age * 1000 + 1);
     assert!(!job.placements.is_empty());
     assert_eq!((at(40), at(61), at(139), at(140)), (1, 2, 2, 0));
 }
--- a/tests/rules.rs
+++ b/tests/scheduling.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
+use pointhook::bookkeeping::cluster_state::{ClusterState, ROOT};
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::names::{Index, ShardIx, TeamIx, ZoneIx};
 use pointhook::bookkeeping::units::Ms;
-use pointhook::bookkeeping::view::{View, ROOT};
-use pointhook::coordination::plan::{self, Draft};
+use pointhook::coordination::plan::{self, DraftTransaction};
 use pointhook::coordination::reports;
 use pointhook::coordination::store::{behind_for_long, conclude, transaction, Outcome};
 use pointhook::protocol::users::{Rank, Shape};
@@ -44,7 +44,7 @@
     old.submit(&mut store, job("job-1", 1), 10);
     let draft = old.draft(20);
     assert_eq!(draft.claims.len(), 1);
-    let late = transaction(&old.view, &draft);
+    let late = transaction(&old.cluster, &draft);
     // Its lease ends; another node takes the shards; then the packet arrives.
     store.end_lease(old.lease);
     let mut new = Controller::start("s1", 2, &mut store, 30);
@@ -62,7 +62,7 @@
     assert!(!new.owns(0));
     assert_eq!(new.members(&mut store, 100), 3);
     assert!(new.owns(0));
-    assert_eq!(new.view.shards[0].rec.token, 2);
+    assert_eq!(new.cluster.shards[0].rec.token, 2);
     old.sync(&store);
     assert!(!old.owns(0));
 }
@@ -73,11 +73,11 @@
     let target = Controller::start("s1", 5, &mut store, 0);
     let mut c = c;
     c.sync(&store);
-    let m = pointhook::coordination::members::Move {
+    let m = pointhook::coordination::membership::Move {
         shard: ShardIx(1),
         to: "s1".into(),
     };
-    let (txn, _) = pointhook::coordination::members::move_transaction(&c.view, &m).unwrap();
+    let (txn, _) = pointhook::coordination::membership::move_transaction(&c.cluster, &m).unwrap();
     store.end_lease(target.lease);
     Controller::start("s1", 6, &mut store, 10);
     assert!(matches!(
@@ -158,7 +158,7 @@
     assert_eq!(w.command(&commands(&pushed), 700), 200);
     let mix = c.machine("m1");
     let a = pushed.attempts[0];
-    c.view
+    c.cluster
         .machine_mut(mix)
         .unwrap()
         .late_starts
@@ -167,8 +167,8 @@
         .answered = true;
     c.visit(&mut store, &mut w, 1000);
     // It is stopped, and the task moves to another machine.
-    c.view.machine_mut(mix).unwrap().stopping.insert(a, 0.0);
-    c.view.machine_mut(mix).unwrap().closed = true;
+    c.cluster.machine_mut(mix).unwrap().stopping.insert(a, 0.0);
+    c.cluster.machine_mut(mix).unwrap().closed = true;
     play(&mut c, &mut store, &mut [&mut w], 1500, 4000);
     let mut other = Worker::new("m2", "north", 4000);
     other.run_ms = 60_000;
@@ -196,7 +196,7 @@
     // A newer message without the task, sent before the answer arrived.
     let other = w.report(700);
     let mix = c.machine("m1");
-    reports::take(&mut c.view, mix, &other, Ms(700), None);
+    reports::take(&mut c.cluster, mix, &other, Ms(700), None);
     c.plan(&mut store, 700);
     assert_eq!(c.job("job-1").placements.len(), 1);
     assert!(w.answered(&answer, r.session, 500, 800));
@@ -249,7 +249,7 @@
     let mut next = Controller::start("n1", 2, &mut store, 9000);
     next.members(&mut store, 9000);
     play(&mut next, &mut store, &mut [&mut w], 9500, 12_000);
-    assert_eq!(View::status(next.job("job-1")).0, "done");
+    assert_eq!(ClusterState::status(next.job("job-1")).0, "done");
     assert_eq!(w.started.len(), 1);
 }
 
@@ -272,11 +272,12 @@
     let mut south = Controller::start("s1", 2, &mut store, 0);
     north.sync(&store);
     // Settled for long: the south shard is handed over.
-    let m = pointhook::coordination::members::Move {
+    let m = pointhook::coordination::membership::Move {
         shard: ShardIx(1),
         to: "s1".into(),
     };
-    let (txn, _) = pointhook::coordination::members::move_transaction(&north.view, &m).unwrap();
+    let (txn, _) =
+        pointhook::coordination::membership::move_transaction(&north.cluster, &m).unwrap();
     assert!(matches!(
         Controller::send(&mut store, &txn, 0),
         Outcome::Done(_)
@@ -288,27 +289,42 @@
     north.submit(&mut store, spec, 0);
     south.sync(&store);
     let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
-    let tokens = (0..2).map(|s| north.view.shards[s].rec.token);
+    let tokens = (0..2).map(|s| north.cluster.shards[s].rec.token);
     let tokens: Vec<u64> = tokens.collect();
     (w1.token, w2.token) = (tokens[0], tokens[1]);
     let r1 = w1.report(10);
     let r2 = w2.report(10);
     let (m1, m2) = (
         north
-            .view
+            .cluster
             .learn_machine("m1", "oven", "north", true, Ms(10))
             .unwrap(),
         south
-            .view
+            .cluster
             .learn_machine("m2", "oven", "south", true, Ms(10))
             .unwrap(),
     );
-    reports::take(&mut north.view, m1, &r1, Ms(10), Some((tokens[0], 10_000)));
-    reports::take(&mut south.view, m2, &r2, Ms(10), Some((tokens[1], 10_000)));
+    reports::take(
+        &mut north.cluster,
+        m1,
+        &r1,
+        Ms(10),
+        Some((tokens[0], 10_000)),
+    );
+    reports::take(
+        &mut south.cluster,
+        m2,
+        &r2,
+        Ms(10),
+        Some((tokens[1], 10_000)),
+    );
     // Both decide on the same view; only one of the raises can be applied.
     let (a, b) = (north.draft(10), south.draft(10));
     assert!(a.claims.len() == 2 && b.claims.len() == 2);
-    let (ta, tb) = (transaction(&north.view, &a), transaction(&south.view, &b));
+    let (ta, tb) = (
+        transaction(&north.cluster, &a),
+        transaction(&south.cluster, &b),
+    );
     assert!(matches!(
         Controller::send(&mut store, &ta, 11),
         Outcome::Done(_)
@@ -330,15 +346,15 @@
     c.submit(&mut store, spec, 0);
     c.visit(&mut store, &mut w, 0);
     let team = TeamIx(1);
-    assert_eq!(c.view.teams[1].rec.share(ShardIx(0)), (8000, 2000));
-    let mut d = Draft::default();
-    plan::lower_shares(&c.view, &c.rules, &mut d);
+    assert_eq!(c.cluster.teams[1].rec.share(ShardIx(0)), (8000, 2000));
+    let mut d = DraftTransaction::default();
+    plan::lower_shares(&c.cluster, &c.config, &mut d);
     assert!(d.teams.is_empty());
     // Another shard's share that nothing uses goes, since a task waits.
-    let mut rec = c.view.teams[1].rec.clone();
+    let mut rec = c.cluster.teams[1].rec.clone();
     rec.set(ShardIx(0), (8000, 2500));
-    c.view.teams[1].rec = rec;
-    plan::lower_shares(&c.view, &c.rules, &mut d);
+    c.cluster.teams[1].rec = rec;
+    plan::lower_shares(&c.cluster, &c.config, &mut d);
     assert_eq!(d.teams[&team].share(ShardIx(0)), (8000, 2000));
 }
 
@@ -352,8 +368,8 @@
     c.submit(&mut store, spec.clone(), 0);
     let first = c.draft(10);
     assert_eq!(first.claims.len(), 2);
-    let late = transaction(&c.view, &first);
-    conclude(&mut c.view, &first, &Outcome::Unknown);
+    let late = transaction(&c.cluster, &first);
+    conclude(&mut c.cluster, &first, &Outcome::Unknown);
     spec.id = "job-2".into();
     c.submit(&mut store, spec, 20);
     let d = c.draft(30);
@@ -438,10 +454,10 @@
     assert!(w2.started.is_empty());
     // The cloud's word does.
     let mix = next
-        .view
+        .cluster
         .learn_machine("m1", "oven", "north", true, Ms(60_000))
         .unwrap();
-    next.view.set_gone(mix);
+    next.cluster.set_gone(mix);
     play(&mut next, &mut store, &mut [&mut w2], 60_000, 62_000);
     assert_eq!(w2.started.len(), 1);
 }
@@ -474,7 +490,7 @@
     let a = c.report(&mut store, &held, 8000).unwrap();
     assert!(a.orders.is_empty());
     assert_eq!(c.job("job-1").placements, before.placements);
-    let heard = c.view.machine(c.machine("m1")).unwrap().heard;
+    let heard = c.cluster.machine(c.machine("m1")).unwrap().heard;
     assert_eq!(heard, Some(Ms(1000)));
 }
 
@@ -554,7 +570,7 @@
     play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 3000);
     assert_eq!(c.job("job-1").placements.len(), 2);
     let mix = c.machine("m1");
-    c.view.set_gone(mix);
+    c.cluster.set_gone(mix);
     play(&mut c, &mut store, &mut [&mut w2], 3000, 5000);
     assert!(!w2.has("job-1/0") && !w2.has("job-1/1"));
     assert!(c.job("job-1").placements.is_empty());
@@ -580,7 +596,7 @@
     c.submit(&mut store, busy, 2);
     let (mut w1, mut w2) = (Worker::new("m1", "north", 0), Worker::new("m2", "south", 0));
     play(&mut c, &mut store, &mut [&mut w1, &mut w2], 0, 1000);
-    let holds = plan::gang_holds(&c.view, &c.rules, Ms(1000), 10_000);
+    let holds = plan::gang_holds(&c.cluster, &c.config, Ms(1000), 10_000);
     assert_eq!(holds.len(), 1);
     assert_eq!(holds[0].0, c.job_ix("job-1"));
     assert_eq!(holds[0].1.len(), 2);
@@ -593,7 +609,7 @@
     c.visit(&mut store, &mut w, 0);
     c.submit(&mut store, job("job-1", 1), 100);
     let (ix, mix) = (c.job_ix("job-1"), c.machine("m1"));
-    c.view.machine_mut(mix).unwrap().held = Some((ix, Ms(5000)));
+    c.cluster.machine_mut(mix).unwrap().held = Some((ix, Ms(5000)));
     assert_eq!(c.draft(1000).claims.len(), 0);
     assert_eq!(c.draft(3900).claims.len(), 0);
     c.visit(&mut store, &mut w, 5000);
@@ -614,7 +630,7 @@
     }
     play(&mut c, &mut store, &mut [&mut w], 0, 6000);
     assert_eq!(w.started.len(), 2);
-    assert!(c.view.machine(c.machine("m1")).unwrap().sick);
+    assert!(c.cluster.machine(c.machine("m1")).unwrap().sick);
 }
 
 #[test]
@@ -633,7 +649,7 @@
     play(&mut c, &mut store, &mut all, 0, 5000);
     let tries: usize = workers.iter().map(|w| w.started.len()).sum();
     assert_eq!(tries, 3);
-    assert!(c.view.all_machines().all(|(_, m)| !m.sick));
+    assert!(c.cluster.all_machines().all(|(_, m)| !m.sick));
 }
 
 #[test]
@@ -654,8 +670,8 @@
     prod.priority = Rank::Production;
     prod.vcpus = 8.0;
     c.submit(&mut store, prod, 3000);
-    assert!(plan::preempt(&c.view, &c.rules, ShardIx(1), Ms(5000), 5000).is_empty());
-    let stops = plan::preempt(&c.view, &c.rules, ShardIx(0), Ms(5000), 5000);
+    assert!(plan::preempt(&c.cluster, &c.config, ShardIx(1), Ms(5000), 5000).is_empty());
+    let stops = plan::preempt(&c.cluster, &c.config, ShardIx(0), Ms(5000), 5000);
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].1 .0, c.job_ix("job-1"));
     assert!(stops[0].2 >= 2.0);
@@ -664,7 +680,7 @@
     second.priority = Rank::Production;
     second.vcpus = 8.0;
     c.submit(&mut store, second, 3000);
-    let stops = plan::preempt(&c.view, &c.rules, ShardIx(0), Ms(5000), 5000);
+    let stops = plan::preempt(&c.cluster, &c.config, ShardIx(0), Ms(5000), 5000);
     let stopped: HashSet<_> = stops.iter().map(|s| s.1).collect();
     assert_eq!((stops.len(), stopped.len()), (2, 2));
     c.cancel(&mut store, "job-5", 5000);
@@ -673,7 +689,7 @@
     same.vcpus = 8.0;
     c.cancel(&mut store, "job-3", 5000);
     c.submit(&mut store, same, 5000);
-    assert!(plan::preempt(&c.view, &c.rules, ShardIx(0), Ms(6000), 9000).is_empty());
+    assert!(plan::preempt(&c.cluster, &c.config, ShardIx(0), Ms(6000), 9000).is_empty());
 }
 
 #[test]
@@ -761,9 +777,9 @@
     let old = old.unwrap();
     store.end_lease(other.lease);
     c.sync(&store);
-    assert!(!c.view.nodes.contains_key("s1"));
-    c.view.take_changes(0, old.revision, &old.events);
-    assert!(!c.view.nodes.contains_key("s1"));
+    assert!(!c.cluster.nodes.contains_key("s1"));
+    c.cluster.take_changes(0, old.revision, &old.events);
+    assert!(!c.cluster.nodes.contains_key("s1"));
 }
 
 #[test]
@@ -774,9 +790,9 @@
     for i in 0..6 {
         b.submit(&mut store, job(&format!("job-{i}"), 1), 0);
     }
-    assert_eq!(store.watch(ROOT, c.view.revision).0, 410);
+    assert_eq!(store.watch(ROOT, c.cluster.revision).0, 410);
     assert!(c.sync(&store));
-    assert_eq!(c.view.active.len(), 6);
+    assert_eq!(c.cluster.active.len(), 6);
 }
 
 #[test]
@@ -784,7 +800,7 @@
     let (mut store, mut c) = one();
     let dead = Controller::start("s1", 2, &mut store, 0);
     c.sync(&store);
-    assert!(c.view.nodes.contains_key("s1"));
+    assert!(c.cluster.nodes.contains_key("s1"));
     // It misses hundreds of changes in a cut, one of them the other's end.
     store.end_lease(dead.lease);
     let mut other = Controller::start("s2", 3, &mut store, 0);
@@ -798,7 +814,7 @@
         let page = store.list(ROOT, &from, 50);
         assert!(page.entries.len() <= 50);
         revision.get_or_insert(page.revision);
-        c.view.take_page(&page.entries, &mut fleeting);
+        c.cluster.take_page(&page.entries, &mut fleeting);
         match page.entries.last() {
             Some(last) if page.more => from.clone_from(&last.key),
             _ => break,
@@ -810,12 +826,12 @@
     let newer = Controller::start("s3", 9, &mut store, 0);
     let key = format!("{ROOT}node/s3");
     let page = store.list(&key, "", 1);
-    c.view
+    c.cluster
         .put(&key, page.entries[0].version, &page.entries[0].v);
-    c.view.end_read(&fleeting, revision.unwrap());
-    assert!((0..200).all(|i| c.view.job(&format!("job-{i}")).is_some()));
-    assert!(!c.view.nodes.contains_key("s1") && c.view.nodes.contains_key("n1"));
-    assert!(newer.view.nodes.contains_key("s3") && c.view.nodes.contains_key("s3"));
+    c.cluster.end_read(&fleeting, revision.unwrap());
+    assert!((0..200).all(|i| c.cluster.job(&format!("job-{i}")).is_some()));
+    assert!(!c.cluster.nodes.contains_key("s1") && c.cluster.nodes.contains_key("n1"));
+    assert!(newer.cluster.nodes.contains_key("s3") && c.cluster.nodes.contains_key("s3"));
 }
 
 #[test]
@@ -829,7 +845,7 @@
     let mut w = Worker::new("m1", "north", 0);
     play(&mut c, &mut store, &mut [&mut w], 0, 20_000);
     assert!(c.job("job-1").done.count() > 200);
-    let e = store.entry(&View::job_key("job-1")).unwrap();
+    let e = store.entry(&ClusterState::job_key("job-1")).unwrap();
     assert!(e.v.to_string().len() <= store.value_bytes);
 }
 
@@ -839,15 +855,15 @@
     Controller::start("s1", 2, &mut store, 0);
     north.sync(&store);
     let at = |ms| Ms(ms);
-    let known = pointhook::coordination::members::Known {
+    let known = pointhook::coordination::membership::Known {
         seen: std::collections::HashMap::from([(("s1".to_string(), 2), at(0))]),
         owned: north.owned_for_long(),
         ..Default::default()
     };
     let moves = |now| {
-        pointhook::coordination::members::moves(
-            &north.view,
-            &north.rules,
+        pointhook::coordination::membership::moves(
+            &north.cluster,
+            &north.config,
             &north.zones,
             &known,
             false,
@@ -858,7 +874,7 @@
     let m = moves(at(3000));
     assert_eq!(m.len(), 1);
     assert_eq!((m[0].shard, m[0].to.as_str()), (ShardIx(1), "s1"));
-    assert_eq!(north.view.shard_zone(ShardIx::new(1)), Some(ZoneIx(1)));
+    assert_eq!(north.cluster.shard_zone(ShardIx::new(1)), Some(ZoneIx(1)));
 }
 
 #[test]
@@ -869,7 +885,7 @@
     let second = c.submit(&mut store, job("job-2", 1), 1000);
     assert!(matches!(first, Outcome::Done(_)));
     assert_eq!(second, Outcome::Refused(429));
-    assert!(c.view.job("job-2").is_none());
+    assert!(c.cluster.job("job-2").is_none());
     assert!(matches!(
         c.submit(&mut store, job("job-2", 1), 2500),
         Outcome::Done(_)
@@ -964,25 +980,25 @@
     let lost = c.report(&mut store, &r, 500).unwrap();
     assert_eq!(starts(&lost.orders), 1, "an answer that never arrives");
     // Nobody answers the machine for longer than a lease: its tasks are proven dead.
-    let now = 500 + c.rules.dead_ms + 10;
+    let now = 500 + c.config.dead_ms + 10;
     let draft = c.draft(now);
     let ix = c.job_ix("job-1");
     assert!(draft.jobs[&ix].placements.is_empty());
-    plan::give_up(&mut c.view, &draft);
-    let on_its_way = transaction(&c.view, &draft);
+    plan::give_up(&mut c.cluster, &draft);
+    let on_its_way = transaction(&c.cluster, &draft);
     let r = w.report(now + 20);
     assert_eq!(r.session, 2);
-    let got = reports::receive(&mut c.view, &c.rules, &r, 10_000, Ms(now + 20));
+    let got = reports::receive(&mut c.cluster, &c.config, &r, 10_000, Ms(now + 20));
     let reports::Received::Taken(mix, token, taken) = got else {
         panic!("not taken");
     };
     let taken = (mix, token, taken);
-    let answer = reports::reply(&mut c.view, &c.rules, &r, taken, Ms(now + 20)).unwrap();
+    let answer = reports::reply(&mut c.cluster, &c.config, &r, taken, Ms(now + 20)).unwrap();
     assert_eq!(starts(&answer.orders), 0);
     assert!(c.pushes(now + 20).is_empty());
     let out = Controller::send(&mut store, &on_its_way, now + 50);
     assert!(matches!(out, Outcome::Done(_)));
-    conclude(&mut c.view, &draft, &out);
+    conclude(&mut c.cluster, &draft, &out);
     play(&mut c, &mut store, &mut [&mut w], now + 500, now + 20_000);
     assert_eq!(w.started, [("job-1/0".to_string(), 2)]);
     assert_eq!(c.job("job-1").state, JobState::Done);
@@ -996,16 +1012,16 @@
     c.submit(&mut store, job("job-1", 1), 0);
     play(&mut c, &mut store, &mut [&mut w], 0, 1500);
     let ix = c.job_ix("job-1");
-    let heard = c.view.machine(c.machine("m1")).unwrap().heard.unwrap();
+    let heard = c.cluster.machine(c.machine("m1")).unwrap().heard.unwrap();
     // The report waits in a socket while an answer to a direct command is read.
     let late = w.report(9000);
     let newer = w.report(9100);
     let mix = c.machine("m1");
-    reports::take(&mut c.view, mix, &newer, Ms(9100), None);
+    reports::take(&mut c.cluster, mix, &newer, Ms(9100), None);
     assert!(c.report(&mut store, &late, 9200).is_some());
-    let over = heard.plus(c.rules.dead_ms + 10).0;
+    let over = heard.plus(c.config.dead_ms + 10).0;
     assert!(!c.draft(over).jobs.contains_key(&ix), "answered since");
-    assert!(c.draft(9200 + c.rules.dead_ms + 10).jobs.contains_key(&ix));
+    assert!(c.draft(9200 + c.config.dead_ms + 10).jobs.contains_key(&ix));
 }
 
 // A silent machine keeps the direct starts of older tokens until it goes. Counted like open ones
@@ -1018,8 +1034,8 @@
     c.visit(&mut store, &mut w, 0);
     c.submit(&mut store, job("job-1", 1), 10);
     let (ix, mix) = (c.job_ix("job-1"), c.machine("m1"));
-    let shard = c.view.machine(mix).unwrap().shard;
-    let token = c.view.shards[shard.at()].rec.token;
+    let shard = c.cluster.machine(mix).unwrap().shard;
+    let token = c.cluster.shards[shard.at()].rec.token;
     let kept = |c: &mut Controller, token: u64| {
         let late = LateStart {
             token,
@@ -1027,17 +1043,17 @@
             sent: Ms(10),
             answered: true,
         };
-        let m = c.view.machine_mut(mix).unwrap();
+        let m = c.cluster.machine_mut(mix).unwrap();
         m.late_starts = (0..250).map(|i| ((ix, 0, i), late)).collect();
     };
     let raised = |c: &Controller| {
-        let known = pointhook::coordination::members::Known {
+        let known = pointhook::coordination::membership::Known {
             owned: c.owned_for_long(),
             ..Default::default()
         };
-        let moves = pointhook::coordination::members::moves(
-            &c.view,
-            &c.rules,
+        let moves = pointhook::coordination::membership::moves(
+            &c.cluster,
+            &c.config,
             &c.zones,
             &known,
             true,
--- a/tests/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -59,7 +59,7 @@
             let listed = Listed {
                 name: name.clone(),
                 addr: "127.0.0.1:1".into(),
-                rig: b.rig.clone(),
+                machine_type: b.machine_type.clone(),
                 zone: b.zone.clone(),
                 spot: b.spot,
                 status: "running".into(),
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -3,16 +3,16 @@
 use super::cloud::flavor;
 use super::store::Store;
 use super::worker::Worker;
+use pointhook::bookkeeping::cluster_state::{ClusterState, NodeRecord, ROOT};
 use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
 use pointhook::bookkeeping::knowledge::Knowledge;
 use pointhook::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
 use pointhook::bookkeeping::records::SECOND_FORM;
 use pointhook::bookkeeping::units::Ms;
-use pointhook::bookkeeping::view::{NodeRecord, View, ROOT};
 use pointhook::coordination::cancellations::{self, Leftovers};
-use pointhook::coordination::plan::{self, Draft, Push, Rules};
+use pointhook::coordination::plan::{self, DraftTransaction, Push, SchedulerConfig};
 use pointhook::coordination::store::{conclude, set, transaction, Outcome};
-use pointhook::coordination::{members, reports};
+use pointhook::coordination::{membership, reports};
 use pointhook::protocol::cloud::Flavors;
 use pointhook::protocol::state::Limits;
 use pointhook::protocol::state::{Condition, Transaction};
@@ -22,8 +22,8 @@
 use std::collections::{BTreeMap, HashMap};
 
 pub struct Controller {
-    pub view: View,
-    pub rules: Rules,
+    pub cluster: ClusterState,
+    pub config: SchedulerConfig,
     pub lease: u64,
     pub zones: BTreeMap<String, ZoneIx>,
     /// Names of the others, by the index of what they vouch for.
@@ -31,7 +31,7 @@
     pub began: u64,
     pub left: Leftovers,
     /// Since when its shards and other nodes are there, as membership keeps it.
-    pub known: members::Known,
+    pub known: membership::Known,
     raised: u64,
     cascaded: bool,
 }
@@ -80,8 +80,8 @@
     /// A controller that has its key and knows the records.
     pub fn start(name: &str, incarnation: u64, store: &mut Store, now: u64) -> Controller {
         let zones = ["north".to_string(), "south".to_string()];
-        let view = View::new(&zones, &[team("ovens", 0.0), team("mixers", 2.0)], 1);
-        let rules = Rules {
+        let cluster = ClusterState::new(&zones, &[team("ovens", 0.0), team("mixers", 2.0)], 1);
+        let config = SchedulerConfig {
             node: name.into(),
             incarnation,
             silent_ms: 4000,
@@ -105,21 +105,21 @@
         };
         let mut c = Controller {
             zones: BTreeMap::from([("n1".to_string(), ZoneIx(0)), ("s1".to_string(), ZoneIx(1))]),
-            view,
-            rules,
+            cluster,
+            config,
             lease: store.grant(4000, now),
             peers: Vec::new(),
             began: now,
             left: Leftovers::default(),
-            known: members::Known::default(),
+            known: membership::Known::default(),
             raised: 0,
             cascaded: false,
         };
-        c.view.set_flavors(&Flavors {
+        c.cluster.set_flavors(&Flavors {
             types: vec![flavor()],
         });
         let page = store.list(ROOT, "", 1000);
-        c.view.take_all(&page.entries, page.revision);
+        c.cluster.take_all(&page.entries, page.revision);
         let key = format!("{ROOT}node/{name}");
         let txn = Transaction {
             conditions: vec![Condition {
@@ -144,15 +144,15 @@
 
     /// Reads the newest changes; false while the store is down.
     pub fn sync(&mut self, store: &Store) -> bool {
-        let from = self.view.revision;
+        let from = self.cluster.revision;
         match store.watch(ROOT, from) {
             (200, Some(c)) => {
-                self.view.take_changes(from, c.revision, &c.events);
+                self.cluster.take_changes(from, c.revision, &c.events);
                 true
             }
             (410, _) => {
                 let page = store.list(ROOT, "", 1000);
-                self.view.take_all(&page.entries, page.revision);
+                self.cluster.take_all(&page.entries, page.revision);
                 true
             }
             _ => false,
@@ -170,11 +170,11 @@
 
     /// Takes and hands over shards as membership wants; the moves that were committed.
     pub fn members(&mut self, store: &mut Store, now: u64) -> usize {
-        let moves = members::moves(
-            &self.view,
-            &self.rules,
+        let moves = membership::moves(
+            &self.cluster,
+            &self.config,
             &self.zones,
-            &members::Known {
+            &membership::Known {
                 owned: self.owned_for_long(),
                 ..Default::default()
             },
@@ -183,7 +183,7 @@
         );
         let mut done = 0;
         for m in moves {
-            let (txn, _) = members::move_transaction(&self.view, &m).expect("a live target");
+            let (txn, _) = membership::move_transaction(&self.cluster, &m).expect("a live target");
             if matches!(Self::send(store, &txn, now), Outcome::Done(_)) {
                 done += 1;
             }
@@ -194,16 +194,16 @@
 
     /// All shards, as if they had been here for long.
     pub fn owned_for_long(&self) -> HashMap<ShardIx, Ms> {
-        let shards = (0..self.view.shards.len()).map(ShardIx::new);
+        let shards = (0..self.cluster.shards.len()).map(ShardIx::new);
         shards.map(|s| (s, Ms(0))).collect()
     }
 
     pub fn owns(&self, shard: usize) -> bool {
-        self.rules.owns(&self.view, ShardIx::new(shard))
+        self.config.owns(&self.cluster, ShardIx::new(shard))
     }
 
     pub fn submit(&mut self, store: &mut Store, spec: JobSpec, now: u64) -> Outcome {
-        let key = View::job_key(&spec.id);
+        let key = ClusterState::job_key(&spec.id);
         let rec = JobRecord {
             spec: Some(spec),
             state: JobState::Open,
@@ -227,11 +227,11 @@
 
     pub fn cancel(&mut self, store: &mut Store, id: &str, now: u64) -> Outcome {
         let (ix, job) = self
-            .view
+            .cluster
             .job(id)
             .map(|(ix, j)| (ix, j.clone()))
             .expect("known job");
-        let mut draft = Draft::default();
+        let mut draft = DraftTransaction::default();
         draft.jobs.insert(
             ix,
             pointhook::bookkeeping::job::Job {
@@ -239,20 +239,20 @@
                 ..job
             },
         );
-        let out = Self::send(store, &transaction(&self.view, &draft), now);
-        conclude(&mut self.view, &draft, &out);
+        let out = Self::send(store, &transaction(&self.cluster, &draft), now);
+        conclude(&mut self.cluster, &draft, &out);
         out
     }
 
     /// What a pass would commit.
-    pub fn draft(&self, now: u64) -> Draft {
-        let mut d = Draft::deferring(false, now);
+    pub fn draft(&self, now: u64) -> DraftTransaction {
+        let mut d = DraftTransaction::deferring(false, now);
         if now % 1000 == 0 && !self.cascaded {
             d.cascades = 2;
         }
-        plan::settle(&self.view, &self.rules, &mut d, Ms(now));
-        plan::claim(&self.view, &self.rules, &mut d, Ms(now), now);
-        plan::lower_shares(&self.view, &self.rules, &mut d);
+        plan::settle(&self.cluster, &self.config, &mut d, Ms(now));
+        plan::claim(&self.cluster, &self.config, &mut d, Ms(now), now);
+        plan::lower_shares(&self.cluster, &self.config, &mut d);
         d
     }
 
@@ -265,9 +265,9 @@
             if draft.is_empty() {
                 return;
             }
-            plan::give_up(&mut self.view, &draft);
-            let out = Self::send(store, &transaction(&self.view, &draft), now);
-            conclude(&mut self.view, &draft, &out);
+            plan::give_up(&mut self.cluster, &draft);
+            let out = Self::send(store, &transaction(&self.cluster, &draft), now);
+            conclude(&mut self.cluster, &draft, &out);
             // As the duty does: what was refused is tried again at its next turn.
             if matches!(out, Outcome::Unknown | Outcome::Refused(_)) {
                 self.sync(store);
@@ -288,12 +288,18 @@
 
     /// Takes a report and answers it; `None` is 421.
     pub fn report(&mut self, store: &mut Store, r: &Report, now: u64) -> Option<ReportAnswer> {
-        let received = reports::receive(&mut self.view, &self.rules, r, 10_000, Ms(now));
+        let received = reports::receive(&mut self.cluster, &self.config, r, 10_000, Ms(now));
         let reports::Received::Taken(mix, token, taken) = received else {
             return None;
         };
         self.plan(store, now);
-        reports::reply(&mut self.view, &self.rules, r, (mix, token, taken), Ms(now))
+        reports::reply(
+            &mut self.cluster,
+            &self.config,
+            r,
+            (mix, token, taken),
+            Ms(now),
+        )
     }
 
     /// One report of a worker, answered and executed at once; false for 421. A worker that
@@ -317,9 +323,9 @@
 
     /// One of several controllers: it knows of the others.
     pub fn among(mut self, names: &[&str], zones: &[(&str, u32)]) -> Controller {
-        let others = names.iter().filter(|n| **n != self.rules.node);
+        let others = names.iter().filter(|n| **n != self.config.node);
         self.peers = others.map(|n| n.to_string()).collect();
-        self.view.knowledge = Knowledge::new(self.peers.len(), Ms(self.began));
+        self.cluster.knowledge = Knowledge::new(self.peers.len(), Ms(self.began));
         self.zones = zones
             .iter()
             .map(|(n, z)| (n.to_string(), ZoneIx(*z)))
@@ -329,20 +335,20 @@
 
     /// Keeps its key, takes and hands over shards, with the times that the duty keeps.
     pub fn keep_shards(&mut self, store: &mut Store, now: u64) {
-        let me = self.rules.node.clone();
+        let me = self.config.node.clone();
         if !store.down && !store.touch(self.lease, now) {
             self.lease = store.grant(4000, now);
         }
-        let mine = self.view.nodes.get(&me).map(|r| r.rec.incarnation);
-        if !store.down && mine != Some(self.rules.incarnation) {
+        let mine = self.cluster.nodes.get(&me).map(|r| r.rec.incarnation);
+        if !store.down && mine != Some(self.config.incarnation) {
             let key = format!("{ROOT}node/{me}");
             let rec = NodeRecord {
-                incarnation: self.rules.incarnation,
+                incarnation: self.config.incarnation,
                 forms: SECOND_FORM,
             };
             let txn = Transaction {
                 conditions: vec![Condition {
-                    version: self.view.nodes.get(&me).map_or(0, |n| n.version),
+                    version: self.cluster.nodes.get(&me).map_or(0, |n| n.version),
                     key: key.clone(),
                 }],
                 writes: set(key, &rec, Some(self.lease)).into_iter().collect(),
@@ -351,38 +357,38 @@
             self.sync(store);
             return;
         }
-        let view = &self.view;
-        let nodes = &view.nodes;
+        let cluster = &self.cluster;
+        let nodes = &cluster.nodes;
         let there = |n: &String, i: u64| nodes.get(n).is_some_and(|r| r.rec.incarnation == i);
         self.known.seen.retain(|(n, i), _| there(n, *i));
         for (n, r) in nodes {
             let key = (n.clone(), r.rec.incarnation);
             self.known.seen.entry(key).or_insert(Ms(now));
         }
-        for s in (0..view.shards.len()).map(ShardIx::new) {
-            if self.rules.owns(view, s) {
+        for s in (0..cluster.shards.len()).map(ShardIx::new) {
+            if self.config.owns(cluster, s) {
                 self.known.owned.entry(s).or_insert(Ms(now));
             } else {
                 self.known.owned.remove(&s);
             }
         }
-        if mine != Some(self.rules.incarnation) {
+        if mine != Some(self.config.incarnation) {
             return;
         }
         let may_raise = now >= self.raised + 5000;
         if may_raise {
             self.raised = now;
         }
-        let moves = members::moves(
-            view,
-            &self.rules,
+        let moves = membership::moves(
+            cluster,
+            &self.config,
             &self.zones,
             &self.known,
             may_raise,
             Ms(now),
         );
         for m in moves {
-            let txn = members::move_transaction(&self.view, &m);
+            let txn = membership::move_transaction(&self.cluster, &m);
             if let Some((txn, _)) = txn {
                 Self::send(store, &txn, now);
             }
@@ -392,27 +398,30 @@
 
     /// Asks a peer for the cancellations it knows, telling those known here.
     pub fn ask(&mut self, peer: &mut Controller, now: u64) {
-        cancellations::learn(&mut peer.view, &cancellations::names(&self.view));
-        let reply = cancellations::tells(&peer.view, Ms(now), now - peer.began);
-        let at = self.peers.iter().position(|p| *p == peer.rules.node);
+        cancellations::learn(&mut peer.cluster, &cancellations::names(&self.cluster));
+        let reply = cancellations::tells(&peer.cluster, Ms(now), now - peer.began);
+        let at = self.peers.iter().position(|p| *p == peer.config.node);
         let at = at.expect("a peer of its own");
-        cancellations::take(&mut self.view, at, Ms(now), Ms(now), &reply);
+        cancellations::take(&mut self.cluster, at, Ms(now), Ms(now), &reply);
     }
 
     pub fn pushes(&mut self, now: u64) -> Vec<Push> {
-        plan::pushes(&mut self.view, &self.rules, Ms(now), || true)
+        plan::pushes(&mut self.cluster, &self.config, Ms(now), || true)
     }
 
     pub fn machine(&self, name: &str) -> MachineIx {
-        self.view.machine_names.find(name).expect("known machine")
+        self.cluster
+            .machine_names
+            .find(name)
+            .expect("known machine")
     }
 
     pub fn job_ix(&self, id: &str) -> JobIx {
-        self.view.job(id).expect("known job").0
+        self.cluster.job(id).expect("known job").0
     }
 
     pub fn job(&self, id: &str) -> &pointhook::bookkeeping::job::Job {
-        self.view.job(id).expect("known job").1
+        self.cluster.job(id).expect("known job").1
     }
 }
 
--- a/tests/support/liveness.rs
+++ b/tests/support/liveness.rs
@@ -67,10 +67,14 @@
 
 fn team_has_room(world: &World, spec: &JobSpec, tasks: usize) -> bool {
     let controller = world.nodes.iter().flatten().next().expect("a controller");
-    let team: TeamIx = controller.view.team_names.find(&spec.team).expect("a team");
-    let most = controller.view.team_limits[team.at()].most.1 as f64 / 1000.0;
+    let team: TeamIx = controller
+        .cluster
+        .team_names
+        .find(&spec.team)
+        .expect("a team");
+    let most = controller.cluster.team_limits[team.at()].most.1 as f64 / 1000.0;
     // Jobs that were accepted without an answer count as well.
-    let active = controller.view.active_jobs();
+    let active = controller.cluster.active_jobs();
     let active = active.filter_map(|(_, job)| Some((job, job.spec.as_ref()?)));
     let of_team = active.filter(|(_, other)| other.team == team);
     let used: f64 = of_team
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -15,7 +15,7 @@
 /// A worker of a machine.
 pub struct Worker {
     pub name: String,
-    pub rig: String,
+    pub machine_type: String,
     pub zone: String,
     pub spot: bool,
     pub addr: String,
@@ -40,7 +40,7 @@
     pub fn new(name: &str, zone: &str, now: u64) -> Worker {
         Worker {
             name: name.into(),
-            rig: "oven".into(),
+            machine_type: "oven".into(),
             zone: zone.into(),
             spot: true,
             addr: "127.0.0.1:1".into(),
@@ -98,7 +98,7 @@
         Report {
             machine: self.name.clone(),
             addr: self.addr.clone(),
-            rig: self.rig.clone(),
+            machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
             session: self.session,
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -4,17 +4,17 @@
 use super::controller::{commands, Controller, CANCEL_MS, LEASE_MS};
 use super::store::Store;
 use super::worker::Worker;
+use pointhook::bookkeeping::cluster_state::ClusterState;
 use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::names::{Index, ShardIx, TeamIx};
 use pointhook::bookkeeping::units::Ms;
-use pointhook::bookkeeping::view::View;
 use pointhook::coordination::cancellations;
-use pointhook::coordination::members;
+use pointhook::coordination::membership;
+use pointhook::coordination::peer_messages;
 use pointhook::coordination::plan::{self, Pushed};
-use pointhook::coordination::reach;
 use pointhook::coordination::reports::{self, Received};
-use pointhook::coordination::siblings;
 use pointhook::coordination::store::Outcome;
+use pointhook::coordination::worker_connectivity;
 use pointhook::protocol::users::{JobSpec, Shape};
 use pointhook::protocol::workers::{Commands, Report};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -145,7 +145,7 @@
         let c = Controller::start(NAMES[at], self.incarnation, &mut self.store, self.now);
         (self.store.late_ms, self.store.loses_answers) = late;
         let mut c = c.among(&NAMES, &ZONES);
-        c.view.knowledge.read(Ms(self.now));
+        c.cluster.knowledge.read(Ms(self.now));
         self.nodes[at] = Some(c);
     }
 
@@ -160,7 +160,7 @@
     /// Begins the second form of records, as the members' duty does once all nodes know it.
     pub fn begin_second_form(&mut self) {
         let c = self.nodes[0].as_ref().expect("a controller");
-        let txn = members::begin_second_form(&c.view, &NAMES).expect("all know it");
+        let txn = membership::begin_second_form(&c.cluster, &NAMES).expect("all know it");
         assert_eq!(self.store.commit(&txn, self.now).0, 200);
         self.run(STEP_MS);
     }
@@ -170,14 +170,16 @@
     pub fn try_second_form(&mut self) {
         self.door(0);
         let Some(c) = &self.nodes[0] else { return };
-        if let Some(txn) = members::begin_second_form(&c.view, &NAMES) {
+        if let Some(txn) = membership::begin_second_form(&c.cluster, &NAMES) {
             self.store.commit(&txn, self.now);
         }
     }
 
     /// True if this controller takes jobs with dependencies.
     pub fn takes_dependencies(&self, at: usize) -> bool {
-        self.nodes[at].as_ref().is_some_and(|c| c.view.second_form)
+        self.nodes[at]
+            .as_ref()
+            .is_some_and(|c| c.cluster.second_form)
     }
 
     /// Accepted jobs that others may await.
@@ -236,9 +238,9 @@
         let name = &self.hosts[host].worker.name;
         (0..3).find(|at| {
             self.nodes[*at].as_ref().is_some_and(|c| {
-                let m = c.view.machine_names.find(name);
-                let m = m.and_then(|m| c.view.machine(m));
-                m.is_some_and(|m| c.rules.owns(&c.view, m.shard))
+                let m = c.cluster.machine_names.find(name);
+                let m = m.and_then(|m| c.cluster.machine(m));
+                m.is_some_and(|m| c.config.owns(&c.cluster, m.shard))
             })
         })
     }
@@ -279,7 +281,7 @@
             return false;
         };
         self.by_user.insert(id.into());
-        let known = c.sync(&self.store) && c.view.job(id).is_some_and(|(_, j)| j.open());
+        let known = c.sync(&self.store) && c.cluster.job(id).is_some_and(|(_, j)| j.open());
         let done = known && matches!(c.cancel(&mut self.store, id, now), Outcome::Done(_));
         if done {
             self.note_cancelled(id);
@@ -337,17 +339,17 @@
     pub fn poll(&mut self, at: usize, id: &str) -> Option<&'static str> {
         self.door(at);
         let c = self.nodes[at].as_mut()?;
-        let settled = c.view.job(id).is_some_and(|(_, j)| !j.open());
+        let settled = c.cluster.job(id).is_some_and(|(_, j)| !j.open());
         if !settled && !c.sync(&self.store) {
             return None;
         }
-        let Some((_, job)) = c.view.job(id) else {
+        let Some((_, job)) = c.cluster.job(id) else {
             if self.told.contains_key(id) {
                 self.broken.push(format!("{id} is not known at {at}"));
             }
             return None;
         };
-        let word = View::status(job).0;
+        let word = ClusterState::status(job).0;
         let last = self.told.get_mut(id)?;
         if word == "done" && last.0.shape == Shape::Array {
             for task in (0..last.0.tasks).map(|t| format!("{id}/{t}")) {
@@ -392,8 +394,8 @@
             if let Some(peer) = self.nodes[b].as_mut() {
                 c.ask(peer, now);
                 let owned = |s| c.known.owned.get(&s).copied();
-                let news = siblings::own_news(&c.view, &c.rules, Ms(now), owned);
-                siblings::take_news(&mut peer.view, &peer.rules, NAMES[at], news, Ms(now));
+                let news = peer_messages::own_news(&c.cluster, &c.config, Ms(now), owned);
+                peer_messages::take_news(&mut peer.cluster, &peer.config, NAMES[at], news, Ms(now));
             }
         }
     }
@@ -427,7 +429,7 @@
                 continue;
             };
             if c.sync(&self.store) {
-                c.view.knowledge.read(Ms(now));
+                c.cluster.knowledge.read(Ms(now));
             }
             c.keep_shards(&mut self.store, now);
             if now % 1000 == 0 {
@@ -446,23 +448,23 @@
             c.plan(&mut self.store, now);
             if now % 1000 == 0 {
                 let turn = ShardIx((now / 1000 % 2) as u32);
-                let stops = plan::preempt(&c.view, &c.rules, turn, Ms(now), now);
+                let stops = plan::preempt(&c.cluster, &c.config, turn, Ms(now), now);
                 for (mix, a, grace) in stops {
-                    if let Some(m) = c.view.machine_mut(mix) {
+                    if let Some(m) = c.cluster.machine_mut(mix) {
                         m.stopping.insert(a, grace);
                     }
                 }
             }
             for p in c.pushes(now) {
-                let name = c.view.machine_names.name(p.machine).clone();
+                let name = c.cluster.machine_names.name(p.machine).clone();
                 let how = self.command(at, &name, commands(&p));
-                plan::note_pushed(&mut c.view, &p, how);
+                plan::note_pushed(&mut c.cluster, &p, how);
             }
             self.poke(at, &c);
             if now % 1000 == 0 {
                 self.probe(at, &mut c);
             }
-            for left in c.left.due(&c.view, &c.rules, Ms(now)) {
+            for left in c.left.due(&c.cluster, &c.config, Ms(now)) {
                 self.stop_directly(at, &left);
             }
             self.nodes[at] = Some(c);
@@ -507,12 +509,12 @@
             self.next_node(h);
             return;
         };
-        let received = reports::receive(&mut c.view, &c.rules, &report, 10_000, Ms(now));
+        let received = reports::receive(&mut c.cluster, &c.config, &report, 10_000, Ms(now));
         let answer = match received {
             Received::Taken(mix, token, taken) => {
                 c.plan(&mut self.store, now);
                 let got = (mix, token, taken);
-                let answer = reports::reply(&mut c.view, &c.rules, &report, got, Ms(now));
+                let answer = reports::reply(&mut c.cluster, &c.config, &report, got, Ms(now));
                 answer.ok_or(None)
             }
             Received::Elsewhere(owner) => Err(owner),
@@ -573,12 +575,12 @@
     fn poke(&mut self, at: usize, c: &Controller) {
         let now = self.now;
         for host in &mut self.hosts {
-            let m = c.view.machine_names.find(&host.worker.name);
-            let Some(m) = m.and_then(|m| c.view.machine(m)) else {
+            let m = c.cluster.machine_names.find(&host.worker.name);
+            let Some(m) = m.and_then(|m| c.cluster.machine(m)) else {
                 continue;
             };
-            let token = c.view.shards[m.shard.at()].rec.token;
-            let due = c.rules.owns(&c.view, m.shard) && host.worker.token < token;
+            let token = c.cluster.shards[m.shard.at()].rec.token;
+            let due = c.config.owns(&c.cluster, m.shard) && host.worker.token < token;
             let cut = host.cut_off && (host.worker.zone == "south") != (at == 2);
             if due && !cut && !host.ill.deaf && !host.ill.hangs {
                 let show = Commands {
@@ -595,14 +597,16 @@
     /// Asks machines that seem to hear nothing whether they do after all.
     fn probe(&mut self, at: usize, c: &mut Controller) {
         let now = self.now;
-        for (machine, _) in reach::unheard(&mut c.view, &c.rules, LEASE_MS, Ms(now)) {
-            let name = c.view.machine_names.name(machine).clone();
+        for (machine, _) in
+            worker_connectivity::unheard(&mut c.cluster, &c.config, LEASE_MS, Ms(now))
+        {
+            let name = c.cluster.machine_names.name(machine).clone();
             let host = self.hosts.iter().find(|h| *h.worker.name == *name);
             let reached = host.is_some_and(|h| {
                 let cut = h.cut_off && (h.worker.zone == "south") != (at == 2);
                 !cut && !h.ill.deaf && !h.ill.hangs
             });
-            if let Some(m) = c.view.machine_mut(machine).filter(|_| reached) {
+            if let Some(m) = c.cluster.machine_mut(machine).filter(|_| reached) {
                 m.reached(Ms(now));
             }
         }
@@ -611,8 +615,8 @@
     /// True if some controller is about to return the machine.
     pub fn is_returned(&self, host: &Host) -> bool {
         self.nodes.iter().flatten().any(|c| {
-            let machine = c.view.machine_names.find(&host.worker.name);
-            let machine = machine.and_then(|m| c.view.machine(m));
+            let machine = c.cluster.machine_names.find(&host.worker.name);
+            let machine = machine.and_then(|m| c.cluster.machine(m));
             machine.is_some_and(|m| m.sick || m.closed)
         })
     }
@@ -684,8 +688,8 @@
         for (team, used) in gpus {
             let c = self.nodes.iter().flatten().next();
             let most = c.and_then(|c| {
-                let t: TeamIx = c.view.team_names.find(&team)?;
-                Some(c.view.team_limits[t.at()].most.1 as f64 / 1000.0)
+                let t: TeamIx = c.cluster.team_names.find(&team)?;
+                Some(c.cluster.team_limits[t.at()].most.1 as f64 / 1000.0)
             });
             if most.is_some_and(|m| m > 0.0 && used > m) {
                 self.broken.push(format!("{now}: {team} uses {used}"));
@@ -733,7 +737,7 @@
     /// True if the job is over, as the first live controller knows it.
     pub fn is_over(&self, id: &str) -> bool {
         let c = self.nodes.iter().flatten().next().expect("a controller");
-        c.view.job(id).is_some_and(|(_, j)| !j.open())
+        c.cluster.job(id).is_some_and(|(_, j)| !j.open())
     }
 
     /// All rules held; once troubles are over each accepted job is over or known everywhere.
@@ -751,7 +755,7 @@
     pub fn services(&self) -> Vec<String> {
         let c = self.nodes.iter().flatten().next().expect("a controller");
         let service = |s: &JobSpec| s.shape == Shape::Service;
-        let open = c.view.active_jobs().filter(|(_, j)| j.open());
+        let open = c.cluster.active_jobs().filter(|(_, j)| j.open());
         let open = open.filter(|(_, j)| j.spec.as_ref().is_some_and(|s| service(&s.wire)));
         open.map(|(_, j)| j.id.to_string()).collect()
     }
@@ -766,7 +770,7 @@
     pub fn over(&mut self) -> usize {
         let c = self.nodes.iter().flatten().next().expect("a controller");
         let over = |id: &&String| {
-            let job = c.view.job(id);
+            let job = c.cluster.job(id);
             job.is_some_and(|(_, j)| j.state != JobState::Open)
         };
         self.told.keys().filter(over).count()
@@ -775,8 +779,8 @@
     /// Accepted jobs that are not over, as the first live controller knows them.
     pub fn unfinished(&self) -> Vec<String> {
         let c = self.nodes.iter().flatten().next().expect("a controller");
-        let open = |id: &&String| c.view.job(id).is_none_or(|(_, j)| j.open());
-        let describe = |id: &String| format!("{:?}", c.view.job(id));
+        let open = |id: &&String| c.cluster.job(id).is_none_or(|(_, j)| j.open());
+        let describe = |id: &String| format!("{:?}", c.cluster.job(id));
         self.told.keys().filter(open).map(describe).collect()
     }
 
--- a/tests/compat.rs
+++ b/tests/version_compatibility.rs
@@ -100,7 +100,7 @@
     team.set(ShardIx(1), (8000, 2000));
     same_record("record/team", &team);
     let booking = BookingRecord {
-        rig: "g8".into(),
+        machine_type: "g8".into(),
         zone: "a".into(),
         spot: true,
         count: 12,
@@ -115,7 +115,7 @@
     let machine = MachineNews {
         name: "n-000231".into(),
         addr: "10.1.0.232:9000".into(),
-        rig: "g8".into(),
+        machine_type: "g8".into(),
         zone: "a".into(),
         spot: true,
         silent_ms: 1500,
