--- a/src/cli.rs
+++ b/src/cli.rs
@@ -39,7 +39,7 @@
 enum Command {
     /// Checks settings files without starting
     Check(Files),
-    /// Submits, shows and withdraws jobs
+    /// Submits, shows and cancels jobs
     Job {
         #[command(subcommand)]
         action: JobAction,
@@ -64,8 +64,9 @@
         /// Job id
         id: String,
     },
-    /// Cancels a job
-    Withdraw {
+    /// Cancels a job, and with it all that await it
+    #[command(alias = "withdraw")]
+    Cancel {
         /// Address of a controller
         #[arg(long)]
         server: SocketAddr,
@@ -187,7 +188,7 @@
         JobAction::Show { server, id } => {
             (server, Method::Get, format!("/v1/jobs/{id}"), Vec::new())
         }
-        JobAction::Withdraw { server, id } => (
+        JobAction::Cancel { server, id } => (
             server,
             Method::Post,
             format!("/v1/jobs/{id}/withdraw"),
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -3,6 +3,7 @@
 use super::claims::place;
 use super::order::backed_off;
 use super::room::{allowed, fetch_ms, smallest_need, Room};
+use super::shares::fits_beside_services;
 use super::{DraftTransaction, SchedulerConfig};
 use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
@@ -134,9 +135,15 @@
     now: Ms,
     wall_ms: u64,
 ) -> Vec<(JobIx, Vec<MachineIx>)> {
+    // A gang that its team's services keep out of the limit would keep machines free for nothing.
     let long = |ix: &JobIx| {
         let job = &cluster.jobs[ix.at()];
-        wall_ms.saturating_sub(job.dependency_state.since) >= config.gang_hold_ms
+        let waited_ms = wall_ms.saturating_sub(job.dependency_state.since);
+        let fits = job
+            .spec
+            .as_ref()
+            .is_some_and(|s| fits_beside_services(cluster, s));
+        waited_ms >= config.gang_hold_ms && fits
     };
     let gangs: Vec<JobIx> = waiting_gangs(cluster, now)
         .into_iter()
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -948,6 +948,24 @@
     assert_eq!(c.job("job-3").placements.len(), 1);
 }
 
+#[test]
+fn no_machine_is_kept_for_a_gang_that_services_keep_out_of_its_teams_limit() {
+    let (mut store, mut c, mut worker) = gang_behind_a_service();
+    let mut other = Worker::new("m2", "north", 0);
+    play(
+        &mut c,
+        &mut store,
+        &mut [&mut worker, &mut other],
+        500,
+        8000,
+    );
+    let holds = |c: &Controller| plan::gang_holds(&c.cluster, &c.config, Ms(8000), 8000);
+    assert!(holds(&c).is_empty());
+    // Once the service is cancelled the gang may come about, and machines are kept for it.
+    c.cancel(&mut store, "job-1", 8000);
+    assert_eq!(holds(&c).len(), 1);
+}
+
 #[test]
 fn work_waits_for_a_gang_of_its_team_for_less_than_ninety_seconds() {
     let (mut store, mut c) = one();
