--- a/src/bookkeeping/job.rs
+++ b/src/bookkeeping/job.rs
@@ -103,6 +103,21 @@
     pub finished: u64,
 }
 
+impl JobRecord {
+    /// The record of a job that has just been submitted.
+    pub fn submitted(spec: JobSpec, wall_ms: u64) -> JobRecord {
+        JobRecord {
+            spec: Some(spec),
+            state: JobState::Open,
+            submitted: wall_ms,
+            done: Ranges::default(),
+            placements: Vec::new(),
+            next_attempt: 1,
+            finished: 0,
+        }
+    }
+}
+
 fn is_zero(n: &u64) -> bool {
     *n == 0
 }
--- a/src/coordination/job_api.rs
+++ b/src/coordination/job_api.rs
@@ -4,9 +4,9 @@
 use super::store::{set, Outcome};
 use super::{cancellations, planner};
 use crate::bookkeeping::cluster_state::ClusterState;
-use crate::bookkeeping::job::{Job, JobRecord, JobState, Ranges};
+use crate::bookkeeping::job::{Job, JobRecord, JobState};
 use crate::protocol::state::{Condition, Transaction};
-use crate::protocol::users::{parse_job, valid_id, JobStatus, MAX_AWAITS};
+use crate::protocol::users::{parse_job, valid_id, JobSpec, JobStatus, MAX_AWAITS};
 use crate::transport::http::{jittered, Answer, Incoming};
 use crate::transport::pause;
 use http_types::Method;
@@ -87,67 +87,54 @@
         return a;
     }
     let known = node.cluster.borrow().job(&wire.id).is_some();
-    let acceptable = {
-        let mut cluster = node.cluster.borrow_mut();
-        let types_known = !cluster.machine_types.is_empty();
-        let spec = cluster.intern_spec(&wire);
-        match (types_known, spec) {
-            (false, _) => None,
-            (true, s) => Some(s.is_some_and(|s| cluster.can_run(&s))),
+    // A job that is known gets its state whatever the types and dependencies say now.
+    if !known {
+        if let Some(refusal) = refused(node, &wire).await {
+            return refusal;
         }
-    };
-    // A job that is known gets its state whatever the types say now.
+    }
+    store_job(node, wire).await
+}
+
+/// The answer to a new job that can't be taken; `None` if it can.
+async fn refused(node: &Rc<Node>, wire: &JobSpec) -> Option<Answer> {
+    let acceptable = can_run(&mut node.cluster.borrow_mut(), wire);
     match acceptable {
-        _ if known => {}
-        None => return Answer::later(COME_BACK_S),
-        Some(false) => {
-            if !node.refreshed(READ_MS).await {
-                return Answer::later(COME_BACK_S);
-            }
-            if node.cluster.borrow().job(&wire.id).is_none() {
-                return Answer::bare(422);
-            }
-        }
+        None => return Some(Answer::later(COME_BACK_S)),
         Some(true) => {}
+        Some(false) => return refused_as_impossible(node, &wire.id).await,
     }
-    if !known {
-        if let Some(refusal) = refused_for_dependencies(node, &wire.awaits).await {
-            return refusal;
-        }
+    refused_for_dependencies(node, &wire.awaits).await
+}
+
+/// True if the job can ever run; `None` while the machine types are not known.
+fn can_run(cluster: &mut ClusterState, wire: &JobSpec) -> Option<bool> {
+    let types_known = !cluster.machine_types.is_empty();
+    let spec = cluster.intern_spec(wire);
+    types_known.then(|| spec.is_some_and(|spec| cluster.can_run(&spec)))
+}
+
+/// The answer to a job that can never run, unless another node has accepted it before; `None`
+/// then.
+async fn refused_as_impossible(node: &Rc<Node>, id: &str) -> Option<Answer> {
+    if !node.refreshed(READ_MS).await {
+        return Some(Answer::later(COME_BACK_S));
     }
+    let known = node.cluster.borrow().job(id).is_some();
+    (!known).then(|| Answer::bare(422))
+}
+
+/// Stores a job that may be accepted, and answers its submission.
+async fn store_job(node: &Rc<Node>, wire: JobSpec) -> Answer {
     let id = wire.id.clone();
-    let record = JobRecord {
-        spec: Some(wire),
-        state: JobState::Open,
-        submitted: wall_ms(),
-        done: Ranges::default(),
-        placements: Vec::new(),
-        next_attempt: 1,
-        finished: 0,
-    };
-    let key = ClusterState::job_key(&id);
+    let record = JobRecord::submitted(wire, wall_ms());
     let began = node.now();
     while node.now().since(began) < WRITE_BUDGET_MS {
         if node.cluster.borrow().job(&id).is_some() {
             break;
         }
-        let txn = Transaction {
-            conditions: vec![Condition {
-                key: key.clone(),
-                version: 0,
-            }],
-            writes: set(key.clone(), &record, None).into_iter().collect(),
-        };
-        match node.commit(&txn).await {
-            Outcome::Done(revision) => {
-                node.cluster.borrow_mut().put_job(&id, revision, &record);
-                let ix = node.cluster.borrow().job_names.find(&id);
-                if let Some(ix) = ix {
-                    planner::bind_job(node, ix);
-                }
-                log::debug!("job {id} accepted at {revision}");
-                return accepted(&node.cluster.borrow(), &id, revision);
-            }
+        match node.commit(&submission(&id, &record)).await {
+            Outcome::Done(revision) => return take_over(node, &id, revision, &record),
             // Conflict: known already. Unknown: may be. Both are read below.
             Outcome::Conflict(_) | Outcome::Unknown => {
                 node.refreshed(READ_MS).await;
@@ -166,6 +153,30 @@
     Answer::later(COME_BACK_S)
 }
 
+/// The transaction that accepts a job, on condition that nobody has.
+fn submission(id: &str, record: &JobRecord) -> Transaction {
+    let key = ClusterState::job_key(id);
+    let absent = Condition {
+        key: key.clone(),
+        version: 0,
+    };
+    Transaction {
+        conditions: vec![absent],
+        writes: set(key, record, None).into_iter().collect(),
+    }
+}
+
+/// Takes a job that was just stored into the cluster state, and answers its submission.
+fn take_over(node: &Rc<Node>, id: &str, revision: u64, record: &JobRecord) -> Answer {
+    node.cluster.borrow_mut().put_job(id, revision, record);
+    let ix = node.cluster.borrow().job_names.find(id);
+    if let Some(ix) = ix {
+        planner::bind_job(node, ix);
+    }
+    log::debug!("job {id} accepted at {revision}");
+    accepted(&node.cluster.borrow(), id, revision)
+}
+
 /// The answer to a job that was accepted at this revision.
 ///
 /// Another node may have told more of it by now, and this one have read that; and one that awaits
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -206,102 +206,29 @@
 
 /// Duty: keeps the node's key and its shards.
 pub async fn run(node: Rc<Node>) {
-    let s = &node.platform.settings;
-    let mut zones = BTreeMap::new();
-    {
-        let cluster = node.cluster.borrow();
-        let here = (node.platform.node.as_str(), node.platform.domain.as_str());
-        let others = node
-            .platform
-            .siblings
-            .iter()
-            .map(|p| (p.node.as_str(), p.domain.as_str()));
-        for (n, z) in others.chain(std::iter::once(here)) {
-            if let Some(z) = cluster.zone_names.find(z) {
-                zones.insert(n.to_string(), z);
-            }
-        }
-    }
-    let ttl_ms = ((s.workers.lease_s * 400.0) as u64).clamp(3000, 5000);
+    let zones = zones_of_nodes(&node);
+    let lease_s = node.platform.settings.workers.lease_s;
+    let ttl_ms = ((lease_s * 400.0) as u64).clamp(3000, 5000);
     let mut lease: Option<u64> = None;
     let mut renewed = Ms(0);
     let mut raised = Ms(0);
     let mut known = Known::default();
     loop {
         let now = node.now();
-        let mut again = !node.cluster.borrow().loaded;
-        if node.cluster.borrow().loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
+        let loaded = node.cluster.borrow().loaded;
+        let mut again = !loaded;
+        if loaded && (lease.is_none() || now.since(renewed) >= RENEW_MS) {
             lease = keep_lease(&node, lease, ttl_ms).await;
             renewed = now;
             again = lease.is_none();
         }
-        let begin = {
-            let peers = node.peers.iter().map(|p| p.name.as_str());
-            let all: Vec<&str> = peers.chain([node.config.node.as_str()]).collect();
-            begin_second_form(&node.cluster.borrow(), &all)
-        };
-        if let Some(txn) = begin {
-            if let Outcome::Done(_) = node.commit(&txn).await {
-                log::info!("all nodes know the second form of records, it begins");
-            }
-            node.refreshed(1500).await;
-        }
+        try_second_form(&node).await;
         let may_raise = now.since(raised) >= RAISE_MS;
         if may_raise {
             raised = now;
         }
-        known.deaf = deaf_nodes(&node);
-        known.owned.clone_from(&node.owned_since.borrow());
-        let wanted = {
-            let cluster = node.cluster.borrow();
-            let seen = &mut known.seen;
-            seen.retain(|(n, i), _| {
-                cluster
-                    .nodes
-                    .get(n)
-                    .is_some_and(|r| r.rec.incarnation == *i)
-            });
-            for (n, r) in &cluster.nodes {
-                seen.entry((n.clone(), r.rec.incarnation)).or_insert(now);
-            }
-            // Without an own key there is nothing to take shards with.
-            let me = cluster.nodes.get(&node.config.node);
-            if me.is_some_and(|r| r.rec.incarnation == node.config.incarnation) {
-                moves(&cluster, &node.config, &zones, &known, may_raise, now)
-            } else {
-                Vec::new()
-            }
-        };
-        for m in wanted {
-            let txn = move_transaction(&node.cluster.borrow(), &m);
-            let Some((txn, rec)) = txn else { continue };
-            match node.commit(&txn).await {
-                Outcome::Done(r) => {
-                    log::info!(
-                        "shard {} goes to {} with token {}",
-                        m.shard.0,
-                        m.to,
-                        rec.token
-                    );
-                    let mut cluster = node.cluster.borrow_mut();
-                    let slot = &mut cluster.shards[m.shard.at()];
-                    if slot.version < r {
-                        slot.version = r;
-                        slot.rec = rec;
-                    }
-                    node.plan.notify();
-                }
-                Outcome::Conflict(_) => {
-                    node.refreshed(1500).await;
-                    again = true;
-                    break;
-                }
-                _ => {
-                    again = true;
-                    break;
-                }
-            }
-        }
+        let wanted = wanted_moves(&node, &zones, &mut known, may_raise, now);
+        again |= !carry_out(&node, wanted).await;
         note_owned(&node);
         node.note_served(ExternalService::State, node.store_ok());
         if again {
@@ -312,6 +239,99 @@
     }
 }
 
+/// The zone of each node of the deployment, as far as it is one of the settings' zones.
+fn zones_of_nodes(node: &Node) -> BTreeMap<String, ZoneIx> {
+    let cluster = node.cluster.borrow();
+    let platform = &node.platform;
+    let here = (platform.node.as_str(), platform.domain.as_str());
+    let others = platform
+        .siblings
+        .iter()
+        .map(|p| (p.node.as_str(), p.domain.as_str()));
+    let all = others.chain(std::iter::once(here));
+    all.filter_map(|(name, zone)| Some((name.to_string(), cluster.zone_names.find(zone)?)))
+        .collect()
+}
+
+/// Begins the second form of records once all nodes know it.
+async fn try_second_form(node: &Rc<Node>) {
+    let transaction = {
+        let peers = node.peers.iter().map(|p| p.name.as_str());
+        let all: Vec<&str> = peers.chain([node.config.node.as_str()]).collect();
+        begin_second_form(&node.cluster.borrow(), &all)
+    };
+    let Some(transaction) = transaction else {
+        return;
+    };
+    if let Outcome::Done(_) = node.commit(&transaction).await {
+        log::info!("all nodes know the second form of records, it begins");
+    }
+    node.refreshed(1500).await;
+}
+
+/// Brings what is known beside the records up to date, and decides on shards.
+fn wanted_moves(
+    node: &Rc<Node>,
+    zones: &BTreeMap<String, ZoneIx>,
+    known: &mut Known,
+    may_raise: bool,
+    now: Ms,
+) -> Vec<Move> {
+    known.deaf = deaf_nodes(node);
+    known.owned.clone_from(&node.owned_since.borrow());
+    let cluster = node.cluster.borrow();
+    known.seen.retain(|(name, incarnation), _| {
+        let record = cluster.nodes.get(name);
+        record.is_some_and(|r| r.rec.incarnation == *incarnation)
+    });
+    for (name, record) in &cluster.nodes {
+        let incarnation = (name.clone(), record.rec.incarnation);
+        known.seen.entry(incarnation).or_insert(now);
+    }
+    // Without an own key there is nothing to take shards with.
+    let own = cluster.nodes.get(&node.config.node);
+    if own.is_some_and(|r| r.rec.incarnation == node.config.incarnation) {
+        moves(&cluster, &node.config, zones, known, may_raise, now)
+    } else {
+        Vec::new()
+    }
+}
+
+/// Carries moves out, one transaction each; false if one failed, and the rest are left.
+async fn carry_out(node: &Rc<Node>, wanted: Vec<Move>) -> bool {
+    for m in wanted {
+        let transaction = move_transaction(&node.cluster.borrow(), &m);
+        let Some((transaction, record)) = transaction else {
+            continue;
+        };
+        match node.commit(&transaction).await {
+            Outcome::Done(revision) => note_moved(node, &m, revision, record),
+            Outcome::Conflict(_) => {
+                node.refreshed(1500).await;
+                return false;
+            }
+            Outcome::Refused(_) | Outcome::Unknown => return false,
+        }
+    }
+    true
+}
+
+fn note_moved(node: &Node, m: &Move, revision: u64, record: ShardRecord) {
+    log::info!(
+        "shard {} goes to {} with token {}",
+        m.shard.0,
+        m.to,
+        record.token
+    );
+    let mut cluster = node.cluster.borrow_mut();
+    let slot = &mut cluster.shards[m.shard.at()];
+    if slot.version < revision {
+        slot.version = revision;
+        slot.rec = record;
+    }
+    node.plan.notify();
+}
+
 /// Nodes that no worker reaches, this one among them, as far as they told lately.
 fn deaf_nodes(node: &Rc<Node>) -> HashSet<String> {
     let now = node.now();
--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -1,9 +1,9 @@
 //! Claims of waiting tasks, and binding them to queues.
 
 use super::gangs::claim_gangs;
-use super::order::{backed_off, waiting_jobs};
+use super::order::{backed_off, waiting_jobs, Waiting};
 use super::room::{allowed, free_room, is_empty, leaves_alone, misfit, smallest_need, Room};
-use super::shares::{claimants, crowds_out, pay};
+use super::shares::{claimants, crowds_out, pay, Claimant};
 use super::{DraftTransaction, SchedulerConfig, SAMPLE};
 use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
@@ -36,133 +36,210 @@
     let Some(least) = smallest_need(jobs.iter().map(|w| &*w.spec)) else {
         return Vec::new();
     };
-    let own = config.owned(cluster);
-    // Machines without room for any of it are most of a busy fleet.
-    let machines: Vec<(MachineIx, &Machine)> = cluster
-        .all_machines()
-        .filter(|(mix, m)| {
-            free.get(*mix).is_some_and(|f| least.fits(f))
-                && own[m.shard.at()]
-                && m.takes(now, config.silent_ms)
-        })
-        .collect();
+    let machines = machines_with_room(cluster, config, &free, least, now);
     if machines.is_empty() {
         return Vec::new();
     }
-    let mut bound: HashSet<(JobIx, u32)> = HashSet::new();
-    for (_, m) in cluster.all_machines() {
-        let fresh = m.queue.iter().filter(|q| now.since(q.2) < config.steal_ms);
-        bound.extend(fresh.map(|q| (q.0, q.1)));
+    let mut pass = ClaimPass {
+        cluster,
+        config,
+        now,
+        wall_ms,
+        machines,
+        queued: freshly_queued(cluster, config, now),
+        claimants: claimants(cluster, config, now, wall_ms),
+        free,
+        pulled: HashSet::new(),
+    };
+    let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
+    for rank in ranks {
+        pass.claim_from_queues(draft, rank);
+        for waiting in jobs.iter().filter(|w| w.rank == rank) {
+            pass.claim_for_job(draft, waiting);
+        }
     }
-    let fits = |job: &Job, room: Resources, ix: JobIx, s: &Spec, mix: MachineIx, m: &Machine| {
-        let held = m.held.is_some_and(|(_, until)| now < until);
-        s.need.fits(room)
-            && (!held || job.dependency_state.rank == Rank::Production)
-            && allowed(cluster, job, ix, s, mix, m)
+    pass.found_nothing(least)
+}
+
+/// Owned machines with room for the least of what waits. Those without are most of a busy fleet.
+fn machines_with_room<'a>(
+    cluster: &'a ClusterState,
+    config: &SchedulerConfig,
+    free: &Room,
+    least: Resources,
+    now: Ms,
+) -> Vec<(MachineIx, &'a Machine)> {
+    let own = config.owned(cluster);
+    let usable = |(mix, m): &(MachineIx, &Machine)| {
+        free.get(*mix).is_some_and(|f| least.fits(f))
+            && own[m.shard.at()]
+            && m.takes(now, config.silent_ms)
+    };
+    cluster.all_machines().filter(usable).collect()
+}
+
+/// Tasks that wait in a machine's queue and are not free for all yet.
+fn freshly_queued(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    now: Ms,
+) -> HashSet<(JobIx, u32)> {
+    let entries = cluster.all_machines().flat_map(|(_, m)| &m.queue);
+    let fresh = entries.filter(|(_, _, since)| now.since(*since) < config.steal_ms);
+    fresh.map(|(ix, task, _)| (*ix, *task)).collect()
+}
+
+/// A pass over the machines that have room, in which each priority is served in turn.
+struct ClaimPass<'a> {
+    cluster: &'a ClusterState,
+    config: &'a SchedulerConfig,
+    now: Ms,
+    wall_ms: u64,
+    machines: Vec<(MachineIx, &'a Machine)>,
+    /// Tasks left to the machines in whose queues they wait.
+    queued: HashSet<(JobIx, u32)>,
+    claimants: Vec<Claimant>,
+    free: Room,
+    /// Machines for which something was claimed.
+    pulled: HashSet<MachineIx>,
+}
+
+impl ClaimPass<'_> {
+    /// True if the machine may take a task of the job now.
+    fn fits(
+        &self,
+        job: &Job,
+        room: Resources,
+        ix: JobIx,
+        spec: &Spec,
+        (mix, m): (MachineIx, &Machine),
+    ) -> bool {
+        let rank = job.dependency_state.rank;
+        let held = m.held.is_some_and(|(_, until)| self.now < until);
+        spec.need.fits(room)
+            && (!held || rank == Rank::Production)
+            && allowed(self.cluster, job, ix, spec, mix, m)
             && !leaves_alone(
-                cluster,
-                config,
-                s,
-                job.dependency_state.rank,
-                wall_ms.saturating_sub(job.dependency_state.since),
+                self.cluster,
+                self.config,
+                spec,
+                rank,
+                self.wall_ms.saturating_sub(job.dependency_state.since),
                 (m.machine_type, m.spot),
-                is_empty(cluster, m, room),
+                is_empty(self.cluster, m, room),
             )
-    };
-    let claimants = claimants(cluster, config, now, wall_ms);
-    let mut pulled: HashSet<MachineIx> = HashSet::new();
-    let ranks: BTreeSet<Rank> = jobs.iter().map(|w| w.rank).collect();
-    for rank in ranks {
-        // Each machine's own queue, first in first out among those of one priority.
-        for (mix, m) in &machines {
+    }
+
+    /// True if the job leaves its team's limit to a gang.
+    fn gives_way(&self, draft: &DraftTransaction, job: &Job, spec: &Spec) -> bool {
+        let claimants = &self.claimants;
+        crowds_out(self.cluster, draft, claimants, job, spec, self.wall_ms)
+    }
+
+    /// Each machine's own queue, first in first out among those of one priority.
+    fn claim_from_queues(&mut self, draft: &mut DraftTransaction, rank: Rank) {
+        for n in 0..self.machines.len() {
+            let (mix, m) = self.machines[n];
             for (ix, task, since) in &m.queue {
                 // What has waited here for long is unbound again, and served in that order.
-                if now.since(*since) >= config.steal_ms {
+                if self.now.since(*since) >= self.config.steal_ms {
                     continue;
                 }
-                let job = draft.job(cluster, *ix);
-                let Some(s) = job
-                    .spec
-                    .clone()
-                    .filter(|_| job.dependency_state.rank == rank)
-                else {
+                let job = draft.job(self.cluster, *ix);
+                let spec = job.spec.clone();
+                let Some(spec) = spec.filter(|_| job.dependency_state.rank == rank) else {
                     continue;
                 };
-                let room = free.get(*mix).unwrap_or_default();
-                if draft.defer && deferrable(&s, rank)
+                let room = self.free.get(mix).unwrap_or_default();
+                if draft.defer && deferrable(&spec, rank)
                     || !job.waits(*task)
-                    || backed_off(cluster, *ix, now)
-                    || crowds_out(cluster, draft, &claimants, job, &s, wall_ms)
-                    || !fits(job, room, *ix, &s, *mix, m)
+                    || backed_off(self.cluster, *ix, self.now)
+                    || self.gives_way(draft, job, &spec)
+                    || !self.fits(job, room, *ix, &spec, (mix, m))
                 {
                     continue;
                 }
-                if place(
-                    cluster,
-                    config,
-                    draft,
-                    *ix,
-                    &s,
-                    &[(*task, *mix, m)],
-                    m.shard,
-                ) {
-                    free.take(*mix, s.need);
-                    pulled.insert(*mix);
-                }
+                self.place(draft, *ix, &spec, *task, (mix, m));
             }
         }
-        // Then the oldest jobs' next unbound tasks, each by the machine that suits it best.
-        for w in jobs.iter().filter(|w| w.rank == rank) {
-            // Machines by how well they suit. What a task takes changes its machine alone, and
-            // placements only ever rule more out, so each is looked at once and once a task.
-            let ranked = |draft: &DraftTransaction, free: &Room, n: usize| {
-                let (mix, m) = &machines[n];
-                let room = free.get(*mix)?;
-                fits(draft.job(cluster, w.ix), room, w.ix, &w.spec, *mix, m)
-                    .then(|| Reverse((misfit(cluster, &w.spec, m, room), *mix, n)))
-            };
-            let mut best: BinaryHeap<_> = (0..machines.len())
-                .filter_map(|n| ranked(draft, &free, n))
-                .collect();
-            if best.is_empty() {
-                continue;
+    }
+
+    /// The job's next unbound tasks, each by the machine that suits it best.
+    ///
+    /// What a task takes changes its machine alone, and placements only ever rule more out, so
+    /// each machine is looked at once and once a task.
+    fn claim_for_job(&mut self, draft: &mut DraftTransaction, waiting: &Waiting) {
+        let (ix, spec) = (waiting.ix, &*waiting.spec);
+        let all = 0..self.machines.len();
+        let mut best: BinaryHeap<_> = all.filter_map(|n| self.ranked(draft, waiting, n)).collect();
+        if best.is_empty() {
+            return;
+        }
+        let tasks: Vec<u32> = draft
+            .job(self.cluster, ix)
+            .waiting()
+            .filter(|t| !self.queued.contains(&(ix, *t)))
+            .take(self.machines.len() * 8)
+            .collect();
+        for task in tasks {
+            if self.gives_way(draft, draft.job(self.cluster, ix), spec) {
+                return;
             }
-            let tasks: Vec<u32> = draft
-                .job(cluster, w.ix)
-                .waiting()
-                .filter(|t| !bound.contains(&(w.ix, *t)))
-                .take(machines.len() * 8)
-                .collect();
-            for task in tasks {
-                let job = draft.job(cluster, w.ix);
-                if crowds_out(cluster, draft, &claimants, job, &w.spec, wall_ms) {
-                    break;
+            let found = loop {
+                match best.pop() {
+                    Some(Reverse((.., n))) if self.ranked(draft, waiting, n).is_none() => {}
+                    other => break other,
                 }
-                let found = loop {
-                    match best.pop() {
-                        Some(Reverse((.., n))) if ranked(draft, &free, n).is_none() => {}
-                        other => break other,
-                    }
-                };
-                let Some(Reverse((_, mix, n))) = found else {
-                    break;
-                };
-                let on = [(task, mix, machines[n].1)];
-                if !place(cluster, config, draft, w.ix, &w.spec, &on, on[0].2.shard) {
-                    break;
-                }
-                free.take(mix, w.spec.need);
-                pulled.insert(mix);
-                best.extend(ranked(draft, &free, n));
+            };
+            let Some(Reverse((.., n))) = found else {
+                return;
+            };
+            if !self.place(draft, ix, spec, task, self.machines[n]) {
+                return;
             }
+            best.extend(self.ranked(draft, waiting, n));
         }
     }
-    let has_room = |mix: &MachineIx| free.get(*mix).is_some_and(|f| least.fits(f));
-    machines
-        .iter()
-        .map(|(mix, _)| *mix)
-        .filter(|mix| !pulled.contains(mix) && has_room(mix))
-        .collect()
+
+    /// How well a machine suits the job's next task; `None` if it can't take it.
+    fn ranked(
+        &self,
+        draft: &DraftTransaction,
+        waiting: &Waiting,
+        n: usize,
+    ) -> Option<Reverse<(i64, MachineIx, usize)>> {
+        let (mix, m) = self.machines[n];
+        let room = self.free.get(mix)?;
+        let job = draft.job(self.cluster, waiting.ix);
+        self.fits(job, room, waiting.ix, &waiting.spec, (mix, m))
+            .then(|| Reverse((misfit(self.cluster, &waiting.spec, m, room), mix, n)))
+    }
+
+    /// Drafts one placement; false if the transaction or the team's limit has no room for it.
+    fn place(
+        &mut self,
+        draft: &mut DraftTransaction,
+        ix: JobIx,
+        spec: &Spec,
+        task: u32,
+        (mix, m): (MachineIx, &Machine),
+    ) -> bool {
+        let on = [(task, mix, m)];
+        let placed = place(self.cluster, self.config, draft, ix, spec, &on, m.shard);
+        if placed {
+            self.free.take(mix, spec.need);
+            self.pulled.insert(mix);
+        }
+        placed
+    }
+
+    /// Machines that have room left and for which nothing was claimed.
+    fn found_nothing(&self, least: Resources) -> Vec<MachineIx> {
+        let has_room = |mix: &MachineIx| self.free.get(*mix).is_some_and(|f| least.fits(f));
+        let all = self.machines.iter().map(|(mix, _)| *mix);
+        all.filter(|mix| !self.pulled.contains(mix) && has_room(mix))
+            .collect()
+    }
 }
 
 /// Parts of the job's record for this many more placements, all noted as changing; `None` if the
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -78,10 +78,19 @@
 /// Longest sleep of the planner.
 const IDLE_MS: u64 = 700;
 
+/// Time between two lowerings of unused shares.
+const LOWER_MS: u64 = 2000;
+
+/// When the parts of a pass that are not made each time were made last.
+#[derive(Default)]
+struct Occasional {
+    lowered: Ms,
+    cascaded: Ms,
+}
+
 /// Duty: plans whenever something changed, and now and then.
 pub async fn run(node: Rc<Node>) {
-    let mut lowered = Ms(0);
-    let mut cascaded = Ms(0);
+    let mut occasional = Occasional::default();
     let mut last_poll: HashMap<MachineIx, (u64, u64)> = HashMap::new();
     let mut changes = Changes::default();
     loop {
@@ -92,77 +101,85 @@
         let waiters = node.plan.take_waiters();
         let limit = node.config.limits(&node.cluster.borrow()).write_rps;
         let defer = changes.defer(node.now(), node.cluster.borrow().changes, limit);
+        let lowered_before = occasional.lowered;
         let mut idle = Vec::new();
         for _ in 0..PASSES {
-            let now = node.now();
-            let draft = {
-                let cluster = node.cluster.borrow();
-                let mut d = DraftTransaction::deferring(defer, wall_ms());
-                if now.since(cascaded) >= CASCADE_MS {
-                    cascaded = now;
-                    d.cascades = CASCADES;
-                }
-                let metrics = &node.metrics;
-                metrics.time("- settle", || {
-                    plan::settle(&cluster, &node.config, &mut d, now)
-                });
-                idle = metrics.time("- claim", || {
-                    plan::claim(&cluster, &node.config, &mut d, now, wall_ms())
-                });
-                if now.since(lowered) > 2000 {
-                    plan::lower_shares(&cluster, &node.config, &mut d);
-                    lowered = now;
-                    last_poll.retain(|m, _| cluster.machine(*m).is_some());
-                }
-                d
-            };
-            if draft.is_empty() {
+            let draft;
+            (draft, idle) = draft_pass(&node, defer, &mut occasional);
+            if draft.is_empty() || !commit_pass(&node, &draft).await {
                 break;
             }
-            let told = claims_told(&node, &draft);
-            match node.commit_draft(&draft).await {
-                Outcome::Done(r) => {
-                    log::debug!(
-                        "committed at {r}: {} jobs, {} claims",
-                        draft.jobs.len(),
-                        draft.claims.len()
-                    );
-                    for line in told {
-                        log::debug!("{line}");
-                    }
-                    // What was ready is done; the next pass is for what comes next.
-                    if !draft.cut {
-                        break;
-                    }
-                }
-                Outcome::Conflict(keys) => {
-                    log::debug!("conflict on {keys:?}");
-                    node.refreshed(1500).await;
-                }
-                Outcome::Refused(status) => {
-                    log::debug!("state service refused with {status}");
-                    pause(jittered(150)).await;
-                    break;
-                }
-                Outcome::Unknown => {
-                    log::warn!(
-                        "no answer to a transaction on {} jobs, reading before going on",
-                        draft.jobs.len()
-                    );
-                    node.refreshed(1500).await;
-                    break;
-                }
-            }
         }
         for w in waiters {
             let _ = w.try_send(true);
         }
+        if occasional.lowered != lowered_before {
+            last_poll.retain(|m, _| node.cluster.borrow().machine(*m).is_some());
+        }
         node.metrics.time("- pushes", || push_starts(&node));
         node.metrics
             .time("- pulls", || pull(&node, &idle, &mut last_poll));
     }
 }
 
+/// What one pass changes, and the machines that found nothing in it.
+fn draft_pass(
+    node: &Node,
+    defer: bool,
+    occasional: &mut Occasional,
+) -> (DraftTransaction, Vec<MachineIx>) {
+    let now = node.now();
+    let cluster = node.cluster.borrow();
+    let (config, metrics) = (&node.config, &node.metrics);
+    let mut draft = DraftTransaction::deferring(defer, wall_ms());
+    if now.since(occasional.cascaded) >= CASCADE_MS {
+        occasional.cascaded = now;
+        draft.cascades = CASCADES;
+    }
+    metrics.time("- settle", || {
+        plan::settle(&cluster, config, &mut draft, now);
+    });
+    let idle = metrics.time("- claim", || {
+        plan::claim(&cluster, config, &mut draft, now, wall_ms())
+    });
+    if now.since(occasional.lowered) > LOWER_MS {
+        plan::lower_shares(&cluster, config, &mut draft);
+        occasional.lowered = now;
+    }
+    (draft, idle)
+}
+
+/// Commits what a pass changes; true if another pass should follow at once.
+async fn commit_pass(node: &Rc<Node>, draft: &DraftTransaction) -> bool {
+    let told = claims_told(node, draft);
+    let (jobs, claims) = (draft.jobs.len(), draft.claims.len());
+    match node.commit_draft(draft).await {
+        Outcome::Done(revision) => {
+            log::debug!("committed at {revision}: {jobs} jobs, {claims} claims");
+            for line in told {
+                log::debug!("{line}");
+            }
+            // What was ready is done; the next pass is for what comes next.
+            draft.cut
+        }
+        Outcome::Conflict(keys) => {
+            log::debug!("conflict on {keys:?}");
+            node.refreshed(1500).await;
+            true
+        }
+        Outcome::Refused(status) => {
+            log::debug!("state service refused with {status}");
+            pause(jittered(150)).await;
+            false
+        }
+        Outcome::Unknown => {
+            log::warn!("no answer to a transaction on {jobs} jobs, reading before going on");
+            node.refreshed(1500).await;
+            false
+        }
+    }
+}
+
 /// Which tasks a draft claims, for which machine, and how long after their job came.
 fn claims_told(node: &Node, draft: &DraftTransaction) -> Vec<String> {
     if !log::log_enabled!(log::Level::Debug) {
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -6,7 +6,9 @@
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen, Stamp};
 use crate::bookkeeping::names::{Index, JobIx, MachineIx};
 use crate::bookkeeping::units::{ms_of, Ms};
-use crate::protocol::workers::{split_task, Elsewhere, Report, ReportAnswer, TaskState, Why};
+use crate::protocol::workers::{
+    split_task, Elsewhere, Report, ReportAnswer, TaskReport, TaskState, Why,
+};
 use crate::transport::http::Answer;
 use std::rc::Rc;
 
@@ -16,6 +18,8 @@
 const SICK_JOBS: usize = 2;
 /// Different machines on which a job may fail before it is backed off.
 const BAD_JOB_MACHINES: usize = 3;
+/// First wait of a job that is backed off; it doubles with each further machine.
+const BACK_OFF_MS: u64 = 5000;
 
 fn elsewhere(report_to: Option<String>) -> Answer {
     Answer::of(421, &Elsewhere { report_to })
@@ -167,6 +171,115 @@
     News,
 }
 
+/// The tasks of a report, names resolved.
+fn seen_tasks(cluster: &ClusterState, r: &Report) -> Vec<Seen> {
+    let seen = |t: &TaskReport| {
+        let (job, task) = split_task(&t.task)?;
+        Some(Seen {
+            job: cluster.job(job).map(|(ix, _)| ix),
+            name: t.task.as_str().into(),
+            task,
+            attempt: t.attempt,
+            state: t.state,
+            why: t.why,
+        })
+    };
+    r.tasks.iter().filter_map(seen).collect()
+}
+
+/// True if a report shows something else than the one before it.
+fn has_news(m: &Machine, r: &Report, tasks: &[Seen]) -> bool {
+    m.stamp.0 != r.session
+        || m.token != r.token
+        || m.leaves.is_some() != r.notice_s.is_some()
+        || m.tasks.len() != tasks.len()
+        || tasks.iter().zip(&m.tasks).any(|(a, b)| !a.same(b))
+}
+
+/// Notes tasks that have exited since the last report; the jobs of those that failed.
+fn note_exits(m: &mut Machine, tasks: &[Seen]) -> Vec<JobIx> {
+    let mut failed = Vec::new();
+    for s in tasks.iter().filter(|s| s.state == TaskState::Exited) {
+        let attempt = s.attempt_of();
+        let before = attempt.and_then(|a| m.seen(a)).map(|o| o.state);
+        if before == Some(TaskState::Exited) {
+            continue;
+        }
+        let why = s.why.unwrap_or(Why::Other);
+        if why != Why::Done {
+            let (name, attempt) = (&s.name, s.attempt);
+            log::debug!("{name} attempt {attempt} exited on {}: {why:?}", m.name);
+        }
+        // What is no job's task, or of an unknown job, says nothing of the machine.
+        let Some(attempt) = attempt else { continue };
+        match why {
+            Why::Done => m.failed_jobs.clear(),
+            Why::Error => failed.push(attempt.0),
+            Why::Alone => *m.alone.entry(attempt).or_default() += 1,
+            _ => {}
+        }
+    }
+    failed
+}
+
+/// Notes what a message says of the machine; `token`: the owner's, if the message is a report.
+fn note_message(m: &mut Machine, r: &Report, tasks: Vec<Seen>, now: Ms, token: Option<u64>) {
+    m.addr.clone_from(&r.addr);
+    m.stamp = (r.session, r.seq);
+    if let Some(token) = token {
+        m.reported = m.stamp;
+        m.token = r.token;
+        if r.token == token {
+            m.heard = Some(now);
+            m.closed_elsewhere = false;
+        }
+    }
+    m.spot = r.spot;
+    if let Some(notice_s) = r.notice_s.filter(|_| m.leaves.is_none()) {
+        log::info!("machine {} is taken in {notice_s:.0} s", m.name);
+    }
+    m.leaves = r.notice_s.map(|s| now.plus(ms_of(s)));
+    m.tasks = tasks;
+    let shown: Vec<Attempt> = m.tasks.iter().filter_map(Seen::attempt_of).collect();
+    m.shown.extend(shown);
+}
+
+/// Drops direct starts that can't run any more: token or session has changed, or the start was
+/// executed and nothing of it is left.
+fn drop_late_starts(m: &mut Machine, r: &Report, placed: &[Attempt]) {
+    let shown = &m.tasks;
+    m.late_starts.retain(|a, l| {
+        let here = || placed.contains(a) || shown.iter().any(|s| s.attempt_of() == Some(*a));
+        l.token >= r.token && l.session == r.session && (!l.answered || here())
+    });
+}
+
+/// Notes failures of these jobs on a machine, which counts as faulty after several.
+fn note_sick(m: &mut Machine, failed: &[JobIx]) {
+    m.failed_jobs.extend(failed);
+    if m.failed_jobs.len() >= SICK_JOBS && !m.sick {
+        let name = &m.name;
+        log::warn!("machine {name} fails tasks of different jobs, it gets nothing more");
+        m.sick = true;
+    }
+}
+
+/// Notes that a job failed on a machine. One that fails everywhere is backed off: neither
+/// machines nor other jobs should suffer from it.
+fn note_failure(cluster: &mut ClusterState, ix: JobIx, mix: MachineIx, now: Ms) {
+    let entry = cluster.failures.entry(ix).or_default();
+    entry.0.insert(mix);
+    let on = entry.0.len();
+    if on < BAD_JOB_MACHINES {
+        return;
+    }
+    let wait = BACK_OFF_MS << (on - BAD_JOB_MACHINES).min(4);
+    entry.1 = now.plus(wait);
+    entry.0.clear();
+    let id = &cluster.jobs[ix.at()].id;
+    log::warn!("job {id} fails on different machines, next try in {wait} ms");
+}
+
 /// Takes a report, or the same in a worker's answer to direct commands, into the view.
 ///
 /// `under`: for a report, the owner's token and the workers' lease.
@@ -177,123 +290,24 @@
     now: Ms,
     under: Option<(u64, u64)>,
 ) -> Taken {
-    let tasks: Vec<Seen> = r
-        .tasks
-        .iter()
-        .filter_map(|t| {
-            let (job, task) = split_task(&t.task)?;
-            Some(Seen {
-                job: cluster.job(job).map(|(ix, _)| ix),
-                name: t.task.as_str().into(),
-                task,
-                attempt: t.attempt,
-                state: t.state,
-                why: t.why,
-            })
-        })
-        .collect();
-    let mut failed: Vec<JobIx> = Vec::new();
-    let news;
+    let tasks = seen_tasks(cluster, r);
     let placed = cluster.placed_on(mix).to_vec();
-    {
-        let Some(m) = cluster.machine_mut(mix) else {
-            return Taken::Old;
-        };
-        if (r.session, r.seq) <= m.stamp {
-            return Taken::Old;
-        }
-        news = m.stamp.0 != r.session
-            || m.token != r.token
-            || m.leaves.is_some() != r.notice_s.is_some()
-            || m.tasks.len() != tasks.len()
-            || tasks.iter().zip(&m.tasks).any(|(a, b)| !a.same(b));
-        if let Some((token, lease_ms)) = under {
-            listen(m, r, &tasks, &placed, now, token, lease_ms);
-        }
-        let fresh_exit = |m: &Machine, s: &Seen, why: Why| {
-            s.state == TaskState::Exited
-                && s.why == Some(why)
-                && s.attempt_of()
-                    .is_some_and(|a| m.seen(a).is_none_or(|o| o.state != TaskState::Exited))
-        };
-        let mut alone: Vec<Attempt> = Vec::new();
-        for s in &tasks {
-            if fresh_exit(m, s, Why::Done) {
-                m.failed_jobs.clear();
-            }
-            if fresh_exit(m, s, Why::Error) {
-                failed.extend(s.job);
-            }
-            if fresh_exit(m, s, Why::Alone) {
-                alone.extend(s.attempt_of());
-            }
-            let known = s.attempt_of().and_then(|a| m.seen(a)).map(|o| o.state);
-            if s.state == TaskState::Exited
-                && s.why != Some(Why::Done)
-                && known != Some(TaskState::Exited)
-            {
-                let why = s.why.unwrap_or(Why::Other);
-                log::debug!(
-                    "{} attempt {} exited on {}: {why:?}",
-                    s.name,
-                    s.attempt,
-                    m.name
-                );
-            }
-        }
-        for a in alone {
-            *m.alone.entry(a).or_default() += 1;
-        }
-        m.addr.clone_from(&r.addr);
-        m.stamp = (r.session, r.seq);
-        if let Some((token, _)) = under {
-            m.reported = m.stamp;
-            m.token = r.token;
-            if r.token == token {
-                m.heard = Some(now);
-                m.closed_elsewhere = false;
-            }
-        }
-        m.spot = r.spot;
-        if m.leaves.is_none() && r.notice_s.is_some() {
-            log::info!(
-                "machine {} is taken in {:.0} s",
-                m.name,
-                r.notice_s.unwrap_or(0.0)
-            );
-        }
-        m.leaves = r.notice_s.map(|s| now.plus(ms_of(s)));
-        m.tasks = tasks;
-        let shown: Vec<Attempt> = m.tasks.iter().filter_map(Seen::attempt_of).collect();
-        m.shown.extend(shown);
-        let (token, session, shown) = (r.token, r.session, &m.tasks);
-        m.late_starts.retain(|a, l| {
-            let here = || placed.contains(a) || shown.iter().any(|s| s.attempt_of() == Some(*a));
-            l.token >= token && l.session == session && (!l.answered || here())
-        });
-        m.failed_jobs.extend(&failed);
-        if m.failed_jobs.len() >= SICK_JOBS && !m.sick {
-            log::warn!(
-                "machine {} fails tasks of different jobs, it gets nothing more",
-                m.name
-            );
-            m.sick = true;
-        }
+    let Some(m) = cluster.machine_mut(mix) else {
+        return Taken::Old;
+    };
+    if (r.session, r.seq) <= m.stamp {
+        return Taken::Old;
+    }
+    let news = has_news(m, r, &tasks);
+    if let Some((token, lease_ms)) = under {
+        listen(m, r, &tasks, &placed, now, token, lease_ms);
     }
+    let failed = note_exits(m, &tasks);
+    note_message(m, r, tasks, now, under.map(|(token, _)| token));
+    drop_late_starts(m, r, &placed);
+    note_sick(m, &failed);
     for ix in failed {
-        let entry = cluster.failures.entry(ix).or_default();
-        entry.0.insert(mix);
-        let on = entry.0.len();
-        if on >= BAD_JOB_MACHINES {
-            // It fails everywhere: neither machines nor other jobs should suffer from it.
-            let wait = 5000u64 << (on - BAD_JOB_MACHINES).min(4);
-            entry.1 = now.plus(wait);
-            entry.0.clear();
-            log::warn!(
-                "job {} fails on different machines, next try in {wait} ms",
-                cluster.jobs[ix.at()].id
-            );
-        }
+        note_failure(cluster, ix, mix, now);
     }
     for (a, grace) in plan::on_notice(cluster, mix) {
         if let Some(m) = cluster.machine_mut(mix) {
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -4,7 +4,7 @@
 use super::store::Store;
 use super::worker::Worker;
 use pointhook::bookkeeping::cluster_state::{ClusterState, NodeRecord, ROOT};
-use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
+use pointhook::bookkeeping::job::{JobRecord, JobState};
 use pointhook::bookkeeping::knowledge::Knowledge;
 use pointhook::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
 use pointhook::bookkeeping::records::SECOND_FORM;
@@ -204,15 +204,7 @@
 
     pub fn submit(&mut self, store: &mut Store, spec: JobSpec, now: u64) -> Outcome {
         let key = ClusterState::job_key(&spec.id);
-        let rec = JobRecord {
-            spec: Some(spec),
-            state: JobState::Open,
-            submitted: now,
-            done: Ranges::default(),
-            placements: Vec::new(),
-            next_attempt: 1,
-            finished: 0,
-        };
+        let rec = JobRecord::submitted(spec, now);
         let txn = Transaction {
             conditions: vec![Condition {
                 key: key.clone(),
