--- /dev/null
+++ b/tests/submissions.rs
@@ -0,0 +1,118 @@
+//! How a controller answers submissions of jobs with dependencies, its fresh reads scripted.
+
+mod support;
+
+use async_executor::LocalExecutor;
+use futures_lite::future::{block_on, or};
+use http_types::Method;
+use pointhook::bookkeeping::job::JobRecord;
+use pointhook::coordination::job_api::handle;
+use pointhook::coordination::node::Node;
+use pointhook::protocol::cloud::Flavors;
+use pointhook::protocol::users::{JobSpec, MAX_AWAITS};
+use pointhook::settings::{Operator, Platform};
+use pointhook::transport::http::{Answer, Incoming};
+use std::rc::Rc;
+use support::{cloud, job};
+
+/// What a fresh read brings.
+#[derive(Clone, Copy, PartialEq)]
+enum FreshRead {
+    /// The state service is out of reach.
+    Fails,
+    /// Nothing that was not known.
+    Nothing,
+    /// A job that another node has accepted a moment ago.
+    Job(&'static str),
+}
+
+/// A controller that knows the records and the machine types; nothing listens at its state service.
+fn controller(second_form: bool) -> Rc<Node> {
+    let settings = include_str!("../examples/rehearsal.toml").replace("7483", "1");
+    let platform: Platform = toml::from_str(&settings).expect("settings");
+    let executor = Rc::new(LocalExecutor::new());
+    let node = Rc::new(Node::new(platform, Operator::default(), executor));
+    let mut cluster = node.cluster.borrow_mut();
+    cluster.loaded = true;
+    cluster.second_form = second_form;
+    cluster.set_flavors(&Flavors {
+        types: vec![cloud::flavor()],
+    });
+    drop(cluster);
+    node
+}
+
+/// Serves fresh reads as scripted, for as long as it is polled.
+async fn serve_reads(node: &Node, read: FreshRead) -> Answer {
+    loop {
+        node.fresh.notified(60_000).await;
+        if let FreshRead::Job(id) = read {
+            let record = JobRecord::submitted(job(id, 1), 0);
+            node.cluster.borrow_mut().put_job(id, 1, &record);
+        }
+        for waiter in node.fresh.take_waiters() {
+            let _ = waiter.try_send(read != FreshRead::Fails);
+        }
+    }
+}
+
+fn submit(node: &Rc<Node>, spec: &JobSpec, read: FreshRead) -> Answer {
+    let request = Incoming {
+        method: Method::Post,
+        path: "/v1/jobs".into(),
+        query: String::new(),
+        body: rmp_serde::to_vec_named(spec).ok(),
+    };
+    block_on(or(handle(node.clone(), request), serve_reads(node, read)))
+}
+
+fn awaiting(ids: &[&str]) -> JobSpec {
+    JobSpec {
+        awaits: ids.iter().map(|id| id.to_string()).collect(),
+        ..job("job-9", 1)
+    }
+}
+
+#[test]
+fn an_id_that_was_never_accepted_is_refused_for_good_only_after_a_fresh_read() {
+    let node = controller(true);
+    let unknown = awaiting(&["job-1"]);
+    assert_eq!(submit(&node, &unknown, FreshRead::Nothing).status, 422);
+    let answer = submit(&node, &unknown, FreshRead::Fails);
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    // Another node has accepted it: all that fails now is the write, and that may be tried again.
+    let known = submit(&node, &unknown, FreshRead::Job("job-1"));
+    assert_eq!(known.status, 503);
+    assert!(node.cluster.borrow().job("job-1").is_some());
+}
+
+#[test]
+fn dependencies_are_taken_only_in_the_second_form_and_in_number_that_a_record_holds() {
+    let first_form = controller(false);
+    let spec = awaiting(&["job-1"]);
+    for read in [FreshRead::Nothing, FreshRead::Job("job-1")] {
+        let answer = submit(&first_form, &spec, read);
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after.is_some());
+    }
+    let node = controller(true);
+    let ids: Vec<String> = (1..=MAX_AWAITS + 1)
+        .map(|n| format!("job-{}", 100 + n))
+        .collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let too_many = submit(&node, &awaiting(&ids), FreshRead::Nothing);
+    assert_eq!(too_many.status, 422);
+    let itself = submit(&node, &awaiting(&["job-9"]), FreshRead::Nothing);
+    assert_eq!(itself.status, 400);
+}
+
+#[test]
+fn a_repeat_of_an_accepted_job_is_answered_whatever_became_of_its_dependencies() {
+    let node = controller(true);
+    let spec = awaiting(&["job-1"]);
+    let record = JobRecord::submitted(spec.clone(), 0);
+    node.cluster.borrow_mut().put_job("job-9", 1, &record);
+    // Its dependency is not known here, which would be a refusal for a new job.
+    assert_eq!(submit(&node, &spec, FreshRead::Nothing).status, 200);
+}
--- a/tests/version_compatibility.rs
+++ b/tests/version_compatibility.rs
@@ -2,16 +2,22 @@
 
 use pointhook::bookkeeping::job::{JobRecord, JobState, Ranges};
 use pointhook::bookkeeping::names::ShardIx;
-use pointhook::bookkeeping::records::{BookingRecord, NodeRecord, ShardRecord, TeamRecord};
+use pointhook::bookkeeping::records::{
+    BookingRecord, NodeRecord, PartRecord, ShardRecord, TeamRecord, SECOND_FORM,
+};
 use pointhook::protocol::peers::{self, Ask, MachineNews, Reply, TaskRef};
 use pointhook::protocol::users::{JobSpec, Rank, Shape};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-/// Bytes that the production version made, by name.
-fn sample(name: &str) -> Vec<u8> {
-    let all = include_str!("data/production.txt");
-    let line = all
+/// What version 0.1 made, the last without dependencies.
+const VERSION_0_1: &str = include_str!("data/version-0.1-e8fe952.txt");
+/// What the production version made: records of the second form.
+const VERSION_0_2: &str = include_str!("data/version-0.2-75080fa.txt");
+
+/// Bytes that a version made, by name.
+fn sample_of(version: &str, name: &str) -> Vec<u8> {
+    let line = version
         .lines()
         .find_map(|l| l.strip_prefix(&format!("{name} ")));
     let hex = line.unwrap_or_else(|| panic!("no sample {name}"));
@@ -19,9 +25,23 @@
     (0..hex.len()).step_by(2).map(byte).collect()
 }
 
-/// The record of a sample is this one, and this version writes it in the same form.
+/// Bytes that version 0.1 made, by name.
+fn sample(name: &str) -> Vec<u8> {
+    sample_of(VERSION_0_1, name)
+}
+
+/// The record of a sample of version 0.1 is this one, and this version writes it in the same form.
 fn same_record<T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug>(name: &str, rec: &T) {
-    let bytes = sample(name);
+    same_record_as(VERSION_0_1, name, rec);
+}
+
+/// The record of a version's sample is this one, and this version writes it in the same form.
+fn same_record_as<T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug>(
+    version: &str,
+    name: &str,
+    rec: &T,
+) {
+    let bytes = sample_of(version, name);
     assert_eq!(&rmp_serde::from_slice::<T>(&bytes).expect(name), rec);
     assert_eq!(rmp_serde::to_vec_named(rec).expect(name), bytes, "{name}");
 }
@@ -190,6 +210,96 @@
     }
 }
 
+/// A job with dependencies, as the samples of version 0.2 have it.
+fn dependent() -> JobSpec {
+    JobSpec {
+        id: "job-000412".into(),
+        class: "train".into(),
+        team: "vision".into(),
+        shape: Shape::Array,
+        priority: Rank::Low,
+        tasks: 300,
+        vcpus: 1.0,
+        gpus: 0.0,
+        mem_gb: 3.2,
+        image: "img-07".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: Some("a".into()),
+        one_zone: false,
+        spread: true,
+        spot: true,
+        estimate_s: 25.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        awaits: vec!["job-000398".into(), "job-000405".into()],
+    }
+}
+
+#[test]
+fn records_of_the_second_form_are_those_of_the_production_version() {
+    let same = |name: &str, rec: &JobRecord| same_record_as(VERSION_0_2, name, rec);
+    let waiting = JobRecord::submitted(dependent(), 1_764_650_000_123);
+    same("record/job/waiting", &waiting);
+    let mut done = Ranges::default();
+    for task in [0, 1, 7] {
+        done.add(task);
+    }
+    let running = JobRecord {
+        done,
+        placements: vec![(2, 7, "n-000231".into(), 1, 0)],
+        next_attempt: 9,
+        ..waiting.clone()
+    };
+    same("record/job/running", &running);
+    let over = JobRecord {
+        spec: None,
+        state: JobState::Done,
+        done: Ranges::all(300),
+        next_attempt: 301,
+        finished: 1_764_650_090_456,
+        ..waiting
+    };
+    same("record/job/done", &over);
+    let part = PartRecord {
+        placements: vec![
+            (40, 41, "n-000007".into(), 3, 3),
+            (41, 42, "n-000231".into(), 1, 0),
+        ],
+    };
+    same_record_as(VERSION_0_2, "record/part", &part);
+    let node = NodeRecord {
+        incarnation: 1_234_567,
+        forms: SECOND_FORM,
+    };
+    same_record_as(VERSION_0_2, "record/node", &node);
+    same_record_as(VERSION_0_2, "record/form", &true);
+}
+
+#[test]
+fn frames_of_cancellations_are_those_of_the_production_version() {
+    let jobs = vec!["job-000412".to_string(), "job-000398".to_string()];
+    let ask = Ask::Cancelled { jobs: jobs.clone() };
+    let reply = Reply::Cancelled {
+        up_ms: 90_000,
+        age_ms: 250,
+        jobs,
+    };
+    let bytes = sample_of(VERSION_0_2, "ask/cancelled");
+    assert_eq!(peers::decode_ask(&bytes), Some(ask.clone()));
+    assert_eq!(
+        peers::encode(&ask).map(|made| made.len()),
+        Some(bytes.len())
+    );
+    let bytes = sample_of(VERSION_0_2, "reply/cancelled");
+    assert_eq!(peers::decode_reply(&bytes), Some(reply.clone()));
+    let made = peers::encode(&reply).expect("a frame");
+    assert_eq!(made.len(), bytes.len());
+    // Padding has no set value, so what this version makes is compared by what it says.
+    assert_eq!(peers::decode_reply(&made), Some(reply));
+}
+
 #[test]
 fn the_old_version_refuses_frames_that_it_does_not_know() {
     let jobs = vec!["job-1".to_string()];
