--- a/tests/overlapping_faults.rs
+++ b/tests/overlapping_faults.rs
@@ -3,291 +3,12 @@
 
 mod support;
 
-use pointhook::bookkeeping::job::JobState;
-use pointhook::bookkeeping::knowledge::Knowledge;
-use pointhook::bookkeeping::units::Ms;
 use pointhook::protocol::users::Shape;
-use support::controller::{CANCEL_MS, LEASE_MS, RENEW_MS};
+use support::controller::{CANCEL_MS, LEASE_MS};
 use support::job;
+use support::scenarios::{recover_and_check, two_long_jobs};
 use support::world::World;
 
-/// A world in which two jobs run for long on machines of both zones; with the controller that
-/// owns the machine of the first job's first task, and another.
-fn busy() -> (World, usize, usize) {
-    let mut w = World::new(4);
-    for h in &mut w.hosts {
-        h.worker.run_ms = 200_000;
-    }
-    assert!(w.submit(0, job("job-1", 6)));
-    assert!(w.submit(1, job("job-2", 6)));
-    w.run(5000);
-    assert!(w.runs("job-1") && w.runs("job-2"));
-    let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
-    let leader = w.owner_of(host.unwrap()).unwrap();
-    let other = (0..3).find(|at| *at != leader).unwrap();
-    (w, leader, other)
-}
-
-/// The state service refuses the leader, and a moment after the confirmation everybody.
-fn gap(w: &mut World, leader: usize, other: usize, id: &str) {
-    w.trouble[leader].refused = true;
-    w.run(1000);
-    assert!(w.cancel(other, id));
-    w.outage = true;
-}
-
-fn over(w: &mut World) {
-    w.outage = false;
-    w.trouble = Default::default();
-    w.run(20_000);
-}
-
-#[test]
-fn what_another_confirms_while_the_leader_is_refused_is_gone_in_time() {
-    let (mut w, leader, other) = busy();
-    gap(&mut w, leader, other, "job-1");
-    w.run(CANCEL_MS);
-    assert!(!w.runs("job-1"));
-    assert!(w.runs("job-2"), "the outage cost other work");
-    over(&mut w);
-    w.keeps_the_rules();
-    // All of it once more.
-    assert!(w.submit(other, job("job-3", 6)));
-    w.run(6000);
-    assert!(w.runs("job-3"));
-    gap(&mut w, leader, other, "job-3");
-    w.run(CANCEL_MS + 4000);
-    assert!(!w.runs("job-3"));
-    over(&mut w);
-    assert!(w.runs("job-2"));
-    w.keeps_the_rules();
-}
-
-#[test]
-fn an_outage_for_all_costs_no_work_while_the_nodes_hear_each_other() {
-    let (mut w, ..) = busy();
-    w.outage = true;
-    w.run(5 * CANCEL_MS);
-    for host in &w.hosts {
-        assert_eq!(host.worker.session, 1);
-    }
-    over(&mut w);
-    w.keeps_the_rules();
-}
-
-#[test]
-fn a_leader_cut_from_store_and_peers_renews_no_lease_for_longer_than_cancellations_allow() {
-    let (mut w, leader, other) = busy();
-    w.trouble[leader].refused = true;
-    w.trouble[leader].alone = true;
-    w.run(1000);
-    // Machines of the leader can't be reached from elsewhere; they go on reporting to it.
-    for h in &mut w.hosts {
-        h.ill.loses_answers = true;
-    }
-    assert!(w.cancel(other, "job-1"));
-    w.outage = true;
-    w.run(CANCEL_MS);
-    w.keeps_nothing_of("job-1");
-    over(&mut w);
-    w.keeps_the_rules();
-}
-
-#[test]
-fn a_controller_that_ends_right_after_its_answer_leaves_the_rest_in_doubt_only() {
-    let (mut w, leader, other) = busy();
-    w.trouble[leader].refused = true;
-    w.run(1000);
-    // Cut from all others, it confirms, and ends.
-    w.trouble[other].alone = true;
-    assert!(w.cancel(other, "job-1"));
-    w.end(other);
-    w.outage = true;
-    w.run(CANCEL_MS);
-    w.keeps_nothing_of("job-1");
-    w.outage = false;
-    w.start(other);
-    over(&mut w);
-    w.keeps_the_rules();
-}
-
-#[test]
-fn a_controller_that_restarts_within_a_second_does_not_vouch_for_what_it_confirmed_before() {
-    let (mut w, leader, other) = busy();
-    w.trouble[leader].refused = true;
-    w.run(1000);
-    w.trouble[other].alone = true;
-    assert!(w.cancel(other, "job-1"));
-    // It is back at once and reaches its peers, but the state service is out for all.
-    w.end(other);
-    w.outage = true;
-    w.start_unread(other);
-    w.trouble[other].alone = false;
-    w.run(CANCEL_MS);
-    w.keeps_nothing_of("job-1");
-    w.end(other);
-    w.outage = false;
-    w.start(other);
-    over(&mut w);
-    w.keeps_the_rules();
-}
-
-#[test]
-fn a_cancellation_of_what_a_deaf_mute_or_hanging_machine_runs_is_carried_out_in_time() {
-    for ill in 0..3 {
-        let (mut w, leader, other) = busy();
-        let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
-        let h = &mut w.hosts[host.unwrap()];
-        match ill {
-            0 => h.ill.deaf = true,
-            1 => h.ill.mute = true,
-            _ => h.ill.hangs = true,
-        }
-        gap(&mut w, leader, other, "job-1");
-        w.run(LEASE_MS / 2);
-        w.hosts[host.unwrap()].ill.hangs = false;
-        w.run(CANCEL_MS - LEASE_MS / 2);
-        w.keeps_nothing_of("job-1");
-        w.hosts[host.unwrap()].ill = Default::default();
-        over(&mut w);
-        w.keeps_the_rules();
-    }
-}
-
-#[test]
-fn a_mute_machine_is_stopped_by_whoever_knows() {
-    let (mut w, leader, other) = busy();
-    let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
-    let host = host.unwrap();
-    // Its lease is far longer than the time for cancellations, so that nothing else ends it.
-    w.hosts[host].worker.lease_ms = 10 * CANCEL_MS;
-    w.hosts[host].ill.mute = true;
-    w.end(leader);
-    assert!(w.cancel(other, "job-1"));
-    w.run(CANCEL_MS);
-    w.keeps_nothing_of("job-1");
-}
-
-#[test]
-fn a_cancellation_meets_a_claim_in_flight_and_a_direct_start_without_answer() {
-    let mut w = World::new(4);
-    for h in &mut w.hosts {
-        h.worker.run_ms = 200_000;
-        h.ill.loses_answers = true;
-    }
-    assert!(w.submit(1, job("job-2", 2)));
-    w.run(4000);
-    // The claims are carried out late, their starts get no answer.
-    assert!(w.submit(0, job("job-1", 6)));
-    w.store.late_ms = Some(3000);
-    w.run(1500);
-    w.store.late_ms = None;
-    assert!(w.cancel(1, "job-1"));
-    w.run(1000);
-    w.outage = true;
-    w.run(CANCEL_MS);
-    w.keeps_nothing_of("job-1");
-    over(&mut w);
-    w.keeps_the_rules();
-}
-
-#[test]
-fn a_cancellation_holds_while_its_machines_change_hands_twice() {
-    let (mut w, leader, other) = busy();
-    gap(&mut w, leader, other, "job-1");
-    w.run(3000);
-    w.outage = false;
-    w.run(1000);
-    w.end(leader);
-    w.run(7000);
-    w.start(leader);
-    w.run(CANCEL_MS - 11_000);
-    w.keeps_nothing_of("job-1");
-    over(&mut w);
-    w.keeps_the_rules();
-}
-
-#[test]
-fn news_of_a_cancellation_outlive_older_records() {
-    let (mut w, leader, other) = busy();
-    w.trouble[leader].refused = true;
-    w.run(500);
-    let before = w.node(leader).job("job-1").version;
-    assert!(w.cancel(other, "job-1"));
-    let c = w.node(leader);
-    assert_eq!(c.job("job-1").state, JobState::Cancelled);
-    assert_eq!(c.job("job-1").version, before);
-    // A newer record that is still open, from a read that began before.
-    let rec = pointhook::bookkeeping::job::JobRecord {
-        state: JobState::Open,
-        ..c.cluster.record(&c.job("job-1").clone())
-    };
-    c.cluster.put_job("job-1", before + 1, &rec);
-    assert_eq!(c.job("job-1").state, JobState::Cancelled);
-    assert_eq!(c.job("job-1").version, before + 1);
-    // A job whose record was not read here yet.
-    assert!(c.cluster.learn_cancelled("job-77"));
-    assert!(!c.cluster.learn_cancelled("job-77"));
-    c.cluster.put_job("job-77", 1, &rec);
-    assert_eq!(c.job("job-77").state, JobState::Cancelled);
-    assert!(c.cluster.cancelled_names().contains(&"job-77".to_string()));
-}
-
-#[test]
-fn knowledge_is_complete_up_to_reads_and_to_what_all_have_told() {
-    let mut k = Knowledge::new(2, Ms(100));
-    assert_eq!(k.upto(Ms(5)), None);
-    k.read(Ms(1000));
-    assert_eq!(k.upto(Ms(2000)), Some(Ms(1000)));
-    // One peer alone vouches for nothing but its own read.
-    k.told(0, Ms(3000), Ms(3010), 60_000, None);
-    assert_eq!(k.upto(Ms(4000)), Some(Ms(1000)));
-    k.told(0, Ms(3000), Ms(3010), 60_000, Some(1500));
-    assert_eq!(k.upto(Ms(4000)), Some(Ms(1498)));
-    // Both have told: complete up to when the first of them was asked.
-    k.told(1, Ms(3500), Ms(3510), 60_000, None);
-    assert_eq!(k.upto(Ms(4000)), Some(Ms(3000)));
-    // One restarts after that and can't vouch for what it confirmed before.
-    k.told(0, Ms(6000), Ms(6010), 500, None);
-    k.told(1, Ms(6000), Ms(6010), 60_000, None);
-    assert_eq!(k.upto(Ms(7000)), Some(Ms(3000)));
-    // A read later than its start makes up for that.
-    k.read(Ms(5600));
-    assert_eq!(k.upto(Ms(7000)), Some(Ms(6000)));
-    // Answers that cross take nothing back.
-    k.told(0, Ms(5000), Ms(7000), 90_000, None);
-    assert_eq!(k.upto(Ms(7000)), Some(Ms(6000)));
-    // What another knows of the time before this process began says nothing of what this node
-    // confirmed itself before it restarted.
-    let mut k = Knowledge::new(1, Ms(5000));
-    k.told(0, Ms(6000), Ms(6001), 60_000, Some(2000));
-    assert_eq!(k.upto(Ms(7000)), None);
-    k.told(0, Ms(8000), Ms(8001), 60_000, Some(2000));
-    assert_eq!(k.upto(Ms(9000)), Some(Ms(8000)));
-    // A node without peers confirms everything itself.
-    assert_eq!(Knowledge::new(0, Ms(0)).upto(Ms(9)), Some(Ms(9)));
-}
-
-#[test]
-fn the_time_for_cancellations_is_checked_against_the_lease() {
-    let workers = |lease_s, cancel_s| pointhook::settings::Workers {
-        report_s: 3.0,
-        lease_s,
-        gang_wait_s: 30.0,
-        gang_peer_s: 8.0,
-        cancel_s,
-    };
-    let w = workers(30.0, 55.0);
-    assert!(w.warning().is_none());
-    assert!((23_000..24_000).contains(&w.renew_ms()));
-    // A lease that leaves no room: told, and work still runs.
-    let w = workers(30.0, 30.0);
-    assert!(w.warning().unwrap().contains("cancel_s"));
-    assert!(w.renew_ms() > 6000);
-    let (lease_s, cancel_s) = (LEASE_MS as f64 / 1000.0, CANCEL_MS as f64 / 1000.0);
-    assert_eq!(workers(lease_s, cancel_s).renew_ms(), RENEW_MS);
-}
-
 #[test]
 fn a_share_lowered_late_is_not_claimed_from_meanwhile() {
     let mut w = World::new(4);
@@ -559,7 +280,7 @@
 
 #[test]
 fn users_of_a_leader_that_is_cut_off_get_nothing_old_from_it() {
-    let (mut w, leader, other) = busy();
+    let (mut w, leader, other) = two_long_jobs();
     w.trouble[leader].refused = true;
     w.trouble[leader].alone = true;
     w.run(3000);
@@ -571,7 +292,7 @@
         w.run(1000);
     }
     assert!(w.runs("job-2"));
-    over(&mut w);
+    recover_and_check(&mut w);
     w.keeps_the_rules();
 }
 
@@ -689,7 +410,7 @@
 
 #[test]
 fn work_goes_on_after_all_controllers_were_away_for_longer_than_a_lease() {
-    let (mut w, ..) = busy();
+    let (mut w, ..) = two_long_jobs();
     for h in &mut w.hosts {
         h.worker.run_ms = 10_000;
     }
@@ -708,27 +429,6 @@
     w.keeps_the_rules();
 }
 
-#[test]
-fn cancellations_at_the_very_moment_of_the_refusal_are_carried_out() {
-    for before in [true, false] {
-        let (mut w, leader, other) = busy();
-        if before {
-            assert!(w.cancel(other, "job-1"));
-            w.trouble[leader].refused = true;
-        } else {
-            w.trouble[leader].refused = true;
-            assert!(w.cancel(other, "job-1"));
-        }
-        w.run(1000);
-        w.outage = true;
-        w.run(CANCEL_MS);
-        w.keeps_nothing_of("job-1");
-        assert!(w.runs("job-2"));
-        over(&mut w);
-        w.keeps_the_rules();
-    }
-}
-
 #[test]
 fn one_task_jobs_four_a_second_pass_within_the_limits() {
     let mut w = World::new(8);
@@ -786,33 +486,10 @@
     w.keeps_the_rules();
 }
 
-#[test]
-fn a_zone_that_is_cut_off_with_its_controller_keeps_its_work_only_for_as_long_as_it_may() {
-    let (mut w, ..) = busy();
-    // The south loses the rest, the state service included.
-    w.trouble[2].alone = true;
-    w.trouble[2].refused = true;
-    for h in &mut w.hosts {
-        h.cut_off = true;
-    }
-    w.run(4000);
-    assert!(w.cancel(0, "job-1"));
-    w.run(CANCEL_MS);
-    w.keeps_nothing_of("job-1");
-    for h in &mut w.hosts {
-        h.cut_off = false;
-        h.worker.run_ms = 10_000;
-    }
-    over(&mut w);
-    w.run(300_000);
-    assert_eq!(w.poll(1, "job-2"), Some("done"));
-    w.keeps_the_rules();
-}
-
 #[test]
 fn a_leader_ends_while_machines_with_long_tasks_hear_nobody_or_are_not_heard() {
     for mute in [true, false] {
-        let (mut w, leader, other) = busy();
+        let (mut w, leader, other) = two_long_jobs();
         let host = w.hosts.iter().position(|h| h.worker.has("job-1/0"));
         let ill = &mut w.hosts[host.unwrap()].ill;
         (ill.mute, ill.deaf) = (mute, !mute);
@@ -865,25 +542,6 @@
     w.keeps_the_rules();
 }
 
-#[test]
-fn jobs_cancelled_while_a_controllers_work_changes_hands_are_gone_in_time() {
-    for delay in 0..12 {
-        let (mut w, leader, other) = busy();
-        w.end(leader);
-        // At any moment of the take-over, and of the hand-over back.
-        w.run(delay * 1000);
-        let third = 3 - leader - other;
-        assert!(w.cancel(if delay % 2 == 0 { other } else { third }, "job-1"));
-        if delay > 5 {
-            w.start(leader);
-        }
-        w.run(CANCEL_MS);
-        w.keeps_nothing_of("job-1");
-        assert!(w.runs("job-2"));
-        w.keeps_the_rules();
-    }
-}
-
 #[test]
 fn more_work_than_room_urgent_and_not_over_slow_links_runs_by_its_rank() {
     let mut w = World::new(2);
@@ -906,91 +564,3 @@
     assert_eq!(w.over(), 5);
     w.keeps_the_rules();
 }
-
-#[test]
-fn a_cancellation_that_meets_the_end_of_the_last_task_has_one_outcome() {
-    for delay in 0..14 {
-        let mut w = World::new(2);
-        for h in &mut w.hosts {
-            h.worker.run_ms = 2000;
-        }
-        assert!(w.submit(0, job("job-1", 1)));
-        w.run(1000 + delay * 500);
-        let cancelled = w.cancel(1, "job-1");
-        for node in 0..3 {
-            let word = w.poll(node, "job-1").unwrap();
-            assert_eq!(word == "aborted", cancelled);
-        }
-        assert!(!w.submit(2, job("job-1", 1)));
-        w.run(8000);
-        for node in 0..3 {
-            let word = w.poll(node, "job-1").unwrap();
-            assert_eq!(word, if cancelled { "aborted" } else { "done" });
-        }
-        w.keeps_the_rules();
-    }
-}
-
-#[test]
-fn a_direct_stop_ends_what_saves_and_leaves_alone_what_has_ended_or_is_not_there() {
-    use pointhook::protocol::workers::{Order, TaskState};
-    let mut w = support::worker::Worker::new("m1", "north", 0);
-    let mut status = w.report(0);
-    (status.token, status.session) = (7, 3);
-    let shown = |task: &str, state| pointhook::protocol::workers::TaskReport {
-        task: task.into(),
-        attempt: 2,
-        state,
-        why: None,
-        saved: None,
-    };
-    status.tasks = vec![
-        shown("job-1/0", TaskState::Saving),
-        shown("job-1/1", TaskState::Exited),
-        shown("job-2/0", TaskState::Running),
-    ];
-    let left: Vec<_> = (0..3).map(|t| (format!("job-1/{t}"), 2)).collect();
-    let c = pointhook::coordination::cancellations::stops(&status, &left).unwrap();
-    // Under the worker's own token: nobody's right to command it changes.
-    assert_eq!((c.token, c.session, c.orders.len()), (7, 3, 1));
-    assert!(
-        matches!(&c.orders[0], Order::Stop { piece, grace_s, .. } if piece == "job-1/0" && *grace_s == 0.0)
-    );
-    // Another attempt is none of its business.
-    let other = [("job-1/0".to_string(), 1)];
-    assert!(pointhook::coordination::cancellations::stops(&status, &other).is_none());
-}
-
-#[test]
-fn an_owner_that_has_heard_of_nothing_for_a_while_starts_nothing_any_more() {
-    let (mut w, leader, other) = {
-        let mut w = World::new(4);
-        for h in &mut w.hosts {
-            h.worker.run_ms = 60_000;
-            h.ill.mute = true;
-        }
-        w.run(1000);
-        (w, 0, 1)
-    };
-    // Claimed by its owner, which reaches no machine and then nobody else.
-    for h in &mut w.hosts {
-        h.ill.deaf = true;
-    }
-    assert!(w.submit(other, job("job-1", 4)));
-    w.run(1500);
-    assert!(!w.node(leader).job("job-1").placements.is_empty());
-    for t in &mut w.trouble {
-        t.refused = true;
-        t.alone = true;
-    }
-    w.run(7000);
-    for h in &mut w.hosts {
-        h.ill = Default::default();
-    }
-    w.run(2500);
-    assert_eq!(w.started(), 0);
-    w.trouble = Default::default();
-    w.run(20_000);
-    assert!(w.runs("job-1"));
-    w.keeps_the_rules();
-}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod cloud;
 pub mod controller;
 pub mod liveness;
+pub mod scenarios;
 pub mod store;
 pub mod worker;
 pub mod world;
