Job commands in a module of their own; an invalid job is told which field is wrong

JobSpec::check gives a typed reason (InvalidJob), which the command line prints: a job that awaits itself, or an id of another form, was 'a field is out of its range'. What parse_job takes is unchanged.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,12 +4,11 @@
 use crate::coordination::{
     cancellations, job_api, membership, peer_messages, planner, renting, store, worker_connectivity,
 };
-use crate::protocol::users::{parse_job, JobSpec, JobStatus};
+use crate::job_command::{self, JobAction, JobCommandError};
 use crate::settings::{Operator, Platform, SettingsError};
 use crate::transport::executor_priorities::Lanes;
 use crate::transport::{frames, http};
 use clap::{Args, Parser, Subcommand};
-use http_types::Method;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -46,35 +45,6 @@
     },
 }
 
-#[derive(Subcommand)]
-enum JobAction {
-    /// Submits a job described in a TOML file
-    Submit {
-        /// Address of a controller
-        #[arg(long)]
-        server: SocketAddr,
-        /// Description, with the field names of the protocol
-        file: PathBuf,
-    },
-    /// Shows where a job stands
-    Show {
-        /// Address of a controller
-        #[arg(long)]
-        server: SocketAddr,
-        /// Job id
-        id: String,
-    },
-    /// Cancels a job, and with it all that await it
-    #[command(alias = "withdraw")]
-    Cancel {
-        /// Address of a controller
-        #[arg(long)]
-        server: SocketAddr,
-        /// Job id
-        id: String,
-    },
-}
-
 #[derive(Debug, thiserror::Error)]
 enum CliError {
     #[error(transparent)]
@@ -86,8 +56,8 @@
         addr: SocketAddr,
         source: std::io::Error,
     },
-    #[error("{0}")]
-    Job(String),
+    #[error(transparent)]
+    Job(#[from] JobCommandError),
 }
 
 /// Runs the program.
@@ -101,7 +71,7 @@
             }
             println!("settings are good");
         }),
-        Some(Command::Job { action }) => job(action),
+        Some(Command::Job { action }) => job_command::run(action).map_err(CliError::from),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -168,50 +138,3 @@
         Ok(())
     })
 }
-
-fn job(action: JobAction) -> Result<(), CliError> {
-    let (server, method, path, body) = match action {
-        JobAction::Submit { server, file } => {
-            let text = std::fs::read_to_string(&file)
-                .map_err(|e| CliError::Job(format!("{}: {e}", file.display())))?;
-            let spec: JobSpec = toml::from_str(&text)
-                .map_err(|e| CliError::Job(format!("{}: {}", file.display(), e.message())))?;
-            let body = rmp_serde::to_vec_named(&spec).map_err(|e| CliError::Job(e.to_string()))?;
-            if parse_job(&body).is_none() {
-                return Err(CliError::Job(format!(
-                    "{}: a field is out of its range",
-                    file.display()
-                )));
-            }
-            (server, Method::Post, "/v1/jobs".to_string(), body)
-        }
-        JobAction::Show { server, id } => {
-            (server, Method::Get, format!("/v1/jobs/{id}"), Vec::new())
-        }
-        JobAction::Cancel { server, id } => (
-            server,
-            Method::Post,
-            format!("/v1/jobs/{id}/withdraw"),
-            Vec::new(),
-        ),
-    };
-    let client = http::Client::new(server);
-    let answer = async_io::block_on(client.call(method, &path, body, 5000))
-        .map_err(|e| CliError::Job(e.to_string()))?;
-    match answer.status {
-        200 | 201 => {
-            let s: JobStatus =
-                rmp_serde::from_slice(&answer.body).map_err(|e| CliError::Job(e.to_string()))?;
-            println!("{}: {}", s.id, s.status);
-            if let (Some(done), Some(running)) = (s.done, s.running) {
-                println!("tasks done: {done}, running: {running}");
-            }
-            Ok(())
-        }
-        400 => Err(CliError::Job("the job is malformed".into())),
-        404 => Err(CliError::Job("no such job".into())),
-        422 => Err(CliError::Job("the job can never run here".into())),
-        429 | 503 => Err(CliError::Job("can't be taken now, try again later".into())),
-        s => Err(CliError::Job(format!("answered with status {s}"))),
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bookkeeping;
 pub mod cli;
 pub mod coordination;
+pub mod job_command;
 pub mod protocol;
 pub mod settings;
 pub mod transport;
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -124,6 +124,87 @@
         .is_some_and(|n| !n.is_empty() && n.len() <= 20 && n.bytes().all(|b| b.is_ascii_digit()))
 }
 
+/// Longest text in a job's description.
+const LONGEST_TEXT: usize = 128;
+/// Most machine types that a job may name.
+const MOST_TYPES: usize = 64;
+/// Largest amount or duration.
+const LARGEST_AMOUNT: f64 = 1e9;
+
+/// What is wrong with a job's description. Fields go by their names in the protocol.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
+pub enum InvalidJob {
+    /// The id is not of the protocol's form.
+    #[error("uid must be `job-` and up to 20 digits")]
+    Id,
+    /// No tasks, or too many.
+    #[error("pieces must be 1 to {MAX_TASKS}")]
+    Tasks,
+    /// A text is empty or too long.
+    #[error("{0} must have 1 to {LONGEST_TEXT} characters")]
+    Text(&'static str),
+    /// An amount or duration is negative, too large or no number.
+    #[error("{0} must be a number from 0 to {LARGEST_AMOUNT}")]
+    Amount(&'static str),
+    /// Too many machine types, or one that is empty or too long.
+    #[error("rigs must be at most {MOST_TYPES} names of machine types")]
+    Types,
+    /// It awaits itself.
+    #[error("a job can't await itself")]
+    AwaitsItself,
+    /// A dependency's id is too long for any job's.
+    #[error("awaits must be ids of jobs")]
+    Awaits,
+}
+
+impl JobSpec {
+    /// Checks what the types of the fields leave open.
+    pub fn check(&self) -> Result<(), InvalidJob> {
+        let text = |s: &str| !s.is_empty() && s.len() <= LONGEST_TEXT;
+        let amount = |x: f64| x.is_finite() && (0.0..=LARGEST_AMOUNT).contains(&x);
+        if !valid_id(&self.id) {
+            return Err(InvalidJob::Id);
+        }
+        if !(1..=MAX_TASKS).contains(&self.tasks) {
+            return Err(InvalidJob::Tasks);
+        }
+        let zone = self.zone.as_deref().unwrap_or("any");
+        let texts = [
+            ("jobline", self.class.as_str()),
+            ("crew", self.team.as_str()),
+            ("kit", self.image.as_str()),
+            ("yard", zone),
+        ];
+        if let Some((name, _)) = texts.into_iter().find(|(_, s)| !text(s)) {
+            return Err(InvalidJob::Text(name));
+        }
+        let amounts = [
+            ("vcpus", self.vcpus),
+            ("gpus", self.gpus),
+            ("mem_gb", self.mem_gb),
+            ("size_gb", self.image_gb),
+            ("guess_s", self.estimate_s),
+            ("snapshot_s", self.checkpoint_s),
+            ("flush_s", self.save_s),
+            ("due_s", self.deadline_s.unwrap_or(0.0)),
+        ];
+        if let Some((name, _)) = amounts.into_iter().find(|(_, x)| !amount(*x)) {
+            return Err(InvalidJob::Amount(name));
+        }
+        let types = self.types.as_deref().unwrap_or_default();
+        if types.len() > MOST_TYPES || !types.iter().all(|t| text(t)) {
+            return Err(InvalidJob::Types);
+        }
+        if self.awaits.contains(&self.id) {
+            return Err(InvalidJob::AwaitsItself);
+        }
+        if self.awaits.iter().any(|id| id.len() > LONGEST_TEXT) {
+            return Err(InvalidJob::Awaits);
+        }
+        Ok(())
+    }
+}
+
 /// Reads a submission; `None` if it is malformed.
 pub fn parse_job(body: &[u8]) -> Option<JobSpec> {
     // rmp-serde would take a list for a struct; the protocol wants a map.
@@ -132,28 +213,7 @@
         _ => return None,
     }
     let spec: JobSpec = rmp_serde::from_slice(body).ok()?;
-    let amount = |x: f64| x.is_finite() && (0.0..=1e9).contains(&x);
-    let text = |s: &str| !s.is_empty() && s.len() <= 128;
-    let good = valid_id(&spec.id)
-        && (1..=MAX_TASKS).contains(&spec.tasks)
-        && text(&spec.class)
-        && text(&spec.team)
-        && text(&spec.image)
-        && [spec.vcpus, spec.gpus, spec.mem_gb, spec.image_gb]
-            .into_iter()
-            .all(amount)
-        && [spec.estimate_s, spec.checkpoint_s, spec.save_s]
-            .into_iter()
-            .all(amount)
-        && spec.deadline_s.is_none_or(amount)
-        && !spec.awaits.contains(&spec.id)
-        && spec.awaits.iter().all(|id| id.len() <= 128)
-        && spec.zone.as_deref().is_none_or(text)
-        && spec
-            .types
-            .as_ref()
-            .is_none_or(|t| t.len() <= 64 && t.iter().all(|t| text(t)));
-    good.then_some(spec)
+    spec.check().is_ok().then_some(spec)
 }
 
 /// The answer to a submission, poll or cancellation.
--- a/tests/http_api.rs
+++ b/tests/http_api.rs
@@ -75,6 +75,24 @@
     assert!(send(unknown).is_some());
 }
 
+#[test]
+fn an_invalid_job_is_told_which_field_is_wrong() {
+    let told = |change: fn(&mut JobSpec)| {
+        let mut spec = job("job-000412", 3);
+        change(&mut spec);
+        let line = spec.check().unwrap_err().to_string();
+        assert!(!line.contains('\n'), "{line}");
+        line
+    };
+    assert!(told(|j| j.id = "task-1".into()).contains("uid"));
+    assert!(told(|j| j.tasks = 0).contains("pieces"));
+    assert!(told(|j| j.team = String::new()).contains("crew"));
+    assert!(told(|j| j.save_s = -1.0).contains("flush_s"));
+    assert!(told(|j| j.awaits = vec![j.id.clone()]).contains("await itself"));
+    assert!(told(|j| j.types = Some(vec![String::new()])).contains("rigs"));
+    assert_eq!(job("job-000412", 3).check(), Ok(()));
+}
+
 #[test]
 fn jobs_that_can_never_run_are_told_apart() {
     let zones = ["north".to_string(), "south".to_string()];
