Tests: one judgement of what is over, one set-up of a gang behind a job, recover named for what it does

From a last read of the change. World::over and unfinished call is_over; what each asked before was the same. The three tests of gangs share gang_behind. recover_and_check checked nothing and is recover.

--- a/tests/cancellations.rs
+++ b/tests/cancellations.rs
@@ -9,7 +9,7 @@
 use support::job;
 use support::world::World;
 
-use support::scenarios::{recover_and_check, refuse_leader_then_all, two_long_jobs};
+use support::scenarios::{recover, refuse_leader_then_all, two_long_jobs};
 
 #[test]
 fn what_another_confirms_while_the_leader_is_refused_is_gone_in_time() {
@@ -18,7 +18,7 @@
     w.run(CANCEL_MS);
     assert!(!w.runs("job-1"));
     assert!(w.runs("job-2"), "the outage cost other work");
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
     // All of it once more.
     assert!(w.submit(other, job("job-3", 6)));
@@ -27,7 +27,7 @@
     refuse_leader_then_all(&mut w, leader, other, "job-3");
     w.run(CANCEL_MS + 4000);
     assert!(!w.runs("job-3"));
-    recover_and_check(&mut w);
+    recover(&mut w);
     assert!(w.runs("job-2"));
     w.keeps_the_rules();
 }
@@ -40,7 +40,7 @@
     for host in &w.hosts {
         assert_eq!(host.worker.session, 1);
     }
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
@@ -58,7 +58,7 @@
     w.outage = true;
     w.run(CANCEL_MS);
     w.keeps_nothing_of("job-1");
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
@@ -76,7 +76,7 @@
     w.keeps_nothing_of("job-1");
     w.outage = false;
     w.start(other);
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
@@ -97,7 +97,7 @@
     w.end(other);
     w.outage = false;
     w.start(other);
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
@@ -118,7 +118,7 @@
         w.run(CANCEL_MS - LEASE_MS / 2);
         w.keeps_nothing_of("job-1");
         w.hosts[host.unwrap()].ill = Default::default();
-        recover_and_check(&mut w);
+        recover(&mut w);
         w.keeps_the_rules();
     }
 }
@@ -156,7 +156,7 @@
     w.outage = true;
     w.run(CANCEL_MS);
     w.keeps_nothing_of("job-1");
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
@@ -172,7 +172,7 @@
     w.start(leader);
     w.run(CANCEL_MS - 11_000);
     w.keeps_nothing_of("job-1");
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
@@ -273,7 +273,7 @@
         w.run(CANCEL_MS);
         w.keeps_nothing_of("job-1");
         assert!(w.runs("job-2"));
-        recover_and_check(&mut w);
+        recover(&mut w);
         w.keeps_the_rules();
     }
 }
@@ -295,7 +295,7 @@
         h.cut_off = false;
         h.worker.run_ms = 10_000;
     }
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.run(300_000);
     assert_eq!(w.poll(1, "job-2"), Some("done"));
     w.keeps_the_rules();
--- a/tests/overlapping_faults.rs
+++ b/tests/overlapping_faults.rs
@@ -6,7 +6,7 @@
 use pointhook::protocol::users::Shape;
 use support::controller::{CANCEL_MS, LEASE_MS};
 use support::job;
-use support::scenarios::{recover_and_check, two_long_jobs};
+use support::scenarios::{recover, two_long_jobs};
 use support::world::World;
 
 #[test]
@@ -292,7 +292,7 @@
         w.run(1000);
     }
     assert!(w.runs("job-2"));
-    recover_and_check(&mut w);
+    recover(&mut w);
     w.keeps_the_rules();
 }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -919,15 +919,16 @@
 
 // Seen on a day that a node was seconds late: while the removal of a placement was on its way,
 // the machine reported in a new session and was told to start what the record then gave away.
-/// A team's limit of two of which a service holds one, with a gang waiting that needs both.
-fn gang_behind_a_service() -> (Store, Controller, Worker) {
+/// A team's limit of two of which a long job of this shape holds one, with a gang waiting that
+/// needs both.
+fn gang_behind(shape: Shape) -> (Store, Controller, Worker) {
     let (mut store, mut c) = one();
     let mut worker = Worker::new("m1", "north", 0);
     worker.run_ms = 500_000;
-    let mut service = job("job-1", 1);
-    service.team = "mixers".into();
-    service.shape = Shape::Service;
-    c.submit(&mut store, service, 0);
+    let mut holder = job("job-1", 1);
+    holder.team = "mixers".into();
+    holder.shape = shape;
+    c.submit(&mut store, holder, 0);
     c.visit(&mut store, &mut worker, 0);
     let mut gang = job("job-2", 2);
     gang.team = "mixers".into();
@@ -938,7 +939,7 @@
 
 #[test]
 fn work_does_not_wait_for_a_gang_that_needs_what_services_hold_of_its_teams_limit() {
-    let (mut store, mut c, mut worker) = gang_behind_a_service();
+    let (mut store, mut c, mut worker) = gang_behind(Shape::Service);
     play(&mut c, &mut store, &mut [&mut worker], 500, 8000);
     let mut younger = job("job-3", 1);
     younger.team = "mixers".into();
@@ -950,7 +951,7 @@
 
 #[test]
 fn no_machine_is_kept_for_a_gang_that_services_keep_out_of_its_teams_limit() {
-    let (mut store, mut c, mut worker) = gang_behind_a_service();
+    let (mut store, mut c, mut worker) = gang_behind(Shape::Service);
     let mut other = Worker::new("m2", "north", 0);
     play(
         &mut c,
@@ -968,20 +969,11 @@
 
 #[test]
 fn work_waits_for_a_gang_of_its_team_for_less_than_ninety_seconds() {
-    let (mut store, mut c) = one();
-    let mut worker = Worker::new("m1", "north", 0);
-    worker.run_ms = 500_000;
-    let mut first = job("job-1", 1);
-    first.team = "mixers".into();
-    c.submit(&mut store, first.clone(), 0);
-    c.visit(&mut store, &mut worker, 0);
-    let mut gang = job("job-2", 2);
-    gang.team = "mixers".into();
-    gang.shape = Shape::Gang;
-    c.submit(&mut store, gang, 100);
+    let (mut store, mut c, mut worker) = gang_behind(Shape::Array);
     play(&mut c, &mut store, &mut [&mut worker], 500, 8000);
-    first.id = "job-3".into();
-    c.submit(&mut store, first, 8000);
+    let mut younger = job("job-3", 1);
+    younger.team = "mixers".into();
+    c.submit(&mut store, younger, 8000);
     play(&mut c, &mut store, &mut [&mut worker], 8000, 80_000);
     assert!(c.job("job-3").placements.is_empty());
     play(&mut c, &mut store, &mut [&mut worker], 80_000, 90_000);
--- a/tests/support/liveness.rs
+++ b/tests/support/liveness.rs
@@ -66,7 +66,7 @@
 }
 
 fn team_has_room(world: &World, spec: &JobSpec, tasks: usize) -> bool {
-    let controller = world.nodes.iter().flatten().next().expect("a controller");
+    let controller = world.first_controller();
     let team: TeamIx = controller
         .cluster
         .team_names
--- a/tests/support/scenarios.rs
+++ b/tests/support/scenarios.rs
@@ -28,7 +28,8 @@
     w.outage = true;
 }
 
-pub fn recover_and_check(w: &mut World) {
+/// Ends the faults of the controllers and gives them time to catch up.
+pub fn recover(w: &mut World) {
     w.outage = false;
     w.trouble = Default::default();
     w.run(20_000);
--- a/tests/support/world.rs
+++ b/tests/support/world.rs
@@ -5,7 +5,6 @@
 use super::store::Store;
 use super::worker::Worker;
 use pointhook::bookkeeping::cluster_state::ClusterState;
-use pointhook::bookkeeping::job::JobState;
 use pointhook::bookkeeping::names::{Index, ShardIx, TeamIx};
 use pointhook::bookkeeping::units::Ms;
 use pointhook::coordination::cancellations;
@@ -734,10 +733,15 @@
         self.told.iter().map(|(id, t)| (id.as_str(), &t.0))
     }
 
+    /// The first live controller.
+    pub fn first_controller(&self) -> &Controller {
+        self.nodes.iter().flatten().next().expect("a controller")
+    }
+
     /// True if the job is over, as the first live controller knows it.
     pub fn is_over(&self, id: &str) -> bool {
-        let c = self.nodes.iter().flatten().next().expect("a controller");
-        c.cluster.job(id).is_some_and(|(_, j)| !j.open())
+        let known = self.first_controller().cluster.job(id);
+        known.is_some_and(|(_, j)| !j.open())
     }
 
     /// All rules held; once troubles are over each accepted job is over or known everywhere.
@@ -753,7 +757,7 @@
 
     /// Services that are open, those accepted by a transaction without an answer included.
     pub fn services(&self) -> Vec<String> {
-        let c = self.nodes.iter().flatten().next().expect("a controller");
+        let c = self.first_controller();
         let service = |s: &JobSpec| s.shape == Shape::Service;
         let open = c.cluster.active_jobs().filter(|(_, j)| j.open());
         let open = open.filter(|(_, j)| j.spec.as_ref().is_some_and(|s| service(&s.wire)));
@@ -768,20 +772,15 @@
 
     /// How many of the accepted jobs are over.
     pub fn over(&mut self) -> usize {
-        let c = self.nodes.iter().flatten().next().expect("a controller");
-        let over = |id: &&String| {
-            let job = c.cluster.job(id);
-            job.is_some_and(|(_, j)| j.state != JobState::Open)
-        };
-        self.told.keys().filter(over).count()
+        self.told.keys().filter(|id| self.is_over(id)).count()
     }
 
     /// Accepted jobs that are not over, as the first live controller knows them.
     pub fn unfinished(&self) -> Vec<String> {
-        let c = self.nodes.iter().flatten().next().expect("a controller");
-        let open = |id: &&String| c.cluster.job(id).is_none_or(|(_, j)| j.open());
-        let describe = |id: &String| format!("{:?}", c.cluster.job(id));
-        self.told.keys().filter(open).map(describe).collect()
+        let c = self.first_controller();
+        let open = self.told.keys().filter(|id| !self.is_over(id));
+        open.map(|id| format!("{id}: {:?}", c.cluster.job(id)))
+            .collect()
     }
 
     pub fn accepted(&self) -> usize {
