--- a/src/bookkeeping/cluster_state.rs
+++ b/src/bookkeeping/cluster_state.rs
@@ -22,8 +22,8 @@
 
 /// Cancellations kept in mind that no record here shows yet.
 const MOST_TOLD: usize = 10_000;
-/// Arrivals remembered for the rate of each class.
-const MAX_ARRIVALS: usize = 1024;
+/// Arrivals remembered for the rate of each class: 50 a second over the time that counts.
+const MAX_ARRIVALS: usize = 8192;
 
 /// Everything a controller knows.
 #[derive(Default)]
--- a/src/coordination/peer_messages.rs
+++ b/src/coordination/peer_messages.rs
@@ -20,7 +20,7 @@
 pub async fn news(node: Rc<Node>) {
     for turn in 0u64.. {
         node.beat(NEWS_MS, None).await;
-        if turn % SURVEY_TURNS == 0 {
+        if turn.is_multiple_of(SURVEY_TURNS) {
             survey(&node);
             if let Some(line) = node.metrics.line() {
                 log::debug!("turns: {line}");
@@ -177,22 +177,35 @@
             (cluster.jobs[job.0 as usize].id.to_string(), names.collect())
         };
         hold(node, &id, &names);
+        let asks: Rc<[Ask]> = hold_frames(&id, &names).into();
         for i in 0..node.peers.len() {
-            let ask = Ask::Hold {
-                job: id.clone(),
-                machines: names.clone(),
-            };
-            let node = node.clone();
+            let (node, asks) = (node.clone(), asks.clone());
             node.ex
                 .clone()
                 .spawn(async move {
-                    let _ = node.peers[i].client.ask(&ask, NEWS_MS).await;
+                    for ask in asks.iter() {
+                        if node.peers[i].client.ask(ask, NEWS_MS).await.is_err() {
+                            break;
+                        }
+                    }
                 })
                 .detach();
         }
     }
 }
 
+/// Machines in one frame of a hold: a gang may need thousands.
+const HELD_MACHINES: usize = 1000;
+
+/// What asks an owner to keep machines free for a gang, in as many frames as it takes.
+pub fn hold_frames(job: &str, machines: &[String]) -> Vec<Ask> {
+    let frame = |machines: &[String]| Ask::Hold {
+        job: job.to_string(),
+        machines: machines.to_vec(),
+    };
+    machines.chunks(HELD_MACHINES).map(frame).collect()
+}
+
 fn hold(node: &Node, job: &str, machines: &[String]) {
     let until = node.now().plus(HOLD_MS);
     let mut cluster = node.cluster.borrow_mut();
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -387,6 +387,17 @@
     true
 }
 
+/// Tasks bound in one frame: a wide job's tasks would make a frame that is refused.
+const BOUND_TASKS: usize = 500;
+
+/// What tells an owner of tasks bound to its machines, in as many frames as it takes.
+pub fn bind_frames(tasks: &[(String, TaskRef)]) -> Vec<Ask> {
+    let frame = |tasks: &[(String, TaskRef)]| Ask::Bind {
+        tasks: tasks.to_vec(),
+    };
+    tasks.chunks(BOUND_TASKS).map(frame).collect()
+}
+
 /// Binds the tasks of a job just accepted here to machines, wherever their queues are.
 pub fn bind_job(node: &Rc<Node>, ix: JobIx) {
     let bound = plan::bind(
@@ -423,8 +434,13 @@
         node.ex
             .clone()
             .spawn(async move {
-                if let Some(p) = node.peer(&owner) {
-                    let _ = p.client.ask(&Ask::Bind { tasks }, PEER_MS).await;
+                let Some(peer) = node.peer(&owner) else {
+                    return;
+                };
+                for ask in bind_frames(&tasks) {
+                    if peer.client.ask(&ask, PEER_MS).await.is_err() {
+                        break;
+                    }
                 }
             })
             .detach();
--- a/src/coordination/renting/demand.rs
+++ b/src/coordination/renting/demand.rs
@@ -20,6 +20,10 @@
 /// Boot times after which a machine is no longer counted on.
 const OVERDUE: f64 = 1.7;
 
+/// Tasks of a class that are expected at most; a large fleet has room for a quarter of its
+/// machines if that is more.
+const MOST_EXPECTED: u32 = 256;
+
 /// Most machines in one request, by the cloud's protocol.
 const MOST_AT_ONCE: u32 = 50;
 
@@ -129,6 +133,8 @@
         .map(|r| ms_of(r.flavor.boot_s))
         .max()
         .unwrap_or(0);
+    let machines = cluster.all_machines().count();
+    let most = u32::try_from(machines / 4).map_or(u32::MAX, |quarter| quarter.max(MOST_EXPECTED));
     let mut out = Vec::new();
     for (tasks, spec) in classes.into_values() {
         let part = if spec.wire.spot {
@@ -142,7 +148,7 @@
             out.push(Demand {
                 ix: None,
                 spec,
-                tasks: tasks.min(256),
+                tasks: tasks.min(most),
             });
         }
     }
--- a/src/coordination/renting/list.rs
+++ b/src/coordination/renting/list.rs
@@ -10,9 +10,12 @@
 /// Part of the cloud's limit that reading the machine list may take.
 const LIST_PART: f64 = 0.4;
 
-/// Age at which a list that is read page by page is begun anew.
+/// Age at which a list of few pages is begun anew.
 const STALE_MS: u64 = 15_000;
 
+/// A list of many pages is begun anew after this many times the time that reading them takes.
+const STALE_READS: u64 = 2;
+
 /// Machines in a page of the list, by the cloud's protocol at most.
 const PAGE: usize = 500;
 
@@ -20,7 +23,12 @@
 /// cloud's limit, so that renting and returning have the rest.
 pub fn list_every_ms(rps: f64, pages: usize) -> u64 {
     let least = ((4000.0 / rps) as u64).clamp(1500, 4000);
-    least.max((pages as f64 * 1000.0 / (rps * LIST_PART)) as u64)
+    least.max(read_ms(rps, pages))
+}
+
+/// Time that reading so many pages takes at the list's part of the cloud's limit.
+fn read_ms(rps: f64, pages: usize) -> u64 {
+    (pages as f64 * 1000.0 / (rps * LIST_PART)) as u64
 }
 
 /// A machine list that is read page by page. What was read stays when a page is refused, and
@@ -33,8 +41,13 @@
 
 impl Pages {
     /// The name after which the next page begins; a list that took too long is begun anew.
-    pub fn next(&mut self, now: Ms) -> &str {
-        if self.since.is_some_and(|t| now.since(t) >= STALE_MS) {
+    ///
+    /// The time allowed grows with what was read: a fixed one would begin the list of a large
+    /// fleet anew for ever where the cloud serves few requests a second.
+    pub fn next(&mut self, now: Ms, rps: f64) -> &str {
+        let pages = self.list.len() / PAGE + 1;
+        let stale_ms = STALE_MS.max(STALE_READS * read_ms(rps, pages));
+        if self.since.is_some_and(|t| now.since(t) >= stale_ms) {
             *self = Pages::default();
         }
         self.since.get_or_insert(now);
@@ -50,12 +63,13 @@
 
 /// Reads pages of the machine list as far as the cloud's limit lets it.
 pub(super) async fn read_list(node: &Rc<Node>, duty: &mut RentingDuty) {
+    let rps = node.platform.settings.cloud.rps;
     let list = loop {
         let now = node.now();
         if !duty.pace.take(now, 0.0) {
             return;
         }
-        let Some(page) = read_page(node, duty.pages.next(now)).await else {
+        let Some(page) = read_page(node, duty.pages.next(now, rps)).await else {
             duty.list_due = node.now().plus(500);
             return;
         };
@@ -65,7 +79,7 @@
     };
     let now = node.now();
     let pages = list.len() / PAGE + 1;
-    duty.list_due = now.plus(list_every_ms(node.platform.settings.cloud.rps, pages));
+    duty.list_due = now.plus(list_every_ms(rps, pages));
     duty.listed_at = Some(now);
     let mut cluster = node.cluster.borrow_mut();
     for h in &list {
--- a/tests/renting.rs
+++ b/tests/renting.rs
@@ -196,17 +196,44 @@
         more,
     };
     let mut pages = Pages::default();
-    assert_eq!(pages.next(Ms(0)), "");
+    assert_eq!(pages.next(Ms(0), 3.5), "");
     assert!(pages.take(page(0, 500, true)).is_none());
     // The next page is refused twice; it is asked for again, not the first.
-    assert_eq!(pages.next(Ms(500)), "n-000499");
-    assert_eq!(pages.next(Ms(1000)), "n-000499");
+    assert_eq!(pages.next(Ms(500), 3.5), "n-000499");
+    assert_eq!(pages.next(Ms(1000), 3.5), "n-000499");
     assert!(pages.take(page(500, 500, true)).is_none());
     assert_eq!(pages.take(page(1000, 3, false)).unwrap().len(), 1003);
     // A list that takes for ever would tell of long ago.
     assert!(pages.take(page(0, 500, true)).is_none());
-    assert_eq!(pages.next(Ms(2000)), "n-000499");
-    assert_eq!(pages.next(Ms(60_000)), "");
+    assert_eq!(pages.next(Ms(2000), 3.5), "n-000499");
+    assert_eq!(pages.next(Ms(60_000), 3.5), "");
+}
+
+#[test]
+fn the_list_of_a_large_fleet_is_finished_where_the_cloud_serves_few_requests() {
+    // Eight pages of 500, one in three seconds, half of the requests refused.
+    let mut pages = Pages::default();
+    let mut listed_names = 0;
+    for turn in 0..16u64 {
+        let from = pages.next(Ms(turn * 3000), 0.5);
+        assert_eq!(
+            from.is_empty(),
+            listed_names == 0,
+            "begun anew at turn {turn}"
+        );
+        if turn % 2 == 0 {
+            continue;
+        }
+        let names = listed_names..listed_names + 500;
+        listed_names += 500;
+        let hosts = names.map(|i| listed(&format!("n-{i:06}"))).collect();
+        let more = listed_names < 4000;
+        if let Some(list) = pages.take(HostList { hosts, more }) {
+            assert_eq!(list.len(), 4000);
+            return;
+        }
+    }
+    panic!("the list was never whole");
 }
 
 #[test]
