--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -15,6 +15,9 @@
     /// Forms of records that its process knows; 0: only the first, of version 0.1.
     #[serde(rename = "v", default, skip_serializing_if = "is_zero")]
     pub forms: u32,
+    /// Version of the standby's messages that its process takes; 0: it follows nobody.
+    #[serde(rename = "w", default, skip_serializing_if = "is_zero")]
+    pub standby: u32,
 }
 
 fn is_zero(n: &u32) -> bool {
@@ -25,6 +28,9 @@
 /// placements in parts. It begins when every node knows it.
 pub const SECOND_FORM: u32 = 2;
 
+/// Version of the messages by which a standby follows an owner.
+pub const STANDBY_VERSION: u32 = 1;
+
 /// Placements of a job that its own record has no room for.
 #[derive(Serialize, Deserialize, Clone, PartialEq, Debug, Default)]
 pub struct PartRecord {
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -3,13 +3,16 @@
 use super::node::{ExternalService, Node, Peer};
 use super::plan::SchedulerConfig;
 use super::store::{set, Outcome};
-use crate::bookkeeping::cluster_state::{ClusterState, NodeRecord, ShardRecord, ROOT};
+use super::takeovers::{self, standbys};
+use crate::bookkeeping::cluster_state::{ClusterState, NodeRecord, ShardRecord, Versioned, ROOT};
 use crate::bookkeeping::fleet::LateStart;
 use crate::bookkeeping::names::{Index, ShardIx, ZoneIx};
-use crate::bookkeeping::records::SECOND_FORM;
-use crate::bookkeeping::units::Ms;
+use crate::bookkeeping::records::{SECOND_FORM, STANDBY_VERSION};
+use crate::bookkeeping::units::{ms_of, Ms};
 use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
 use http_types::Method;
+use standby::ids::ShardId;
+use standby::role::{self, Candidate, ZonePreference};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
@@ -68,6 +71,75 @@
     pub deaf: HashSet<String>,
     /// Since when this node has each of its shards.
     pub owned: HashMap<ShardIx, Ms>,
+    /// Since when a shard has no living owner.
+    pub ownerless: HashMap<ShardIx, Ms>,
+    /// How standbys are chosen; `None`: shards without a living owner go to whoever should have
+    /// them.
+    pub standby: Option<StandbyRule>,
+}
+
+/// How the standby of a shard is chosen.
+#[derive(Clone, Debug)]
+pub struct StandbyRule {
+    /// Zone of each node.
+    pub zones: BTreeMap<String, ZoneIx>,
+    /// Nodes of other zones than the owner's first.
+    pub prefer_other_zone: bool,
+    /// Time for which a node must have been there, ms.
+    pub settle_ms: u64,
+}
+
+/// A shard that its standby has not taken over after this time goes to whoever should have it:
+/// nodes whose settings or views differ could otherwise leave it to each other.
+const ABANDONED_MS: u64 = 2500;
+
+/// The standby of a shard: a live node other than its owner that knows the feature.
+pub fn standby_of<'a>(
+    cluster: &'a ClusterState,
+    known: &Known,
+    shard: ShardIx,
+    now: Ms,
+) -> Option<&'a str> {
+    let rule = known.standby.as_ref()?;
+    let owner = cluster.shards[shard.at()].rec.owner.as_str();
+    let candidate = |(name, node): (&'a String, &Versioned<NodeRecord>)| {
+        let seen = known.seen.get(&(name.clone(), node.rec.incarnation));
+        Candidate {
+            name: name.as_str(),
+            zone: rule.zones.get(name).map(|zone| zone.0),
+            settled: seen.is_some_and(|t| now.since(*t) >= rule.settle_ms),
+            reaches_workers: !known.deaf.contains(name),
+        }
+    };
+    let able = |(_, node): &(&String, &Versioned<NodeRecord>)| node.rec.standby > 0;
+    let candidates: Vec<Candidate> = cluster.nodes.iter().filter(able).map(candidate).collect();
+    let zone = cluster.shard_zone(shard).map(|zone| zone.0);
+    let preference = match (zone, rule.prefer_other_zone) {
+        (None, _) => ZonePreference::Any,
+        (Some(zone), true) => ZonePreference::Outside(zone),
+        (Some(zone), false) => ZonePreference::Inside(zone),
+    };
+    let turn = shard.at() % cluster.shards_per_zone.max(1);
+    role::standby_of(owner, &candidates, preference, turn)
+}
+
+/// The node that should take a shard without a living owner.
+fn successor<'a>(
+    cluster: &'a ClusterState,
+    zones: &BTreeMap<String, ZoneIx>,
+    known: &Known,
+    (live, shard): (&[&'a str], ShardIx),
+    now: Ms,
+) -> Option<&'a str> {
+    let since = known.ownerless.get(&shard);
+    let abandoned = since.is_some_and(|t| now.since(*t) >= ABANDONED_MS);
+    let never_owned = cluster.shards[shard.at()].rec.owner.is_empty();
+    if !abandoned && !never_owned {
+        if let Some(name) = standby_of(cluster, known, shard, now) {
+            return Some(name);
+        }
+    }
+    wanted_owner(cluster, zones, live, shard)
 }
 
 /// What this node should change: take shards without a living owner, hand over its own
@@ -83,7 +155,9 @@
     may_raise: bool,
     now: Ms,
 ) -> Vec<Move> {
-    let Known { seen, deaf, owned } = known;
+    let Known {
+        seen, deaf, owned, ..
+    } = known;
     let live: Vec<&str> = cluster.nodes.keys().map(String::as_str).collect();
     let settled: Vec<&str> = cluster
         .nodes
@@ -108,7 +182,9 @@
             }
         }
         let target = match cluster.live_owner(shard) {
-            None => wanted_owner(cluster, zones, &live, shard).filter(|n| *n == config.node),
+            None => {
+                successor(cluster, zones, known, (&live, shard), now).filter(|n| *n == config.node)
+            }
             Some(owner) if owner == config.node && config.owns(cluster, shard) => {
                 // A direct start that was not answered may run until the token rises, and exits
                 // that are kept against repeated ones must not fill the reports.
@@ -204,15 +280,27 @@
     Some(Transaction { conditions, writes })
 }
 
+/// Time after which a node that does not renew its key is dead to the others: four tenths of the
+/// workers' lease, so that their next owner finds them before it ends.
+pub fn lease_ms(workers_lease_ms: u64) -> u64 {
+    (workers_lease_ms * 4 / 10).clamp(3000, 5000)
+}
+
 /// Duty: keeps the node's key and its shards.
 pub async fn run(node: Rc<Node>) {
     let zones = zones_of_nodes(&node);
-    let lease_s = node.platform.settings.workers.lease_s;
-    let ttl_ms = ((lease_s * 400.0) as u64).clamp(3000, 5000);
+    let ttl_ms = lease_ms(ms_of(node.platform.settings.workers.lease_s));
     let mut lease: Option<u64> = None;
     let mut renewed = Ms(0);
     let mut raised = Ms(0);
-    let mut known = Known::default();
+    let mut known = Known {
+        standby: node.features.standby().map(|settings| StandbyRule {
+            zones: zones.clone(),
+            prefer_other_zone: settings.prefer_other_zone,
+            settle_ms: settings.settle_ms,
+        }),
+        ..Known::default()
+    };
     loop {
         let now = node.now();
         let loaded = node.cluster.borrow().loaded;
@@ -230,6 +318,7 @@
         let wanted = wanted_moves(&node, &zones, &mut known, may_raise, now);
         again |= !carry_out(&node, wanted).await;
         note_owned(&node);
+        node.observe_shards();
         node.note_served(ExternalService::State, node.store_ok());
         if again {
             node.pause(AGAIN_MS).await;
@@ -288,6 +377,14 @@
         let incarnation = (name.clone(), record.rec.incarnation);
         known.seen.entry(incarnation).or_insert(now);
     }
+    for shard in (0..cluster.shards.len()).map(ShardIx::new) {
+        if cluster.live_owner(shard).is_some() {
+            known.ownerless.remove(&shard);
+        } else {
+            known.ownerless.entry(shard).or_insert(now);
+        }
+    }
+    *node.standby_of.borrow_mut() = standbys(&cluster, known, now).into_iter().collect();
     // Without an own key there is nothing to take shards with.
     let own = cluster.nodes.get(&node.config.node);
     if own.is_some_and(|r| r.rec.incarnation == node.config.incarnation) {
@@ -304,18 +401,50 @@
         let Some((transaction, record)) = transaction else {
             continue;
         };
+        let here = m.to == node.config.node;
+        if here {
+            fence_sent(node, m.shard);
+        }
         match node.commit(&transaction).await {
             Outcome::Done(revision) => note_moved(node, &m, revision, record),
             Outcome::Conflict(_) => {
+                fence_refused(node, m.shard);
                 node.refreshed(1500).await;
                 return false;
             }
-            Outcome::Refused(_) | Outcome::Unknown => return false,
+            Outcome::Refused(_) => {
+                fence_refused(node, m.shard);
+                return false;
+            }
+            // It may have been carried out, or still be: the records will tell.
+            Outcome::Unknown => return false,
         }
     }
     true
 }
 
+fn fence_sent(node: &Node, shard: ShardIx) {
+    let now = takeovers::millis(node.now());
+    let change = node
+        .takeovers
+        .borrow_mut()
+        .fence_sent(ShardId(shard.0), now);
+    if let Some(change) = change {
+        node.log_transition(change);
+    }
+}
+
+fn fence_refused(node: &Node, shard: ShardIx) {
+    let now = takeovers::millis(node.now());
+    let change = node
+        .takeovers
+        .borrow_mut()
+        .fence_refused(ShardId(shard.0), now);
+    if let Some(change) = change {
+        node.log_transition(change);
+    }
+}
+
 fn note_moved(node: &Node, m: &Move, revision: u64, record: ShardRecord) {
     log::info!(
         "shard {} goes to {} with token {}",
@@ -405,6 +534,10 @@
     let rec = NodeRecord {
         incarnation: node.config.incarnation,
         forms: SECOND_FORM,
+        standby: match node.features.standby() {
+            Some(_) => STANDBY_VERSION,
+            None => 0,
+        },
     };
     let key = format!("{ROOT}node/{me}");
     let version = node.cluster.borrow().nodes.get(me).map_or(0, |n| n.version);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,4 +12,5 @@
 pub mod renting;
 pub mod reports;
 pub mod store;
+pub mod takeovers;
 pub mod worker_connectivity;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -15,6 +15,7 @@
 use crate::transport::{within, within_beat};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
+use standby::takeover::Takeovers;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -157,6 +158,10 @@
     pub served: [Cell<bool>; 2],
     /// Last time a malformed message was told of, and how many came since.
     complained: Cell<(Option<Ms>, u32)>,
+    /// Takeovers of all shards, and the permits to decide for them.
+    pub takeovers: RefCell<Takeovers>,
+    /// The standby of each shard, as this node sees it; empty while the feature is off.
+    pub standby_of: RefCell<HashMap<ShardIx, String>>,
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
     /// Whether workers reach this node.
@@ -319,6 +324,7 @@
             .collect();
         let mut cluster = ClusterState::new(&s.zones, &s.teams, operator.shards_per_zone);
         cluster.knowledge = Knowledge::new(platform.siblings.len(), Ms(0));
+        let takeovers = Takeovers::new(cluster.shards.len());
         Node {
             cluster: RefCell::new(cluster),
             store: Client::new(platform.outside.state),
@@ -333,6 +339,8 @@
             store_served: Cell::new(None),
             served: [Cell::new(false), Cell::new(false)],
             complained: Cell::new((None, 0)),
+            takeovers: RefCell::new(takeovers),
+            standby_of: RefCell::new(HashMap::new()),
             owned_since: RefCell::new(HashMap::new()),
             worker_contact: Cell::new(WorkerContact::new(ms_of(s.workers.lease_s))),
             woke: Cell::new(None),
--- a/src/coordination/plan/claims.rs
+++ b/src/coordination/plan/claims.rs
@@ -11,6 +11,7 @@
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx, ZoneIx};
 use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::{Rank, Shape};
+use standby::permit::{Permit, Permits};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 
@@ -23,12 +24,13 @@
 pub fn claim(
     cluster: &ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     draft: &mut DraftTransaction,
     now: Ms,
     wall_ms: u64,
 ) -> Vec<MachineIx> {
     let mut free = free_room(cluster, draft);
-    claim_gangs(cluster, config, draft, &mut free, now);
+    claim_gangs(cluster, config, permits, draft, &mut free, now);
     let mut jobs = waiting_jobs(cluster, config, draft, now, wall_ms);
     if draft.defer {
         jobs.retain(|w| !deferrable(&w.spec, w.rank));
@@ -36,7 +38,8 @@
     let Some(least) = smallest_need(jobs.iter().map(|w| &*w.spec)) else {
         return Vec::new();
     };
-    let machines = machines_with_room(cluster, config, &free, least, now);
+    let permitted = config.permitted(cluster, permits);
+    let machines = machines_with_room(cluster, config, &permitted, (&free, least), now);
     if machines.is_empty() {
         return Vec::new();
     }
@@ -46,6 +49,7 @@
         now,
         wall_ms,
         machines,
+        permitted,
         queued: freshly_queued(cluster, config, now),
         claimants: claimants(cluster, config, now, wall_ms),
         free,
@@ -65,14 +69,13 @@
 fn machines_with_room<'a>(
     cluster: &'a ClusterState,
     config: &SchedulerConfig,
-    free: &Room,
-    least: Resources,
+    permitted: &[Option<&Permit>],
+    (free, least): (&Room, Resources),
     now: Ms,
 ) -> Vec<(MachineIx, &'a Machine)> {
-    let own = config.owned(cluster);
     let usable = |(mix, m): &(MachineIx, &Machine)| {
         free.get(*mix).is_some_and(|f| least.fits(f))
-            && own[m.shard.at()]
+            && permitted[m.shard.at()].is_some()
             && m.takes(now, config.silent_ms)
     };
     cluster.all_machines().filter(usable).collect()
@@ -96,6 +99,8 @@
     now: Ms,
     wall_ms: u64,
     machines: Vec<(MachineIx, &'a Machine)>,
+    /// By shard: the permit to decide for it.
+    permitted: Vec<Option<&'a Permit>>,
     /// Tasks left to the machines in whose queues they wait.
     queued: HashSet<(JobIx, u32)>,
     claimants: Vec<Claimant>,
@@ -224,8 +229,11 @@
         task: u32,
         (mix, m): (MachineIx, &Machine),
     ) -> bool {
+        let Some(permit) = self.permitted[m.shard.at()] else {
+            return false;
+        };
         let on = [(task, mix, m)];
-        let placed = place(self.cluster, self.config, draft, ix, spec, &on, m.shard);
+        let placed = place(self.cluster, self.config, draft, ix, spec, &on, permit);
         if placed {
             self.free.take(mix, spec.need);
             self.pulled.insert(mix);
@@ -274,8 +282,9 @@
     ix: JobIx,
     spec: &Spec,
     on: &[(u32, MachineIx, &Machine)],
-    payer: ShardIx,
+    permit: &Permit,
 ) -> bool {
+    let payer = ShardIx(permit.shard().0);
     if !pay(
         cluster,
         config,
@@ -308,7 +317,7 @@
         });
     let placements: Vec<Placement> = placements.collect();
     job.placements.extend(&placements);
-    draft.shards.insert(payer);
+    draft.rest_on(permit);
     draft.claims.extend(placements.into_iter().map(|p| (ix, p)));
     true
 }
--- a/src/coordination/plan/evidence.rs
+++ b/src/coordination/plan/evidence.rs
@@ -8,6 +8,7 @@
 use crate::bookkeeping::units::Ms;
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{TaskState, Why};
+use standby::permit::Permits;
 
 /// True if a gang has lost some of its tasks and the rest has to go.
 pub fn broken_gang(job: &Job) -> bool {
@@ -133,11 +134,17 @@
 
 /// Writes down jobs that are cancelled with one that they need, a few at a time: they are so for
 /// every node without being written, and a large graph should cost no burst of changes.
-fn write_cascades(cluster: &ClusterState, config: &SchedulerConfig, draft: &mut DraftTransaction) {
-    let own = cluster.graph.unwritten.iter().filter(|ix| {
-        let id = &cluster.jobs[ix.at()].id;
-        config.owns(cluster, cluster.gang_shard(id))
-    });
+fn write_cascades(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    permits: &Permits,
+    draft: &mut DraftTransaction,
+) {
+    let own = cluster
+        .graph
+        .unwritten
+        .iter()
+        .filter(|ix| permits_gang(cluster, config, permits, &cluster.jobs[ix.at()]));
     let some: Vec<JobIx> = own.take(draft.cascades).copied().collect();
     for ix in some {
         let _ = draft.edit(cluster, config, ix);
@@ -146,7 +153,12 @@
 
 /// Moves placements of records that are too large for the limits to come into parts, a record
 /// in a pass. What is caught too large could not even be written back smaller.
-fn spill(cluster: &ClusterState, config: &SchedulerConfig, draft: &mut DraftTransaction) {
+fn spill(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    permits: &Permits,
+    draft: &mut DraftTransaction,
+) {
     let limits = config.limits(cluster);
     if !cluster.second_form {
         return;
@@ -154,7 +166,7 @@
     let large = cluster.active_jobs().find(|(ix, job)| {
         job.size() > limits.value_bytes
             && job.placements.iter().any(|p| p.part == 0)
-            && config.owns(cluster, cluster.gang_shard(&job.id))
+            && permits_gang(cluster, config, permits, job)
             && !draft.jobs.contains_key(ix)
     });
     let Some((ix, job)) = large else { return };
@@ -179,15 +191,27 @@
     }
 }
 
+/// True if this node may decide for the shard that a job's name maps to.
+pub(super) fn permits_gang(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    permits: &Permits,
+    job: &Job,
+) -> bool {
+    let shard = cluster.gang_shard(&job.id);
+    config.permit(cluster, permits, shard).is_some()
+}
+
 /// Takes what reports and deletions prove into the draft.
 pub fn settle(
     cluster: &ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     draft: &mut DraftTransaction,
     now: Ms,
 ) {
-    let own = config.owned(cluster);
-    spill(cluster, config, draft);
+    let permitted = config.permitted(cluster, permits);
+    spill(cluster, config, permits, draft);
     for team in &cluster.suspect_teams {
         // The same for shares: writing them once more shuts the late transaction out.
         if draft.has_room(cluster, config, 1) {
@@ -195,7 +219,7 @@
             draft.teams.insert(*team, rec);
         }
     }
-    write_cascades(cluster, config, draft);
+    write_cascades(cluster, config, permits, draft);
     for (ix, job) in cluster.active_jobs() {
         if cluster.suspects.contains(&ix) {
             // A write with an unknown outcome may still be applied: writing the
@@ -212,8 +236,8 @@
                 }
                 continue;
             }
-            let owned = own.get(p.shard.at()).copied().unwrap_or(false);
-            let Some(m) = cluster.machine(p.machine).filter(|_| owned) else {
+            let permit = permitted.get(p.shard.at()).copied().flatten();
+            let (Some(m), Some(permit)) = (cluster.machine(p.machine), permit) else {
                 continue;
             };
             let a = (ix, p.task, p.attempt);
@@ -244,7 +268,7 @@
                 }
             }
             j.remove(p.task, p.attempt);
-            draft.shards.insert(m.shard);
+            draft.rest_on(permit);
         }
     }
 }
--- a/src/coordination/plan/gangs.rs
+++ b/src/coordination/plan/gangs.rs
@@ -11,6 +11,7 @@
 use crate::bookkeeping::names::{Index, JobIx, MachineIx, ZoneIx};
 use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::Rank;
+use standby::permit::{Permit, Permits};
 use std::collections::{BTreeMap, HashMap};
 
 /// Wide gangs that wait, oldest of the highest priority first.
@@ -88,17 +89,20 @@
 pub(super) fn claim_gangs(
     cluster: &ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     draft: &mut DraftTransaction,
     free: &mut Room,
     now: Ms,
 ) {
-    let own: Vec<(JobIx, &Job, &Spec)> = waiting_gangs(cluster, now)
+    let own: Vec<(JobIx, &Job, &Spec, &Permit)> = waiting_gangs(cluster, now)
         .into_iter()
-        .map(|ix| (ix, &cluster.jobs[ix.at()]))
-        .filter(|(_, job)| config.owns(cluster, cluster.gang_shard(&job.id)))
-        .filter_map(|(ix, job)| Some((ix, job, job.spec.as_deref()?)))
+        .filter_map(|ix| {
+            let job = &cluster.jobs[ix.at()];
+            let payer = config.permit(cluster, permits, cluster.gang_shard(&job.id))?;
+            Some((ix, job, job.spec.as_deref()?, payer))
+        })
         .collect();
-    let Some(least) = smallest_need(own.iter().map(|(.., s)| *s)) else {
+    let Some(least) = smallest_need(own.iter().map(|(_, _, s, _)| *s)) else {
         return;
     };
     let machines: Vec<(MachineIx, &Machine)> = cluster
@@ -107,7 +111,7 @@
             free.get(*mix).is_some_and(|f| least.fits(f)) && m.takes(now, config.silent_ms)
         })
         .collect();
-    for (ix, job, spec) in own {
+    for (ix, job, spec, payer) in own {
         let usable = |m: &Machine| !m.held.is_some_and(|(j, until)| j != ix && now < until);
         let Some(slots) = gather(cluster, ix, job, spec, free, &machines, usable) else {
             continue;
@@ -116,7 +120,6 @@
             .zip(&slots)
             .map(|(t, (mix, m))| (t, *mix, *m))
             .collect();
-        let payer = cluster.gang_shard(&job.id);
         if place(cluster, config, draft, ix, spec, &on, payer) {
             for (mix, _) in slots {
                 free.take(mix, spec.need);
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -9,6 +9,8 @@
 use crate::bookkeeping::names::{Index, JobIx, ShardIx, TeamIx};
 use crate::bookkeeping::units::Ms;
 use crate::protocol::state::Limits;
+use standby::ids::{ShardId, Token};
+use standby::permit::{Permit, Permits};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -95,7 +97,27 @@
         let r = &cluster.shards[shard.at()].rec;
         r.owner == self.node && r.incarnation == self.incarnation
     }
-    /// The same for all shards, by index: for loops over machines and placements.
+    /// The permit to decide for a shard, if this incarnation owns it under the permit's token.
+    pub fn permit<'p>(
+        &self,
+        cluster: &ClusterState,
+        permits: &'p Permits,
+        shard: ShardIx,
+    ) -> Option<&'p Permit> {
+        let token = Token(cluster.shards[shard.at()].rec.token);
+        let permit = permits.get(ShardId(shard.0))?;
+        (self.owns(cluster, shard) && permit.token() == token).then_some(permit)
+    }
+    /// The permits of all shards, by index: for loops over machines and placements.
+    pub fn permitted<'p>(
+        &self,
+        cluster: &ClusterState,
+        permits: &'p Permits,
+    ) -> Vec<Option<&'p Permit>> {
+        let shards = (0..cluster.shards.len()).map(ShardIx::new);
+        shards.map(|s| self.permit(cluster, permits, s)).collect()
+    }
+    /// True if this incarnation owns a shard, for all shards by index.
     pub fn owned(&self, cluster: &ClusterState) -> Vec<bool> {
         let shards = (0..cluster.shards.len()).map(ShardIx::new);
         shards.map(|s| self.owns(cluster, s)).collect()
@@ -123,7 +145,7 @@
     /// Jobs as they shall be.
     pub jobs: BTreeMap<JobIx, Job>,
     /// Shards whose ownership the changes rest on.
-    pub shards: BTreeSet<ShardIx>,
+    shards: BTreeSet<ShardIx>,
     /// Teams' shares as they shall be.
     pub teams: BTreeMap<TeamIx, TeamRecord>,
     /// New placements.
@@ -150,6 +172,14 @@
             ..DraftTransaction::default()
         }
     }
+    /// Notes that the changes rest on the ownership that a permit stands for.
+    fn rest_on(&mut self, permit: &Permit) {
+        self.shards.insert(ShardIx(permit.shard().0));
+    }
+    /// Shards whose ownership the changes rest on.
+    pub fn shards(&self) -> &BTreeSet<ShardIx> {
+        &self.shards
+    }
     /// True if nothing changes.
     pub fn is_empty(&self) -> bool {
         self.jobs.is_empty() && self.teams.is_empty()
--- a/src/coordination/plan/orders.rs
+++ b/src/coordination/plan/orders.rs
@@ -8,21 +8,23 @@
 use crate::bookkeeping::units::Ms;
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{Order, TaskState, Why};
+use standby::permit::Permits;
 
 /// Orders for a machine in answer to its newest report. Notes the starts it sends.
 pub fn orders(
     cluster: &mut ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     mix: MachineIx,
     now: Ms,
 ) -> Vec<Order> {
     let Some(m) = cluster.machine(mix) else {
         return Vec::new();
     };
-    if !config.owns(cluster, m.shard) {
+    let Some(permit) = config.permit(cluster, permits, m.shard) else {
         return Vec::new();
-    }
-    let token = cluster.shards[m.shard.at()].rec.token;
+    };
+    let token = permit.token().0;
     let starts = config.may_start(cluster, now);
     let mut out = Vec::new();
     let mut again = Vec::new();
@@ -134,6 +136,7 @@
 pub fn pushes(
     cluster: &mut ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     now: Ms,
     mut place: impl FnMut() -> bool,
 ) -> Vec<Push> {
@@ -141,15 +144,17 @@
     if !config.may_start(cluster, now) {
         return out;
     }
-    let own = config.owned(cluster);
+    let permitted = config.permitted(cluster, permits);
     for i in 0..cluster.machines.len() {
         let mix = MachineIx::new(i);
         let Some(m) = cluster.machine(mix) else {
             continue;
         };
-        let token = cluster.shards[m.shard.at()].rec.token;
-        let ready = own[m.shard.at()]
-            && m.takes(now, config.silent_ms)
+        let Some(permit) = permitted[m.shard.at()] else {
+            continue;
+        };
+        let token = permit.token().0;
+        let ready = m.takes(now, config.silent_ms)
             && m.answering == 0
             && m.token == token
             && m.stamp.0 > 0
--- a/src/coordination/plan/preempt.rs
+++ b/src/coordination/plan/preempt.rs
@@ -10,6 +10,7 @@
 use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::Rank;
 use crate::protocol::workers::TaskState;
+use standby::permit::Permits;
 
 /// Attempts to be stopped on machines of one shard, to make room for work of a higher
 /// priority that finds none anywhere.
@@ -18,12 +19,13 @@
 pub fn preempt(
     cluster: &ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     turn: ShardIx,
     now: Ms,
     wall_ms: u64,
 ) -> Vec<(MachineIx, Attempt, f64)> {
     let mut out = Vec::new();
-    if !config.owns(cluster, turn) {
+    if config.permit(cluster, permits, turn).is_none() {
         return out;
     }
     let mut free = free_room(cluster, &DraftTransaction::default());
--- a/src/coordination/plan/shares.rs
+++ b/src/coordination/plan/shares.rs
@@ -7,6 +7,7 @@
 use crate::bookkeeping::names::{Index, ShardIx, TeamIx};
 use crate::bookkeeping::units::{Ms, Resources};
 use crate::protocol::users::{Rank, Shape};
+use standby::permit::Permits;
 
 /// What placements of a team use, whoever pays.
 pub fn used_by_team(cluster: &ClusterState, draft: &DraftTransaction, team: TeamIx) -> (i64, i64) {
@@ -167,8 +168,10 @@
 pub fn lower_shares(
     cluster: &ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     draft: &mut DraftTransaction,
 ) {
+    let permitted = config.permitted(cluster, permits);
     for (t, limits) in cluster.team_limits.iter().enumerate() {
         let team = TeamIx::new(t);
         if limits.unlimited()
@@ -192,9 +195,9 @@
         let mut rec = cluster.teams[t].rec.clone();
         for s in (0..cluster.shards.len()).map(ShardIx::new) {
             let (share, used) = (rec.share(s), cluster.paid(team, s));
-            if config.owns(cluster, s) && share != used {
+            if let Some(permit) = permitted[s.at()].filter(|_| share != used) {
                 rec.set(s, used);
-                draft.shards.insert(s);
+                draft.rest_on(permit);
             }
         }
         if rec != cluster.teams[t].rec {
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -12,6 +12,7 @@
 use crate::transport::http::{jittered, Client};
 use crate::transport::{pause, TransportError};
 use http_types::Method;
+use standby::takeover::Refusal;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -129,6 +130,7 @@
     occasional: &mut Occasional,
 ) -> (DraftTransaction, Vec<MachineIx>) {
     let now = node.now();
+    let permits = node.permits();
     let cluster = node.cluster.borrow();
     let (config, metrics) = (&node.config, &node.metrics);
     let mut draft = DraftTransaction::deferring(defer, wall_ms());
@@ -137,13 +139,13 @@
         draft.cascades = CASCADES;
     }
     metrics.time("- settle", || {
-        plan::settle(&cluster, config, &mut draft, now);
+        plan::settle(&cluster, config, &permits, &mut draft, now);
     });
     let idle = metrics.time("- claim", || {
-        plan::claim(&cluster, config, &mut draft, now, wall_ms())
+        plan::claim(&cluster, config, &permits, &mut draft, now, wall_ms())
     });
     if now.since(occasional.lowered) > LOWER_MS {
-        plan::lower_shares(&cluster, config, &mut draft);
+        plan::lower_shares(&cluster, config, &permits, &mut draft);
         occasional.lowered = now;
     }
     (draft, idle)
@@ -164,6 +166,7 @@
         }
         Outcome::Conflict(keys) => {
             log::debug!("conflict on {keys:?}");
+            note_refused_tokens(node, draft, &keys);
             node.refreshed(1500).await;
             true
         }
@@ -180,6 +183,18 @@
     }
 }
 
+/// Shards whose record has another version than the draft rests on: their tokens are refused.
+fn note_refused_tokens(node: &Node, draft: &DraftTransaction, keys: &[String]) {
+    let refused: Vec<ShardIx> = {
+        let cluster = node.cluster.borrow();
+        let has_changed = |shard: &ShardIx| keys.contains(&cluster.shard_key(*shard));
+        draft.shards().iter().copied().filter(has_changed).collect()
+    };
+    for shard in refused {
+        node.token_refused(shard, Refusal::StateService);
+    }
+}
+
 /// Which tasks a draft claims, for which machine, and how long after their job came.
 fn claims_told(node: &Node, draft: &DraftTransaction) -> Vec<String> {
     if !log::log_enabled!(log::Level::Debug) {
@@ -211,9 +226,11 @@
     let mut slots: Vec<Direct> = Vec::new();
     // What finds no place goes out with the answer to the machine's next report.
     let mut place = || node.direct().map(|slot| slots.push(slot)).is_some();
+    let permits = node.permits();
     let pushes = plan::pushes(
         &mut node.cluster.borrow_mut(),
         &node.config,
+        &permits,
         node.now(),
         &mut place,
     );
@@ -339,8 +356,11 @@
 /// the job's record alone says what has been started.
 pub fn hand_over(node: &Node, other: MachineIx, idle: MachineIx, local: bool) -> Option<TaskRef> {
     let now = node.now();
+    let permits = node.permits();
     let found = {
         let cluster = node.cluster.borrow();
+        let giver = cluster.machine(other)?.shard;
+        node.config.permit(&cluster, &permits, giver)?;
         let m = cluster.machine(idle)?;
         let room = cluster.free_on(idle)?;
         let queue = &cluster.machine(other)?.queue;
@@ -453,9 +473,10 @@
 /// Marks work to be stopped for work of a higher priority.
 pub fn make_room(node: &Node) {
     let (now, wall) = (node.now(), wall_ms());
+    let permits = node.permits();
     let mut cluster = node.cluster.borrow_mut();
     let turn = ShardIx::new((wall / TURN_MS) as usize % (cluster.shards.len() - 1));
-    for (mix, a, grace) in plan::preempt(&cluster, &node.config, turn, now, wall) {
+    for (mix, a, grace) in plan::preempt(&cluster, &node.config, &permits, turn, now, wall) {
         log::info!(
             "{}/{} on {} makes room for work of a higher priority",
             cluster.jobs[a.0.at()].id,
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -4,12 +4,15 @@
 use super::plan::{self, SchedulerConfig};
 use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::{Attempt, Machine, Seen, Stamp};
-use crate::bookkeeping::names::{Index, JobIx, MachineIx};
+use crate::bookkeeping::names::{Index, JobIx, MachineIx, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::protocol::workers::{
     split_task, Elsewhere, Report, ReportAnswer, TaskReport, TaskState, Why,
 };
 use crate::transport::http::Answer;
+use standby::ids::Token;
+use standby::permit::Permits;
+use standby::takeover::Refusal;
 use std::rc::Rc;
 
 /// Time that an answer gives the planner to settle and claim first.
@@ -43,6 +46,10 @@
     };
     let (mix, token, taken) = match received {
         Received::Elsewhere(owner) => return elsewhere(owner),
+        Received::Outranked(shard, seen) => {
+            node.token_refused(shard, Refusal::Worker { seen: Token(seen) });
+            return elsewhere(None);
+        }
         Received::Taken(mix, token, taken) => (mix, token, taken),
     };
     if taken == Taken::News {
@@ -55,11 +62,13 @@
         node.plan.turn(PLAN_MS).await;
         answering(-1);
     }
+    let permits = node.permits();
     let mut cluster = node.cluster.borrow_mut();
     let now = node.now();
     match reply(
         &mut cluster,
         &node.config,
+        &permits,
         &report,
         (mix, token, taken),
         now,
@@ -87,6 +96,8 @@
 pub enum Received {
     /// It is for another node, which is named if it is known.
     Elsewhere(Option<String>),
+    /// Its worker has seen a higher token than the own one: someone else commands its shard.
+    Outranked(ShardIx, u64),
     /// It was taken: machine, own token, and what it brought.
     Taken(MachineIx, u64, Taken),
 }
@@ -121,7 +132,7 @@
             report.machine,
             report.token
         );
-        return Received::Elsewhere(None);
+        return Received::Outranked(shard, report.token);
     }
     let taken = take(cluster, mix, report, now, Some((token, lease_ms)));
     Received::Taken(mix, token, taken)
@@ -132,6 +143,7 @@
 pub fn reply(
     cluster: &mut ClusterState,
     config: &SchedulerConfig,
+    permits: &Permits,
     report: &Report,
     (mix, token, taken): (MachineIx, u64, Taken),
     now: Ms,
@@ -153,7 +165,7 @@
     // A late copy is not what its worker waits for: no order in this answer would arrive.
     let newest = taken != Taken::Old && m.stamp == (report.session, report.seq);
     let orders = if newest {
-        plan::orders(cluster, config, mix, now)
+        plan::orders(cluster, config, permits, mix, now)
     } else {
         Vec::new()
     };
--- /dev/null
+++ b/src/coordination/takeovers.rs
@@ -0,0 +1,165 @@
+//! Takeovers of shards: what records and peers tell of each, and the permits that follow.
+
+use super::membership::{self, Known};
+use super::node::Node;
+use super::plan::SchedulerConfig;
+use crate::bookkeeping::cluster_state::ClusterState;
+use crate::bookkeeping::names::{Index, ShardIx};
+use crate::bookkeeping::units::{ms_of, Ms};
+use crate::settings::Workers;
+use standby::bound::TakeoverBound;
+use standby::ids::{Millis, Revision, ShardId, Token};
+use standby::takeover::{Observation, Owner, Refusal, State, Transition};
+use std::cell::Ref;
+
+/// Silence of a peer after which it is suspected: its news come once a second.
+const SILENT_MS: u64 = 2500;
+/// How late the state service may end a lease.
+const LEASE_LATE_MS: u64 = 100;
+/// A notification of the state service and the turn of the duty that takes it.
+const DETECTION_MS: u64 = 500;
+/// A transaction and its answer.
+const FENCE_MS: u64 = 1500;
+/// A notification of the state service.
+const CATCH_UP_MS: u64 = 500;
+/// A reachable worker is shown the token by a direct command and reports half a second later.
+const FIRST_REPORT_MS: u64 = 2000;
+
+/// How long a takeover may take with these times of workers.
+pub fn bound(workers: &Workers) -> TakeoverBound {
+    TakeoverBound {
+        lease_ms: membership::lease_ms(ms_of(workers.lease_s)) + LEASE_LATE_MS,
+        detection_ms: DETECTION_MS,
+        fence_ms: FENCE_MS,
+        catch_up_ms: CATCH_UP_MS,
+        first_report_ms: FIRST_REPORT_MS,
+    }
+}
+
+/// What is seen of a shard; `silent` tells whether its owner, another node, has been silent.
+pub fn observation(
+    cluster: &ClusterState,
+    config: &SchedulerConfig,
+    shard: ShardIx,
+    standby: bool,
+    silent: impl Fn(&str) -> bool,
+) -> Observation {
+    let slot = &cluster.shards[shard.at()];
+    let owner = if config.owns(cluster, shard) {
+        Owner::Me {
+            token: Token(slot.rec.token),
+            fence: Revision(slot.version),
+        }
+    } else if slot.rec.owner.is_empty() {
+        Owner::Nobody
+    } else {
+        Owner::Other {
+            alive: cluster.live_owner(shard).is_some(),
+            silent: silent(&slot.rec.owner),
+        }
+    };
+    Observation {
+        owner,
+        standby,
+        known: Revision(cluster.revision),
+    }
+}
+
+/// The clock of the standby package.
+pub fn millis(now: Ms) -> Millis {
+    Millis(now.0)
+}
+
+impl Node {
+    /// Brings takeovers up to date with the view, and lends the permits that are held then.
+    pub fn permits(&self) -> Ref<'_, standby::permit::Permits> {
+        self.observe_shards();
+        Ref::map(self.takeovers.borrow(), |t| t.permits())
+    }
+
+    /// Looks at all shards; a change of state is logged once.
+    pub fn observe_shards(&self) {
+        let now = self.now();
+        let silent = |name: &str| {
+            let heard = self.peer(name).and_then(|p| p.heard.get());
+            heard.is_none_or(|t| now.since(t) > SILENT_MS)
+        };
+        let mut left = Vec::new();
+        {
+            let cluster = self.cluster.borrow();
+            let standby_of = self.standby_of.borrow();
+            let mut takeovers = self.takeovers.borrow_mut();
+            for shard in (0..cluster.shards.len()).map(ShardIx::new) {
+                let role = standby_of.get(&shard);
+                let standby = role.is_some_and(|name| *name == self.config.node);
+                let seen = observation(&cluster, &self.config, shard, standby, silent);
+                for change in takeovers.observe(ShardId(shard.0), seen, millis(now)) {
+                    self.log_transition(change);
+                    if change.to == State::SteppedDown {
+                        left.push(shard);
+                    }
+                }
+            }
+        }
+        for shard in left {
+            self.forget_hints(shard);
+        }
+    }
+
+    /// Notes that a token of this node was refused.
+    pub fn token_refused(&self, shard: ShardIx, refusal: Refusal) {
+        if self.features.standby().is_none() {
+            return;
+        }
+        let known = Revision(self.cluster.borrow().revision);
+        let now = millis(self.now());
+        let change = self
+            .takeovers
+            .borrow_mut()
+            .refused(ShardId(shard.0), refusal, known, now);
+        if let Some(change) = change {
+            log::warn!("shard {}: the own token was refused ({refusal:?})", shard.0);
+            self.log_transition(change);
+            self.forget_hints(shard);
+        }
+    }
+
+    /// Drops what was derived from a permit that is gone: queues and machines kept free.
+    fn forget_hints(&self, shard: ShardIx) {
+        if self.features.standby().is_none() {
+            return;
+        }
+        let mut cluster = self.cluster.borrow_mut();
+        for machine in cluster.machines.iter_mut().flatten() {
+            if machine.shard == shard {
+                machine.queue.clear();
+                machine.held = None;
+                machine.stopping.clear();
+            }
+        }
+    }
+
+    pub(super) fn log_transition(&self, change: Transition) {
+        if self.features.standby().is_none() {
+            return;
+        }
+        let since = change.since_sign_of_life;
+        let since = since.map_or("none seen".to_string(), |ms| format!("{ms} ms ago"));
+        log::info!(
+            "shard {}: {} after {}, last sign of life of its former owner: {since}",
+            change.shard.0,
+            change.to.name(),
+            change.from.name(),
+        );
+    }
+}
+
+/// The standby of each shard, as this node's view has it.
+pub fn standbys(cluster: &ClusterState, known: &Known, now: Ms) -> Vec<(ShardIx, String)> {
+    let shards = (0..cluster.shards.len()).map(ShardIx::new);
+    let of = |shard| {
+        let name = membership::standby_of(cluster, known, shard, now)?;
+        Some((shard, name.to_string()))
+    };
+    shards.filter_map(of).collect()
+}
--- /dev/null
+++ b/tests/standby.rs
@@ -0,0 +1,432 @@
+//! The warm standby in the controller: a takeover decides nothing before it knows what its
+//! predecessor decided.
+
+mod support;
+
+use pointhook::bookkeeping::cluster_state::ROOT;
+use pointhook::bookkeeping::names::ShardIx;
+use pointhook::bookkeeping::units::Ms;
+use pointhook::coordination::membership::{moves, Known, Move};
+use pointhook::coordination::plan::{self, DraftTransaction};
+use pointhook::coordination::store::Outcome;
+use pointhook::protocol::users::{JobSpec, Shape};
+use pointhook::settings::Workers;
+use standby::ids::ShardId;
+use standby::takeover::State;
+use support::controller::{Controller, Standby};
+use support::job;
+use support::store::Store;
+use support::worker::Worker;
+use support::world::World;
+
+const NORTH: ShardIx = ShardIx(0);
+
+/// An owner that the state service has given up, though it goes on working, and a standby that
+/// has seen that but nothing since.
+struct Deposed {
+    store: Store,
+    owner: Controller,
+    standby: Controller,
+    worker: Worker,
+}
+
+/// The task of `job-1` has begun on `m1` under the owner.
+fn deposed() -> Deposed {
+    let mut store = Store::default();
+    let mut owner = Controller::start_as("n1", 1, Standby::SameZone, &mut store, 0);
+    assert_eq!(owner.members(&mut store, 0), 3);
+    let mut standby = Controller::start_as("n2", 2, Standby::SameZone, &mut store, 0);
+    let mut worker = Worker::new("m1", "north", 0);
+    worker.sick = true;
+    worker.run_ms = 1000;
+    owner.submit(&mut store, job("job-1", 1), 0);
+    owner.visit(&mut store, &mut worker, 500);
+    assert_eq!(worker.started.len(), 1);
+    store.end_lease(owner.lease);
+    standby.sync(&store);
+    Deposed {
+        store,
+        owner,
+        standby,
+        worker,
+    }
+}
+
+fn take_north(c: &mut Controller, store: &mut Store, now: u64) -> Outcome {
+    let to = c.config.node.clone();
+    let wanted = Move { shard: NORTH, to };
+    c.carry_out(store, &wanted, now)
+}
+
+#[test]
+fn nothing_starts_before_the_records_are_known_as_of_the_fence() {
+    let mut d = deposed();
+    // The owner, late but alive, records the end of the attempt and starts the next elsewhere.
+    let mut other = Worker::new("m2", "north", 0);
+    d.owner.visit(&mut d.store, &mut other, 3000);
+    d.owner.visit(&mut d.store, &mut d.worker, 3500);
+    d.owner.visit(&mut d.store, &mut other, 4000);
+    assert!(!d.worker.has("job-1/0") && other.has("job-1/0"));
+    // The standby takes over without having read that: by its view the attempt is still due here.
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 4000),
+        Outcome::Done(_)
+    ));
+    let report = d.worker.report(4500);
+    let answer = d.standby.report_without_store(&report, 4500).unwrap();
+    assert!(answer.orders.is_empty(), "{:?}", answer.orders);
+    assert!(d.standby.pushes(4500).is_empty());
+    assert!(matches!(
+        d.standby.takeovers.state(ShardId(0)),
+        State::CatchingUp { .. }
+    ));
+    // Once it has read the records it decides, and the task runs where it is.
+    d.standby.sync(&d.store);
+    d.standby.visit(&mut d.store, &mut d.worker, 5000);
+    assert!(matches!(
+        d.standby.takeovers.state(ShardId(0)),
+        State::Active { .. }
+    ));
+    assert_eq!(d.worker.started.len(), 1);
+    assert!(other.has("job-1/0"));
+}
+
+#[test]
+fn a_service_that_is_down_between_fence_and_catch_up_only_delays_the_first_decision() {
+    let mut d = deposed();
+    d.owner.submit(&mut d.store, job("job-2", 1), 600);
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 700),
+        Outcome::Done(_)
+    ));
+    d.store.down = true;
+    for now in (1000..20_000).step_by(1000) {
+        assert!(!d.standby.sync(&d.store));
+        let draft = d.standby.draft(now);
+        assert!(draft.is_empty() && d.standby.pushes(now).is_empty());
+    }
+    d.store.down = false;
+    d.standby.sync(&d.store);
+    let mut fresh = Worker::new("m3", "north", 0);
+    d.standby.visit(&mut d.store, &mut fresh, 20_500);
+    assert!(fresh.has("job-2/0"));
+}
+
+#[test]
+fn a_claim_of_the_old_owner_that_is_carried_out_late_is_refused_by_the_fence() {
+    let mut d = deposed();
+    d.owner.submit(&mut d.store, job("job-2", 1), 600);
+    let mut other = Worker::new("m2", "north", 0);
+    // Its claim gets no answer and is on its way while the standby takes over.
+    d.store.late_ms = Some(3000);
+    d.owner.visit(&mut d.store, &mut other, 1000);
+    d.store.late_ms = None;
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 2000),
+        Outcome::Done(_)
+    ));
+    d.store.deliver_late(4000);
+    d.standby.sync(&d.store);
+    assert!(d.standby.job("job-2").placements.is_empty());
+    d.standby.visit(&mut d.store, &mut other, 4500);
+    assert_eq!(other.started.iter().filter(|s| s.0 == "job-2/0").count(), 1);
+}
+
+#[test]
+fn a_claim_recorded_without_an_answer_is_known_to_the_next_owner() {
+    let mut d = deposed();
+    d.owner.submit(&mut d.store, job("job-2", 1), 600);
+    let mut other = Worker::new("m2", "north", 0);
+    d.store.loses_answers = true;
+    d.owner.visit(&mut d.store, &mut other, 1000);
+    d.store.loses_answers = false;
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 2000),
+        Outcome::Done(_)
+    ));
+    d.standby.sync(&d.store);
+    let claimed = d.standby.job("job-2").placements.clone();
+    assert_eq!(claimed.len(), 1);
+    for worker in [&mut d.worker, &mut other] {
+        d.standby.visit(&mut d.store, worker, 2500);
+    }
+    let starts = d.worker.started.iter().chain(&other.started);
+    let attempts: Vec<u64> = starts
+        .filter(|(task, _)| task == "job-2/0")
+        .map(|(_, attempt)| *attempt)
+        .collect();
+    assert_eq!(attempts, [claimed[0].attempt]);
+}
+
+#[test]
+fn a_deposed_owner_says_so_once_and_decides_nothing_more() {
+    let mut d = deposed();
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 700),
+        Outcome::Done(_)
+    ));
+    d.standby.sync(&d.store);
+    d.standby.visit(&mut d.store, &mut d.worker, 1000);
+    d.owner.submit(&mut d.store, job("job-2", 1), 1100);
+    // A worker that has seen the new token tells the old owner, which has read nothing since.
+    let report = d.worker.report(1200);
+    let before = d.owner.takeovers.permits().get(ShardId(0)).is_some();
+    assert!(before);
+    for now in [1200, 1300, 1400] {
+        d.owner.refused_by_worker(NORTH, report.token, now);
+    }
+    assert_eq!(d.owner.stepped_down, [NORTH]);
+    assert!(d.owner.takeovers.permits().get(ShardId(0)).is_none());
+    // It reads the records and follows; the shard stays with the new owner.
+    d.owner.sync(&d.store);
+    d.owner.observe(1500);
+    assert_eq!(d.owner.takeovers.state(ShardId(0)), State::Idle);
+    assert_eq!(d.owner.stepped_down, [NORTH]);
+}
+
+#[test]
+fn of_two_that_take_over_at_once_one_wins_and_the_other_follows() {
+    let mut d = deposed();
+    let mut third = Controller::start_as("n3", 3, Standby::SameZone, &mut d.store, 0);
+    d.standby.sync(&d.store);
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 700),
+        Outcome::Done(_)
+    ));
+    assert!(matches!(
+        take_north(&mut third, &mut d.store, 700),
+        Outcome::Conflict(_)
+    ));
+    assert_eq!(third.takeovers.state(ShardId(0)), State::Suspecting);
+    for c in [&mut d.standby, &mut third] {
+        c.sync(&d.store);
+        c.observe(800);
+    }
+    assert!(d.standby.takeovers.permits().get(ShardId(0)).is_some());
+    assert!(third.takeovers.permits().get(ShardId(0)).is_none());
+}
+
+#[test]
+fn a_standby_that_ends_between_fence_and_catch_up_is_followed_by_another() {
+    let mut d = deposed();
+    let mut third = Controller::start_as("n3", 3, Standby::SameZone, &mut d.store, 0);
+    d.standby.sync(&d.store);
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 700),
+        Outcome::Done(_)
+    ));
+    d.store.end_lease(d.standby.lease);
+    third.sync(&d.store);
+    assert!(matches!(
+        take_north(&mut third, &mut d.store, 900),
+        Outcome::Done(_)
+    ));
+    third.sync(&d.store);
+    third.visit(&mut d.store, &mut d.worker, 1000);
+    assert_eq!(d.worker.started.len(), 1);
+    let permit = third.takeovers.permits().get(ShardId(0)).expect("a permit");
+    assert_eq!(permit.token().0, third.cluster.shards[0].rec.token);
+}
+
+/// Nodes n1 and n2 in the north, s1 in the south, all there for long.
+fn three_nodes(standby: Standby) -> (Store, [Controller; 3], Known) {
+    const ZONES: [(&str, u32); 3] = [("n1", 0), ("n2", 0), ("s1", 1)];
+    let names = ZONES.map(|(name, _)| name);
+    let mut store = Store::default();
+    let mut start = |name, incarnation| {
+        let c = Controller::start_as(name, incarnation, standby, &mut store, 0);
+        c.among(&names, &ZONES)
+    };
+    let mut nodes = [start("n1", 1), start("n2", 2), start("s1", 3)];
+    for c in &mut nodes {
+        c.sync(&store);
+    }
+    let seen = names.iter().zip(1..).map(|(name, incarnation)| {
+        let at = Ms(0);
+        ((name.to_string(), incarnation), at)
+    });
+    let known = Known {
+        seen: seen.collect(),
+        standby: nodes[0].known.standby.clone(),
+        ..Known::default()
+    };
+    (store, nodes, known)
+}
+
+fn takers(nodes: &[Controller], known: &Known, now: u64) -> Vec<String> {
+    let now = Ms(now);
+    let takes = |c: &&Controller| {
+        let all = moves(&c.cluster, &c.config, &c.zones, known, false, now);
+        all.iter().any(|m| m.shard == NORTH)
+    };
+    let takers = nodes.iter().filter(takes);
+    takers.map(|c| c.config.node.clone()).collect()
+}
+
+/// Lets `n1` own the northern shard and end.
+fn without_n1(store: &mut Store, nodes: &mut [Controller; 3]) {
+    assert!(matches!(
+        take_north(&mut nodes[0], store, 0),
+        Outcome::Done(_)
+    ));
+    store.end_lease(nodes[0].lease);
+    for c in nodes {
+        c.sync(store);
+    }
+}
+
+#[test]
+fn the_standby_alone_takes_a_shard_over_by_the_preference_of_zones() {
+    for (standby, name) in [(Standby::SameZone, "n2"), (Standby::OtherZone, "s1")] {
+        let (mut store, mut nodes, known) = three_nodes(standby);
+        without_n1(&mut store, &mut nodes);
+        assert_eq!(takers(&nodes[1..], &known, 10_000), [name]);
+    }
+}
+
+#[test]
+fn a_shard_that_its_standby_leaves_alone_goes_to_whoever_should_have_it() {
+    let (mut store, mut nodes, mut known) = three_nodes(Standby::OtherZone);
+    without_n1(&mut store, &mut nodes);
+    // Its own view has another standby, for example since its settings differ.
+    let since = Ms(10_000);
+    known.ownerless.insert(NORTH, since);
+    assert_eq!(takers(&nodes[1..], &known, 12_000), ["s1"]);
+    assert_eq!(takers(&nodes[1..], &known, 12_500), ["n2"]);
+}
+
+#[test]
+fn nodes_that_do_not_know_the_feature_are_no_standbys() {
+    let (mut store, mut nodes, known) = three_nodes(Standby::SameZone);
+    // n2 is replaced by a process of the version in production.
+    store.end_lease(nodes[1].lease);
+    nodes[1] = Controller::start("n2", 9, &mut store, 0);
+    without_n1(&mut store, &mut nodes);
+    assert_eq!(takers(&nodes[2..], &known, 10_000), ["s1"]);
+}
+
+#[test]
+fn what_is_stored_about_roles_is_one_field_that_production_ignores() {
+    for (standby, stored) in [(Standby::Off, false), (Standby::SameZone, true)] {
+        let mut store = Store::default();
+        Controller::start_as("n1", 7, standby, &mut store, 0);
+        let entry = store.entry(&format!("{ROOT}node/n1")).unwrap();
+        let fields = entry.v.as_map().unwrap().iter();
+        let names: Vec<&str> = fields.filter_map(|(k, _)| k.as_str()).collect();
+        assert_eq!(names.contains(&"w"), stored, "{names:?}");
+    }
+}
+
+#[test]
+fn the_bound_of_a_takeover_names_its_terms() {
+    let workers = |lease_s| Workers {
+        report_s: 1.5,
+        lease_s,
+        gang_wait_s: 35.0,
+        gang_peer_s: 8.0,
+        cancel_s: 55.0,
+    };
+    let short = pointhook::coordination::takeovers::bound(&workers(10.0));
+    assert!(short.meets_goal());
+    assert_eq!(short.total_ms(), 8600);
+    let long = pointhook::coordination::takeovers::bound(&workers(30.0));
+    assert_eq!(long.total_ms(), 9600);
+    assert!(long.to_string().contains("lease 5100"));
+}
+
+/// A batch of arrays, a gang and a pipeline on machines of both zones.
+fn submit_batch(w: &mut World) -> Vec<String> {
+    let mut ids = Vec::new();
+    let mut add = |w: &mut World, spec: JobSpec| {
+        ids.push(spec.id.clone());
+        assert!(w.submit(0, spec));
+    };
+    for i in 0..4 {
+        add(w, job(&format!("job-{i}"), 6));
+    }
+    let mut gang = job("job-10", 4);
+    gang.shape = Shape::Gang;
+    add(w, gang);
+    let mut last = job("job-11", 2);
+    last.awaits = vec!["job-0".into(), "job-10".into()];
+    add(w, last);
+    ids
+}
+
+#[test]
+fn an_owner_lost_at_any_step_of_a_batch_loses_and_repeats_nothing() {
+    for standby in [Standby::Off, Standby::SameZone, Standby::OtherZone] {
+        for step in 0..24u64 {
+            let mut w = World::with(4, standby);
+            w.begin_second_form();
+            let ids = submit_batch(&mut w);
+            w.run(step * 500);
+            let active = w.owner_of_zone("north");
+            w.end(active);
+            w.run(15_000);
+            // Twice in a row: whoever took over ends as well.
+            let next = w.owner_of_zone("north");
+            assert_ne!(next, active);
+            w.end(next);
+            w.run(15_000);
+            w.start(active);
+            w.start(next);
+            w.run(90_000);
+            assert!(
+                w.unfinished().is_empty(),
+                "{standby:?} {step}: {:#?}",
+                w.unfinished()
+            );
+            w.keeps_the_rules();
+            for id in ids {
+                assert!(w.completed(&id), "{standby:?} {step}: {id}");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_owner_paused_beyond_its_lease_wakes_into_a_takeover_and_steps_down() {
+    for pause_ms in (1000..14_000).step_by(1000) {
+        let mut w = World::with(4, Standby::SameZone);
+        submit_batch_without_pipeline(&mut w);
+        w.run(2000);
+        let active = w.owner_of_zone("north");
+        // It stands still: neither reads nor renews, and wakes with the view of then.
+        let asleep = w.nodes[active].take();
+        w.run(pause_ms);
+        w.nodes[active] = asleep;
+        w.run(90_000);
+        assert!(
+            w.unfinished().is_empty(),
+            "{pause_ms}: {:#?}",
+            w.unfinished()
+        );
+        w.keeps_the_rules();
+    }
+}
+
+fn submit_batch_without_pipeline(w: &mut World) {
+    for i in 0..4 {
+        assert!(w.submit(0, job(&format!("job-{i}"), 6)));
+    }
+}
+
+#[test]
+fn a_permit_of_before_a_take_over_decides_nothing_though_nobody_looked_since() {
+    let mut d = deposed();
+    d.owner.submit(&mut d.store, job("job-2", 1), 600);
+    d.owner.observe(650);
+    assert!(matches!(
+        take_north(&mut d.standby, &mut d.store, 700),
+        Outcome::Done(_)
+    ));
+    d.owner.sync(&d.store);
+    let permits = d.owner.takeovers.permits();
+    assert!(permits.get(ShardId(0)).is_some());
+    let mut draft = DraftTransaction::default();
+    let (cluster, config) = (&d.owner.cluster, &d.owner.config);
+    plan::settle(cluster, config, permits, &mut draft, Ms(800));
+    plan::claim(cluster, config, permits, &mut draft, Ms(800), 800);
+    assert!(draft.is_empty(), "{draft:?}");
+}
--- a/tests/support/worker.rs
+++ b/tests/support/worker.rs
@@ -193,6 +193,13 @@
         present.filter(of_job).count()
     }
 
+    /// True if its reports show the completion of a task of a job.
+    pub fn shows_completion_of(&self, id: &str) -> bool {
+        let of_job = |t: &Task| t.name.split('/').next() == Some(id);
+        let mut done = self.tasks.iter().filter(|t| t.why == Some(Why::Done));
+        done.any(of_job)
+    }
+
     /// True if the task is here and has not exited.
     pub fn has(&self, task: &str) -> bool {
         self.tasks
--- a/tests/version_compatibility.rs
+++ b/tests/version_compatibility.rs
@@ -108,6 +108,7 @@
         &NodeRecord {
             incarnation,
             forms: 0,
+            standby: 0,
         },
     );
     let shard = ShardRecord {
@@ -272,6 +273,7 @@
     let node = NodeRecord {
         incarnation: 1_234_567,
         forms: SECOND_FORM,
+        standby: 0,
     };
     same_record_as(VERSION_0_2, "record/node", &node);
     same_record_as(VERSION_0_2, "record/form", &true);
