Owners stream queues, held machines and recorded decisions to their standbys

Need: a takeover is to go on where the former owner was; queues and machines kept free for gangs were lost with it. Frames of a new kind stand at the end and go only to nodes that announce the feature.

--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -6,10 +6,16 @@
 //! - [`role`]: which controller is the standby of a shard;
 //! - [`takeover`]: the state machine of a takeover;
 //! - [`permit`]: the permit to decide, which only that machine issues;
+//! - [`publisher`], [`follower`]: the two ends of the stream by which a standby follows an owner,
+//!   with [`message`] and [`shadow`];
 //! - [`bound`]: how long a takeover may take.
 
 pub mod bound;
+pub mod follower;
 pub mod ids;
+pub mod message;
 pub mod permit;
+pub mod publisher;
 pub mod role;
+pub mod shadow;
 pub mod takeover;
--- /dev/null
+++ b/crates/standby/src/shadow.rs
@@ -0,0 +1,73 @@
+//! The state of a shard that is not in the records, as owner and standby both keep it.
+
+use crate::message::{Decision, MachineState};
+use rpds::RedBlackTreeMap;
+use std::ops::Bound;
+
+/// Machines that a standby remembers of a shard at most.
+pub const MOST_MACHINES: usize = 20_000;
+
+/// State of a shard's machines, and how far its recorded decisions go.
+///
+/// The map is persistent: a copy shares its nodes and costs the same at any size, so that a
+/// snapshot does not hold up its owner.
+#[derive(Clone, Debug, Default)]
+pub struct Shadow {
+    machines: RedBlackTreeMap<String, MachineState>,
+    decided: u64,
+}
+
+impl Shadow {
+    /// Takes a decision. One machine more than can be remembered is left out.
+    pub fn apply(&mut self, decision: &Decision) {
+        match decision {
+            Decision::Machine { name, state } => self.put(name, state),
+            Decision::Gone { name } => {
+                self.machines.remove_mut(name);
+            }
+            Decision::Claimed { revision, .. } | Decision::Ended { revision, .. } => {
+                self.decided = self.decided.max(*revision);
+            }
+        }
+    }
+
+    pub(crate) fn put(&mut self, name: &str, state: &MachineState) {
+        if self.machines.size() < MOST_MACHINES || self.machines.contains_key(name) {
+            self.machines.insert_mut(name.to_string(), state.clone());
+        }
+    }
+
+    pub(crate) fn note_decided(&mut self, revision: u64) {
+        self.decided = self.decided.max(revision);
+    }
+
+    /// Highest revision at which a decision was recorded.
+    pub fn decided(&self) -> u64 {
+        self.decided
+    }
+
+    /// State of a machine.
+    pub fn machine(&self, name: &str) -> Option<&MachineState> {
+        self.machines.get(name)
+    }
+
+    /// All machines in the order of their names.
+    pub fn machines(&self) -> impl Iterator<Item = (&String, &MachineState)> {
+        self.machines.iter()
+    }
+
+    /// Machines whose names come after one, or all.
+    pub fn machines_after<'a>(
+        &'a self,
+        name: Option<&'a str>,
+    ) -> impl Iterator<Item = (&'a String, &'a MachineState)> {
+        let from = name.map_or(Bound::Unbounded, Bound::Excluded);
+        self.machines.range::<str, _>((from, Bound::Unbounded))
+    }
+}
+
+impl PartialEq for Shadow {
+    fn eq(&self, other: &Shadow) -> bool {
+        self.decided == other.decided && self.machines().eq(other.machines())
+    }
+}
--- a/crates/standby/src/takeover.rs
+++ b/crates/standby/src/takeover.rs
@@ -32,6 +32,8 @@
         alive: bool,
         /// It has not been heard for a while.
         silent: bool,
+        /// When it was last heard.
+        heard: Option<Millis>,
     },
 }
 
@@ -147,7 +149,9 @@
         let Some(takeover) = self.shards.get_mut(shard.0 as usize) else {
             return out;
         };
-        takeover.note_sign_of_life(seen.owner, now);
+        if let Owner::Other { heard, .. } = seen.owner {
+            takeover.last_sign_of_life = heard;
+        }
         // A state leads to the next until the observation asks for no other; each observation
         // passes a state once at most, so the states bound the number of steps.
         while let Some(next) = takeover.next(seen) {
@@ -249,16 +253,6 @@
         }
     }
 
-    fn note_sign_of_life(&mut self, owner: Owner, now: Millis) {
-        let lives = Owner::Other {
-            alive: true,
-            silent: false,
-        };
-        if owner == lives {
-            self.last_sign_of_life = Some(now);
-        }
-    }
-
     fn owned_token(&self) -> Option<Token> {
         match self.state {
             State::Active { token } | State::CatchingUp { token, .. } => Some(token),
@@ -271,7 +265,7 @@
         let wanted = match seen.owner {
             Owner::Me { token, fence } => self.as_owner(token, fence, seen.known),
             Owner::Nobody => self.as_other(seen.standby, false),
-            Owner::Other { alive, silent } => self.as_other(seen.standby, alive && !silent),
+            Owner::Other { alive, silent, .. } => self.as_other(seen.standby, alive && !silent),
         };
         (wanted != self.state).then_some(wanted)
     }
--- /dev/null
+++ b/crates/standby/tests/stream.rs
@@ -0,0 +1,286 @@
+//! The stream between an owner and its standby: loss, repeats, reordering, foreign tokens, a
+//! standby that is behind, and messages that are no messages.
+
+use standby::follower::Follower;
+use standby::message::{Answer, Decision, MachineState, Message, QueuedTask, MAX_MESSAGE};
+use standby::publisher::{Publisher, StreamLimits};
+
+/// Cases of the properties below; seeds are fixed, so that a failure repeats.
+const CASES: u64 = 300;
+
+const SMALL: StreamLimits = StreamLimits {
+    tail: 16,
+    message_bytes: 600,
+};
+
+fn machine(name: usize, queued: usize) -> Decision {
+    let task = |task| QueuedTask {
+        job: "job-000001".into(),
+        task: task as u32,
+    };
+    Decision::Machine {
+        name: format!("n-{name:06}"),
+        state: MachineState {
+            queue: (0..queued).map(task).collect(),
+            held_for: (queued == 3).then(|| "job-000002".into()),
+        },
+    }
+}
+
+fn claimed(revision: u64) -> Decision {
+    Decision::Claimed {
+        task: QueuedTask {
+            job: "job-000001".into(),
+            task: 0,
+        },
+        attempt: 1,
+        machine: "n-000001".into(),
+        revision,
+    }
+}
+
+fn random_decision(rng: &mut fastrand::Rng) -> Decision {
+    match rng.u8(..8) {
+        0 => Decision::Gone {
+            name: format!("n-{:06}", rng.usize(..12)),
+        },
+        1 => claimed(rng.u64(..1000)),
+        _ => machine(rng.usize(..12), rng.usize(..4)),
+    }
+}
+
+/// Sends messages until nothing is left to tell.
+fn settle(publisher: &mut Publisher, follower: &mut Follower) {
+    for _ in 0..1000 {
+        let Some(message) = publisher.next_message() else {
+            return;
+        };
+        publisher.answered(follower.take(&message, 0));
+    }
+    panic!("the stream never settles");
+}
+
+#[test]
+fn a_new_standby_gets_a_snapshot_in_parts_and_then_the_tail() {
+    let mut publisher = Publisher::new(0, 1, SMALL);
+    let mut follower = Follower::default();
+    for i in 0..50 {
+        publisher.publish(machine(i, i % 4));
+    }
+    publisher.publish(claimed(77));
+    let first = publisher.next_message().unwrap();
+    assert!(matches!(
+        &first,
+        Message::Snapshot {
+            part: 0,
+            last: false,
+            ..
+        }
+    ));
+    // The owner goes on deciding while the parts are on their way.
+    publisher.publish(machine(3, 2));
+    publisher.answered(follower.take(&first, 0));
+    settle(&mut publisher, &mut follower);
+    assert_eq!(publisher.lag(), Some(0));
+    assert_eq!(follower.shadow(), Some(publisher.shadow()));
+    assert_eq!(follower.shadow().unwrap().decided(), 77);
+    publisher.publish(machine(99, 1));
+    let next = publisher.next_message().unwrap();
+    assert!(matches!(&next, Message::Tail { decisions, .. } if decisions.len() == 1));
+}
+
+#[test]
+fn a_standby_that_is_behind_by_more_than_the_tail_gets_a_snapshot() {
+    for behind in [1, SMALL.tail, SMALL.tail + 1, 20 * SMALL.tail] {
+        let mut publisher = Publisher::new(0, 1, SMALL);
+        let mut follower = Follower::default();
+        settle(&mut publisher, &mut follower);
+        for i in 0..behind {
+            publisher.publish(machine(i % 30, i % 4));
+        }
+        let message = publisher.next_message().unwrap();
+        let snapshot = matches!(message, Message::Snapshot { .. });
+        assert_eq!(snapshot, behind > SMALL.tail, "{behind}");
+        publisher.answered(follower.take(&message, 0));
+        settle(&mut publisher, &mut follower);
+        assert_eq!(follower.shadow(), Some(publisher.shadow()));
+    }
+}
+
+#[test]
+fn nothing_accumulates_for_a_standby_that_does_not_answer() {
+    let mut publisher = Publisher::new(0, 1, SMALL);
+    assert!(publisher.next_message().is_some());
+    for i in 0..10_000 {
+        publisher.publish(machine(i % 30, i % 4));
+        assert!(publisher.next_message().is_none());
+    }
+    publisher.unanswered();
+    let mut follower = Follower::default();
+    settle(&mut publisher, &mut follower);
+    assert_eq!(follower.shadow(), Some(publisher.shadow()));
+}
+
+#[test]
+fn messages_of_an_older_owner_are_refused_and_stop_its_stream() {
+    let (mut old, mut new) = (Publisher::new(0, 4, SMALL), Publisher::new(0, 5, SMALL));
+    let mut follower = Follower::default();
+    old.publish(machine(1, 1));
+    settle(&mut old, &mut follower);
+    new.publish(machine(2, 1));
+    settle(&mut new, &mut follower);
+    assert_eq!(follower.shadow(), Some(new.shadow()));
+    old.publish(machine(3, 1));
+    settle(&mut old, &mut follower);
+    assert!(old.is_outranked());
+    assert_eq!(
+        (follower.token(), follower.irregularities().outdated),
+        (5, 1)
+    );
+    assert_eq!(follower.shadow(), Some(new.shadow()));
+    // The records may know of a takeover before the new owner's first message.
+    assert_eq!(
+        follower.take(
+            &Message::Tail {
+                shard: 0,
+                token: 5,
+                first: 0,
+                decisions: Vec::new()
+            },
+            6
+        ),
+        Answer::Outranked(6)
+    );
+}
+
+#[test]
+fn gaps_are_noticed_and_a_late_snapshot_takes_nothing_back() {
+    let mut publisher = Publisher::new(0, 1, SMALL);
+    let mut follower = Follower::default();
+    publisher.publish(machine(1, 1));
+    let late = publisher.next_message().unwrap();
+    publisher.answered(follower.take(&late, 0));
+    publisher.publish(machine(1, 2));
+    settle(&mut publisher, &mut follower);
+    assert_eq!(follower.take(&late, 0), Answer::Next(2));
+    assert_eq!(follower.shadow(), Some(publisher.shadow()));
+    let ahead = Message::Tail {
+        shard: 0,
+        token: 1,
+        first: 3,
+        decisions: vec![machine(9, 1)],
+    };
+    assert_eq!(follower.take(&ahead, 0), Answer::NeedsSnapshot);
+    assert_eq!(follower.irregularities().gaps, 1);
+    assert_eq!(follower.shadow(), Some(publisher.shadow()));
+}
+
+#[test]
+fn a_lossy_stream_ends_in_the_owners_state() {
+    for seed in 0..CASES {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut publisher = Publisher::new(0, 1, SMALL);
+        let mut follower = Follower::default();
+        let mut kept: Vec<Message> = Vec::new();
+        for _ in 0..200 {
+            publisher.publish(random_decision(&mut rng));
+            if let Some(message) = publisher.next_message() {
+                kept.push(message.clone());
+                match rng.u8(..5) {
+                    // Lost, or its answer is.
+                    0 => publisher.unanswered(),
+                    1 => {
+                        follower.take(&message, 0);
+                        publisher.unanswered();
+                    }
+                    _ => publisher.answered(follower.take(&message, 0)),
+                }
+            }
+            // An earlier message comes again, after newer ones.
+            if rng.u8(..4) == 0 {
+                let at = rng.usize(..kept.len().max(1));
+                if let Some(again) = kept.get(at) {
+                    follower.take(again, 0);
+                }
+            }
+        }
+        settle(&mut publisher, &mut follower);
+        assert_eq!(follower.shadow(), Some(publisher.shadow()), "seed {seed}");
+    }
+}
+
+#[test]
+fn bytes_that_are_no_message_are_refused_and_change_nothing() {
+    for seed in 0..CASES {
+        arbtest::arbtest(|u| {
+            let bytes: Vec<u8> = u.arbitrary()?;
+            if let Some(message) = Message::decode(&bytes) {
+                Follower::default().take(&message, 0);
+            }
+            let _ = Answer::decode(&bytes);
+            Ok(())
+        })
+        .seed(seed << 32 | 0x40)
+        .run();
+    }
+    assert_eq!(Message::decode(&vec![0; MAX_MESSAGE + 1]), None);
+}
+
+#[test]
+fn damaged_messages_never_stop_the_follower() {
+    let message = Message::Tail {
+        shard: 1,
+        token: 2,
+        first: 0,
+        decisions: (0..20).map(|i| machine(i, i % 4)).collect(),
+    };
+    let good = message.encode().unwrap();
+    assert_eq!(Message::decode(&good), Some(message));
+    for cut in 0..good.len() {
+        assert_ne!(
+            Message::decode(&good[..cut]).map(|m| m.encode()),
+            Some(Some(good.clone()))
+        );
+    }
+    let mut read = 0;
+    for seed in 0..CASES {
+        arbtest::arbtest(|u| {
+            let mut bytes = good.clone();
+            for _ in 0..u.int_in_range(1..=8)? {
+                let at = u.choose_index(bytes.len())?;
+                bytes[at] = u.arbitrary()?;
+            }
+            if let Some(message) = Message::decode(&bytes) {
+                read += 1;
+                let mut follower = Follower::default();
+                follower.take(&message, 0);
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 0x400)
+        .run();
+    }
+    assert!(
+        read > 0,
+        "no damaged message was readable: nothing was tried"
+    );
+}
+
+#[test]
+fn a_message_of_a_full_part_stays_below_its_bound() {
+    let limits = StreamLimits::default();
+    let mut publisher = Publisher::new(0, 1, limits);
+    for i in 0..4000 {
+        publisher.publish(machine(i, 8));
+    }
+    let mut follower = Follower::default();
+    let mut parts = 0;
+    while let Some(message) = publisher.next_message() {
+        let size = message.encode().unwrap().len();
+        assert!(size <= MAX_MESSAGE, "{size}");
+        publisher.answered(follower.take(&message, 0));
+        parts += 1;
+    }
+    assert!(parts > 10);
+    assert_eq!(follower.shadow().map(|s| s.machines().count()), Some(4000));
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,7 +2,8 @@
 
 use crate::coordination::node::Node;
 use crate::coordination::{
-    cancellations, job_api, membership, peer_messages, planner, renting, store, worker_connectivity,
+    cancellations, job_api, membership, peer_messages, planner, renting, replication, store,
+    takeovers, worker_connectivity,
 };
 use crate::features::Features;
 use crate::job_command::{self, JobAction, JobCommandError};
@@ -153,6 +154,14 @@
         node.duty("planner", planner::run);
         node.duty("cancellations", cancellations::run);
         node.duty("news", peer_messages::news);
+        if let Some(standby) = node.features.standby() {
+            let bound = takeovers::bound(&node.platform.settings.workers);
+            log::info!("the warm standby is on: {standby:?}, takeover within {bound}");
+            if !bound.meets_goal() {
+                log::warn!("the times of the deployment allow no takeover within 10 s");
+            }
+            node.duty("replication", replication::run);
+        }
         node.duty("renting", renting::run);
         let n = node.clone();
         let answering = frames::serve(ex.clone(), peers, move |ask| peer_messages::handle(&n, ask));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 pub mod planner;
 pub mod rate_limiter;
 pub mod renting;
+pub mod replication;
 pub mod reports;
 pub mod store;
 pub mod takeovers;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -2,6 +2,7 @@
 
 use super::metrics::Metrics;
 use super::plan::SchedulerConfig;
+use super::replication::Replication;
 use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::knowledge::Knowledge;
@@ -30,6 +31,8 @@
     pub client: PeerClient,
     /// Connection for cancellations, which wait for no other frames.
     pub teller: PeerClient,
+    /// Connection for the streams of shards that it is the standby of.
+    pub streams: PeerClient,
     /// Where telling it of cancellations stands.
     pub telling: Cell<NotificationState>,
     /// After this it is told again, and how long it was left alone before.
@@ -162,6 +165,8 @@
     pub takeovers: RefCell<Takeovers>,
     /// The standby of each shard, as this node sees it; empty while the feature is off.
     pub standby_of: RefCell<HashMap<ShardIx, String>>,
+    /// Streams to and from standbys.
+    pub replication: RefCell<Replication>,
     /// Since when a shard is owned.
     pub owned_since: RefCell<HashMap<ShardIx, Ms>>,
     /// Whether workers reach this node.
@@ -314,6 +319,7 @@
                 name: p.node.clone(),
                 client: PeerClient::new(p.addr),
                 teller: PeerClient::new(p.addr),
+                streams: PeerClient::new(p.addr),
                 telling: Cell::default(),
                 untold: Cell::default(),
                 heard: Cell::new(None),
@@ -341,6 +347,7 @@
             complained: Cell::new((None, 0)),
             takeovers: RefCell::new(takeovers),
             standby_of: RefCell::new(HashMap::new()),
+            replication: RefCell::default(),
             owned_since: RefCell::new(HashMap::new()),
             worker_contact: Cell::new(WorkerContact::new(ms_of(s.workers.lease_s))),
             woke: Cell::new(None),
--- a/src/coordination/peer_messages.rs
+++ b/src/coordination/peer_messages.rs
@@ -2,7 +2,7 @@
 
 use super::node::Node;
 use super::plan::SchedulerConfig;
-use super::{cancellations, plan, planner};
+use super::{cancellations, plan, planner, replication};
 use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{Ms, Resources};
@@ -14,7 +14,7 @@
 
 const NEWS_MS: u64 = 1000;
 /// How long machines are kept free for a gang unless that is asked again.
-const HOLD_MS: u64 = 4000;
+pub(super) const HOLD_MS: u64 = 4000;
 
 /// Duty: tells the others about the own machines, and holds machines for gangs.
 pub async fn news(node: Rc<Node>) {
@@ -329,6 +329,10 @@
             Reply::Noted
         }
         Ask::Cancelled { jobs } => cancellations::answer(node, &jobs),
+        Ask::Follow {
+            node: from,
+            message,
+        } => replication::answer(node, &from, &message),
     }
 }
 
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -2,6 +2,7 @@
 
 use super::node::{wall_ms, Direct, Node};
 use super::plan::{self, DraftTransaction, Push, Pushed};
+use super::replication;
 use super::store::Outcome;
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::job::Placement;
@@ -154,10 +155,12 @@
 /// Commits what a pass changes; true if another pass should follow at once.
 async fn commit_pass(node: &Rc<Node>, draft: &DraftTransaction) -> bool {
     let told = claims_told(node, draft);
+    let ended = replication::ended(node, draft);
     let (jobs, claims) = (draft.jobs.len(), draft.claims.len());
     match node.commit_draft(draft).await {
         Outcome::Done(revision) => {
             log::debug!("committed at {revision}: {jobs} jobs, {claims} claims");
+            replication::note_committed(node, draft, ended, revision);
             for line in told {
                 log::debug!("{line}");
             }
--- a/src/coordination/takeovers.rs
+++ b/src/coordination/takeovers.rs
@@ -3,6 +3,7 @@
 use super::membership::{self, Known};
 use super::node::Node;
 use super::plan::SchedulerConfig;
+use super::replication;
 use crate::bookkeeping::cluster_state::ClusterState;
 use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::{ms_of, Ms};
@@ -36,13 +37,14 @@
     }
 }
 
-/// What is seen of a shard; `silent` tells whether its owner, another node, has been silent.
+/// What is seen of a shard; `heard` tells when another node was last heard.
 pub fn observation(
     cluster: &ClusterState,
     config: &SchedulerConfig,
     shard: ShardIx,
     standby: bool,
-    silent: impl Fn(&str) -> bool,
+    heard: impl Fn(&str) -> Option<Ms>,
+    now: Ms,
 ) -> Observation {
     let slot = &cluster.shards[shard.at()];
     let owner = if config.owns(cluster, shard) {
@@ -53,9 +55,11 @@
     } else if slot.rec.owner.is_empty() {
         Owner::Nobody
     } else {
+        let heard = heard(&slot.rec.owner);
         Owner::Other {
             alive: cluster.live_owner(shard).is_some(),
-            silent: silent(&slot.rec.owner),
+            silent: heard.is_none_or(|t| now.since(t) > SILENT_MS),
+            heard: heard.map(millis),
         }
     };
     Observation {
@@ -80,11 +84,8 @@
     /// Looks at all shards; a change of state is logged once.
     pub fn observe_shards(&self) {
         let now = self.now();
-        let silent = |name: &str| {
-            let heard = self.peer(name).and_then(|p| p.heard.get());
-            heard.is_none_or(|t| now.since(t) > SILENT_MS)
-        };
-        let mut left = Vec::new();
+        let heard = |name: &str| self.peer(name).and_then(|p| p.heard.get());
+        let (mut left, mut taken) = (Vec::new(), Vec::new());
         {
             let cluster = self.cluster.borrow();
             let standby_of = self.standby_of.borrow();
@@ -92,11 +93,13 @@
             for shard in (0..cluster.shards.len()).map(ShardIx::new) {
                 let role = standby_of.get(&shard);
                 let standby = role.is_some_and(|name| *name == self.config.node);
-                let seen = observation(&cluster, &self.config, shard, standby, silent);
+                let seen = observation(&cluster, &self.config, shard, standby, heard, now);
                 for change in takeovers.observe(ShardId(shard.0), seen, millis(now)) {
                     self.log_transition(change);
-                    if change.to == State::SteppedDown {
-                        left.push(shard);
+                    match change.to {
+                        State::SteppedDown => left.push(shard),
+                        State::Active { .. } => taken.push(shard),
+                        _ => {}
                     }
                 }
             }
@@ -104,6 +107,9 @@
         for shard in left {
             self.forget_hints(shard);
         }
+        for shard in taken {
+            replication::restore(self, shard);
+        }
     }
 
     /// Notes that a token of this node was refused.
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -106,6 +106,14 @@
         /// Jobs.
         jobs: Vec<String>,
     },
+    /// From a shard's owner to its standby: an archive of the standby package's messages. Sent only
+    /// to nodes whose record says that they know it.
+    Follow {
+        /// Sender.
+        node: String,
+        /// The message.
+        message: Vec<u8>,
+    },
 }
 
 /// A reply.
@@ -126,6 +134,11 @@
         /// Jobs.
         jobs: Vec<String>,
     },
+    /// A standby's answer, as an archive.
+    Followed {
+        /// The answer.
+        answer: Vec<u8>,
+    },
 }
 
 /// Encodes a frame's content.
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -8,10 +8,13 @@
 use pointhook::bookkeeping::units::Ms;
 use pointhook::coordination::membership::{moves, Known, Move};
 use pointhook::coordination::plan::{self, DraftTransaction};
+use pointhook::coordination::replication;
 use pointhook::coordination::store::Outcome;
 use pointhook::protocol::users::{JobSpec, Shape};
 use pointhook::settings::Workers;
+use standby::follower::Follower;
 use standby::ids::ShardId;
+use standby::publisher::{Publisher, StreamLimits};
 use standby::takeover::State;
 use support::controller::{Controller, Standby};
 use support::job;
@@ -430,3 +433,65 @@
     plan::claim(cluster, config, permits, &mut draft, Ms(800), 800);
     assert!(draft.is_empty(), "{draft:?}");
 }
+
+#[test]
+fn a_takeover_goes_on_with_the_queues_and_held_machines_that_were_told() {
+    let mut d = deposed();
+    for (id, tasks) in [("job-2", 20), ("job-3", 2)] {
+        d.owner.submit(&mut d.store, job(id, tasks), 600);
+    }
+    let mut gang = job("job-4", 8);
+    gang.shape = Shape::Gang;
+    d.owner.submit(&mut d.store, gang, 600);
+    let (queued, done, held) = (
+        d.owner.job_ix("job-2"),
+        d.owner.job_ix("job-3"),
+        d.owner.job_ix("job-4"),
+    );
+    let m1 = d.owner.machine("m1");
+    let machine = d.owner.cluster.machine_mut(m1).unwrap();
+    machine.queue.extend([
+        (queued, 7, Ms(600)),
+        (done, 0, Ms(600)),
+        (queued, 5, Ms(600)),
+    ]);
+    machine.held = Some((held, Ms(5000)));
+    // It is told in a snapshot, and what changes then in the tail.
+    let mut publisher = Publisher::new(0, 1, StreamLimits::default());
+    let mut follower = Follower::default();
+    let mut tell = |owner: &Controller, publisher: &mut Publisher, now| {
+        replication::publish_changes(&owner.cluster, NORTH, Ms(now), publisher);
+        while let Some(message) = publisher.next_message() {
+            publisher.answered(follower.take(&message, 0));
+        }
+        follower.clone()
+    };
+    tell(&d.owner, &mut publisher, 700);
+    let machine = d.owner.cluster.machine_mut(m1).unwrap();
+    machine.queue.push_back((queued, 9, Ms(800)));
+    let follower = tell(&d.owner, &mut publisher, 800);
+    // One of the queued tasks is no longer to run, and one is queued with the standby already.
+    d.owner.cancel(&mut d.store, "job-3", 850);
+    d.standby.sync(&d.store);
+    d.standby
+        .cluster
+        .learn_machine("m1", "oven", "north", true, Ms(0));
+    let (m1, queued) = (d.standby.machine("m1"), d.standby.job_ix("job-2"));
+    let machine = d.standby.cluster.machine_mut(m1).unwrap();
+    machine.queue.push_back((queued, 5, Ms(100)));
+    let shadow = follower.shadow().expect("no gap");
+    let restored = replication::restore_shadow(&mut d.standby.cluster, NORTH, shadow, Ms(900));
+    assert_eq!((restored.queued, restored.held), (2, 1));
+    let machine = d.standby.cluster.machine(m1).unwrap();
+    let tasks: Vec<u32> = machine.queue.iter().map(|(_, task, _)| *task).collect();
+    assert_eq!(tasks, [5, 7, 9]);
+    assert_eq!(machine.held.map(|h| h.0), Some(d.standby.job_ix("job-4")));
+    // What is unchanged is not told again, and a machine that goes is.
+    replication::publish_changes(&d.owner.cluster, NORTH, Ms(900), &mut publisher);
+    assert_eq!(publisher.lag(), Some(0));
+    let m1 = d.owner.machine("m1");
+    d.owner.cluster.set_gone(m1);
+    replication::publish_changes(&d.owner.cluster, NORTH, Ms(900), &mut publisher);
+    assert_eq!(publisher.lag(), Some(1));
+    assert_eq!(publisher.shadow().machines().count(), 0);
+}
--- a/tests/support/controller.rs
+++ b/tests/support/controller.rs
@@ -285,8 +285,9 @@
             let shard = ShardIx::new(at);
             let standby = membership::standby_of(&self.cluster, &self.known, shard, Ms(now));
             let standby = standby == Some(self.config.node.as_str());
-            let seen =
-                takeovers::observation(&self.cluster, &self.config, shard, standby, |_| false);
+            let heard = |_: &str| Some(Ms(now));
+            let (cluster, config) = (&self.cluster, &self.config);
+            let seen = takeovers::observation(cluster, config, shard, standby, heard, Ms(now));
             let id = ShardId(shard.0);
             for change in self.takeovers.observe(id, seen, takeovers::millis(Ms(now))) {
                 if change.to == State::SteppedDown {
