--- a/tests/support/cloud.rs
+++ b/crates/rehearsal/src/cloud.rs
@@ -5,13 +5,17 @@
 
 /// A cloud with as many machines as anyone asks for, up to a limit.
 pub struct Cloud {
+    /// Machine types.
     pub flavors: Flavors,
+    /// Machines that it has.
     pub capacity: u32,
+    /// Rented machines with the time of their rental.
     pub machines: BTreeMap<String, (Listed, u64)>,
     answered: BTreeMap<String, Vec<String>>,
     next: u32,
 }
 
+/// The one machine type of the stand-ins.
 pub fn flavor() -> Flavor {
     Flavor {
         name: "oven".into(),
@@ -72,12 +76,14 @@
         Some(names)
     }
 
+    /// Deletes machines.
     pub fn release(&mut self, names: &[String]) {
         for n in names {
             self.machines.remove(n);
         }
     }
 
+    /// All rented machines.
     pub fn list(&self, now_ms: u64) -> HostList {
         let hosts = self.machines.values().map(|(l, at)| {
             let mut l = l.clone();
--- a/examples/world/mod.rs
+++ b/crates/rehearsal/src/network.rs
@@ -1,7 +1,9 @@
-//! The stand-ins of `tests/support/` behind sockets on loopback, shared by the examples.
+//! The stand-ins behind sockets on loopback, and a record of what happens among them.
 
-#[path = "../../tests/support/mod.rs"]
-pub mod support;
+use crate::cloud::Cloud;
+use crate::history::{Event, Recorder};
+use crate::store::Store;
+use crate::worker::Worker;
 
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -16,9 +18,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Instant;
-use support::cloud::Cloud;
-use support::store::Store;
-use support::worker::Worker;
 
 /// How the workers behave.
 pub struct Habits {
@@ -38,10 +37,16 @@
 
 /// State service, cloud and workers.
 pub struct World {
+    /// State service.
     pub store: RefCell<Store>,
+    /// Cloud.
     pub cloud: RefCell<Cloud>,
+    /// Workers of rented machines, by name.
     pub workers: RefCell<BTreeMap<String, Rc<RefCell<Worker>>>>,
+    /// How the workers behave.
     pub habits: Habits,
+    /// What has happened.
+    pub recorder: RefCell<Recorder>,
     /// Reports that were answered with 200.
     pub answered: Cell<u64>,
     /// Tasks started.
@@ -57,6 +62,7 @@
             cloud: RefCell::default(),
             workers: RefCell::default(),
             habits,
+            recorder: RefCell::default(),
             answered: Cell::new(0),
             started: Cell::new(0),
             began: Instant::now(),
@@ -102,10 +108,17 @@
     w.store.borrow_mut().expire(now);
     match (req.method, parts.as_slice()) {
         (Method::Post, ["commit"]) => match rmp_serde::from_slice::<Transaction>(&body) {
-            Ok(t) => match w.store.borrow_mut().commit(&t, now) {
-                (s, Some(c)) => Answer::of(s, &c),
-                (s, None) => Answer::bare(s),
-            },
+            Ok(t) => {
+                let answer = w.store.borrow_mut().commit(&t, now);
+                if let (200, Some(committed)) = &answer {
+                    let mut recorder = w.recorder.borrow_mut();
+                    recorder.committed(&t, committed.revision, now);
+                }
+                match answer {
+                    (status, Some(committed)) => Answer::of(status, &committed),
+                    (status, None) => Answer::bare(status),
+                }
+            }
             Err(_) => Answer::bare(400),
         },
         (Method::Post, ["grants"]) => match rmp_serde::from_slice::<LeaseRequest>(&body) {
@@ -200,6 +213,47 @@
     }
 }
 
+/// Records what a worker has started and completed since it was looked at last.
+fn note_progress(w: &World, worker: &RefCell<Worker>) {
+    let worker = worker.borrow();
+    let now = w.now();
+    let mut recorder = w.recorder.borrow_mut();
+    let seen = recorder.progress_of(&worker.name);
+    for (task, attempt) in worker.started.iter().skip(seen.started) {
+        if w.habits.tell {
+            println!("{}: starts {task}, attempt {attempt}", worker.name);
+        }
+        w.started.set(w.started.get() + 1);
+        let event = Event::Started {
+            task: task.clone(),
+            attempt: *attempt,
+            machine: worker.name.clone(),
+            also_on: other_machine_with(w, &worker.name, task),
+        };
+        recorder.record(now, event);
+    }
+    for task in worker.completed.iter().skip(seen.completed) {
+        let event = Event::Completed {
+            task: task.clone(),
+            machine: worker.name.clone(),
+        };
+        recorder.record(now, event);
+    }
+    let (started, completed) = (worker.started.len(), worker.completed.len());
+    recorder.note_progress(&worker.name, started, completed);
+}
+
+/// Another machine that has the task and has not ended it.
+fn other_machine_with(w: &World, machine: &str, task: &str) -> Option<String> {
+    let workers = w.workers.borrow();
+    let mut others = workers.iter().filter(|(name, _)| *name != machine);
+    let found = others.find(|(_, other)| {
+        let other = other.try_borrow();
+        other.is_ok_and(|other| other.has(task))
+    });
+    found.map(|(name, _)| name.clone())
+}
+
 /// A worker's routine: its own door for direct commands, and its reports.
 async fn work(w: Rc<World>, ex: Rc<LocalExecutor<'static>>, worker: Rc<RefCell<Worker>>) {
     let local: SocketAddr = ([127, 0, 0, 1], 0).into();
@@ -219,6 +273,7 @@
                     Ok(c) => status = me.borrow_mut().command(&c, now),
                     Err(_) => return Answer::bare(400),
                 }
+                note_progress(&world, &me);
             }
             Answer::of(status, &me.borrow_mut().report(now))
         }
@@ -227,10 +282,10 @@
     let mut at = 0;
     let mut client = Client::new(nodes[at].1);
     let name = worker.borrow().name.clone();
-    let mut told = 0;
     while w.workers.borrow().contains_key(&name) {
         let sent = w.now();
         let report = worker.borrow_mut().report(sent);
+        note_progress(&w, &worker);
         let body = rmp_serde::to_vec_named(&report).unwrap_or_default();
         let answer = client.call(Method::Post, "/v1/report", body, 4000).await;
         let mut next = None;
@@ -250,13 +305,7 @@
             }
             _ => next = Some(((at + 1) % nodes.len(), false)),
         }
-        for (task, attempt) in worker.borrow().started.iter().skip(told) {
-            if w.habits.tell {
-                println!("{name}: starts {task}, attempt {attempt}");
-            }
-            w.started.set(w.started.get() + 1);
-            told += 1;
-        }
+        note_progress(&w, &worker);
         match next {
             Some((to, named)) => {
                 at = to;
--- a/tests/support/store.rs
+++ b/crates/rehearsal/src/store.rs
@@ -14,17 +14,23 @@
 
 /// A state service.
 pub struct Store {
+    /// Revision of the last change.
     pub revision: u64,
     keys: BTreeMap<String, Kept>,
     log: Vec<Event>,
     forgotten: u64,
     leases: BTreeMap<u64, (u64, u64)>,
     next_lease: u64,
+    /// Changes that a transaction may have.
     pub txn_ops: usize,
+    /// Size that a value may have.
     pub value_bytes: usize,
+    /// Changes that are kept for watches.
     pub kept_changes: usize,
+    /// Puts and deletes that are served in a second.
     pub writes_per_s: f64,
     budget: (u64, f64),
+    /// It refuses all requests.
     pub down: bool,
     /// Transactions are carried out, but their answers are lost.
     pub loses_answers: bool,
@@ -64,10 +70,12 @@
         }
     }
 
+    /// Version of a key; 0 if it is not there.
     pub fn version(&self, key: &str) -> u64 {
         self.keys.get(key).map_or(0, |k| k.version)
     }
 
+    /// A key with its value and version.
     pub fn entry(&self, key: &str) -> Option<Entry> {
         let k = self.keys.get(key)?;
         Some(Entry {
@@ -239,6 +247,7 @@
         }
     }
 
+    /// A new lease.
     pub fn grant(&mut self, ttl_ms: u64, now_ms: u64) -> u64 {
         let id = self.next_lease;
         self.next_lease += 1;
@@ -246,6 +255,7 @@
         id
     }
 
+    /// Renews a lease; false if it has ended.
     pub fn touch(&mut self, id: u64, now_ms: u64) -> bool {
         match self.leases.get_mut(&id) {
             Some((ttl, end)) => {
@@ -269,6 +279,7 @@
         }
     }
 
+    /// Ends a lease and removes its keys.
     pub fn end_lease(&mut self, id: u64) {
         self.leases.remove(&id);
         let keys: Vec<String> = self
--- a/tests/support/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -14,19 +14,28 @@
 
 /// A worker of a machine.
 pub struct Worker {
+    /// Name of its machine.
     pub name: String,
+    /// Type of its machine.
     pub machine_type: String,
+    /// Zone of its machine.
     pub zone: String,
+    /// It is a spot machine.
     pub spot: bool,
+    /// Address for direct commands.
     pub addr: String,
+    /// Session; a new one begins when its lease ends.
     pub session: u64,
     seq: u64,
+    /// Highest token that it has seen.
     pub token: u64,
     tasks: Vec<Task>,
+    /// Its lease.
     pub lease_ms: u64,
     renewed: u64,
     /// Time that tasks take to fetch and to run.
     pub fetch_ms: u64,
+    /// Time that tasks run.
     pub run_ms: u64,
     /// Every start, in order.
     pub started: Vec<(String, u64)>,
@@ -37,6 +46,7 @@
 }
 
 impl Worker {
+    /// A worker without tasks, whose lease begins now.
     pub fn new(name: &str, zone: &str, now: u64) -> Worker {
         Worker {
             name: name.into(),
@@ -85,6 +95,7 @@
         }
     }
 
+    /// Its next report.
     pub fn report(&mut self, now: u64) -> Report {
         self.advance(now);
         self.seq += 1;
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -6,18 +6,16 @@
 //! The controllers are started by this program and ended by it. Costs are read from the
 //! system's own counters, so a profiler may run beside them (`--under "perf record -o {}.data"`).
 
-mod world;
-
 use async_executor::LocalExecutor;
 use clap::Parser;
 use http_types::Method;
 use pointhook::protocol::users::{JobSpec, Rank, Shape};
 use pointhook::transport::http::{listen, Client};
 use pointhook::transport::pause;
+use rehearsal::network::{self, Habits, World};
 use std::net::SocketAddr;
 use std::process::{Child, Command};
 use std::rc::Rc;
-use world::{Habits, World};
 
 /// Puts a steady load on controllers and tells what it costs them.
 #[derive(Parser)]
@@ -265,7 +263,7 @@
     // Half of a machine's room for each task, about eight tasks a job, all of them busy.
     let every_ms = (args.run_s as f64 * 1000.0 * 6.5 / f64::from(args.machines)) as u64;
     let measured = async {
-        ex.spawn(world::run(w.clone(), ex.clone(), s, c)).detach();
+        ex.spawn(network::run(w.clone(), ex.clone(), s, c)).detach();
         pause(1000).await;
         ex.spawn(users(w.clone(), ex.clone(), every_ms)).detach();
         pause(args.seconds * 1000).await;
--- a/examples/rehearsal.rs
+++ b/examples/rehearsal.rs
@@ -1,12 +1,10 @@
 //! Stand-ins of the state service, the cloud and its workers on loopback, so that a
 //! controller can be tried by hand: see README, "Try it".
 
-mod world;
-
 use async_executor::LocalExecutor;
 use pointhook::transport::http::listen;
+use rehearsal::network::{self, Habits, World};
 use std::rc::Rc;
-use world::{Habits, World};
 
 const CONTROLLER: &str = "127.0.0.1:7480";
 const CLOUD: &str = "127.0.0.1:7482";
@@ -25,6 +23,6 @@
     }));
     let (s, c) = (listen(addr(STATE)?)?, listen(addr(CLOUD)?)?);
     println!("state service on {STATE}, cloud on {CLOUD}, workers report to {CONTROLLER}");
-    async_io::block_on(ex.run(world::run(w, ex.clone(), s, c)));
+    async_io::block_on(ex.run(network::run(w, ex.clone(), s, c)));
     Ok(())
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,14 +2,13 @@
 //! them, with a clock that only the test moves; and a controller without sockets.
 #![allow(dead_code)]
 
-pub mod cloud;
 pub mod controller;
 pub mod liveness;
 pub mod scenarios;
-pub mod store;
-pub mod worker;
 pub mod world;
 
+pub use rehearsal::{cloud, store, worker};
+
 use pointhook::protocol::users::{JobSpec, Rank, Shape};
 
 /// A small job; tests change what matters to them.
