--- a/crates/standby/tests/stream.rs
+++ b/crates/standby/tests/stream.rs
@@ -284,3 +284,42 @@
     assert!(parts > 10);
     assert_eq!(follower.shadow().map(|s| s.machines().count()), Some(4000));
 }
+
+/// All parts of a snapshot of so many machines.
+fn parts(machines: usize) -> Vec<Message> {
+    let mut publisher = Publisher::new(0, 1, SMALL);
+    for i in 0..machines {
+        publisher.publish(machine(i, i % 4));
+    }
+    let mut follower = Follower::default();
+    let mut out = Vec::new();
+    while let Some(message) = publisher.next_message() {
+        publisher.answered(follower.take(&message, 0));
+        out.push(message);
+    }
+    out
+}
+
+#[test]
+fn a_snapshot_counts_only_with_all_its_parts_in_order() {
+    let of_50 = parts(50);
+    let of_60 = parts(60);
+    assert!(of_50.len() > 3);
+    for odd in [&of_50[2], &of_50[0].clone(), &of_60[1]] {
+        let mut follower = Follower::default();
+        assert_eq!(follower.take(&of_50[0], 0), Answer::NextPart(1));
+        let answer = follower.take(odd, 0);
+        // A first part begins anew; any other is of no use.
+        match odd {
+            Message::Snapshot { part: 0, .. } => assert_eq!(answer, Answer::NextPart(1)),
+            _ => assert_eq!(answer, Answer::NeedsSnapshot),
+        }
+        assert_eq!(follower.shadow(), None);
+    }
+    let mut follower = Follower::default();
+    assert_eq!(follower.take(&of_50[1], 0), Answer::NeedsSnapshot);
+    for part in &of_50 {
+        follower.take(part, 0);
+    }
+    assert_eq!(follower.shadow().map(|s| s.machines().count()), Some(50));
+}
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -495,3 +495,35 @@
     assert_eq!(publisher.lag(), Some(1));
     assert_eq!(publisher.shadow().machines().count(), 0);
 }
+
+#[test]
+fn switching_it_on_node_by_node_and_going_back_at_any_step_loses_nothing() {
+    for back_after in 0..=3 {
+        let mut w = World::with(4, Standby::Off);
+        w.begin_second_form();
+        let mut ids = submit_batch(&mut w);
+        let on = (0..back_after).map(|at| (at, Standby::OtherZone));
+        let off = (0..back_after).rev().map(|at| (at, Standby::Off));
+        for (number, (at, standby)) in on.chain(off).enumerate() {
+            w.run(2000);
+            w.standby = standby;
+            w.end(at);
+            w.run(1000);
+            w.start(at);
+            let id = format!("job-2{number}");
+            assert!(w.submit((at + 1) % 3, job(&id, 3)));
+            ids.push(id);
+            w.run(3000);
+        }
+        w.run(90_000);
+        assert!(
+            w.unfinished().is_empty(),
+            "{back_after}: {:#?}",
+            w.unfinished()
+        );
+        w.keeps_the_rules();
+        for id in ids {
+            assert!(w.completed(&id), "{back_after}: {id}");
+        }
+    }
+}
