Log lines of standbys and streams; the load example takes a file of features

Need: operators have to see who is a shard's standby and how far it is behind, and what the streams cost. Change: a line at info when an owned shard's standby changes, one at debug every 15 s on messages, bytes and lag. Measured: none yet; the load example is to tell.

--- a/examples/load.rs
+++ b/examples/load.rs
@@ -38,6 +38,9 @@
     /// Program that controllers are started with.
     #[arg(long, default_value = "target/release/pointhook")]
     program: String,
+    /// File of optional features that controllers are started with.
+    #[arg(long)]
+    features: Option<std::path::PathBuf>,
     /// Command that the program is started under; `{}` is the node's name.
     #[arg(long)]
     under: Option<String>,
@@ -233,6 +236,9 @@
     let mut words = under.split_whitespace().chain([args.program.as_str()]);
     let mut command = Command::new(words.next().unwrap_or_default());
     command.args(words).arg("--config").arg(file);
+    if let Some(features) = &args.features {
+        command.arg("--features").arg(features);
+    }
     command.env(
         "LOG_LEVEL",
         std::env::var("LOG_LEVEL").unwrap_or("error".into()),
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -384,7 +384,7 @@
             known.ownerless.entry(shard).or_insert(now);
         }
     }
-    *node.standby_of.borrow_mut() = standbys(&cluster, known, now).into_iter().collect();
+    takeovers::note_standbys(node, standbys(&cluster, known, now));
     // Without an own key there is nothing to take shards with.
     let own = cluster.nodes.get(&node.config.node);
     if own.is_some_and(|r| r.rec.incarnation == node.config.incarnation) {
--- a/src/coordination/replication.rs
+++ b/src/coordination/replication.rs
@@ -22,6 +22,8 @@
 
 /// Time between two looks at what is new.
 const STREAM_MS: u64 = 500;
+/// Turns between two lines in the log.
+const SURVEY_TURNS: u64 = 30;
 /// Time for an answer.
 const ANSWER_MS: u64 = 2000;
 /// Time after which a standby that did not answer is tried again.
@@ -45,6 +47,10 @@
 pub struct Replication {
     published: BTreeMap<ShardIx, Stream>,
     followed: BTreeMap<ShardIx, Follower>,
+    /// Messages sent since the last line of the log that tells them.
+    messages: u64,
+    /// Their bytes.
+    bytes: u64,
 }
 
 impl Replication {
@@ -56,6 +62,19 @@
         });
     }
 
+    /// One line on all streams of this node, and a new count.
+    fn line(&mut self) -> String {
+        let lag = |(shard, stream): (&ShardIx, &Stream)| {
+            let lag = stream.publisher.lag();
+            let lag = lag.map_or("no snapshot yet".to_string(), |n| format!("{n} behind"));
+            format!("shard {} to {}: {lag}", shard.0, stream.to)
+        };
+        let lags: Vec<String> = self.published.iter().map(lag).collect();
+        let (messages, bytes) = (self.messages, self.bytes);
+        (self.messages, self.bytes) = (0, 0);
+        format!("{messages} messages, {bytes} bytes; {}", lags.join(", "))
+    }
+
     /// The stream of a shard to a standby; one that has changed begins with a snapshot.
     fn stream(&mut self, shard: ShardIx, token: u64, to: &str) -> &mut Stream {
         let stream = self.published.entry(shard).or_insert_with(|| Stream {
@@ -75,8 +94,11 @@
 
 /// Duty: tells standbys what is new.
 pub async fn run(node: Rc<Node>) {
-    loop {
+    for turn in 1u64.. {
         node.beat(STREAM_MS, None).await;
+        if turn.is_multiple_of(SURVEY_TURNS) {
+            log::debug!("streams: {}", node.replication.borrow_mut().line());
+        }
         if !node.cluster.borrow().loaded {
             continue;
         }
@@ -195,9 +217,15 @@
 }
 
 async fn deliver(node: &Node, message: &Message, to: &str) -> Option<Answer> {
+    let message = message.encode()?;
+    {
+        let mut replication = node.replication.borrow_mut();
+        replication.messages += 1;
+        replication.bytes += message.len() as u64;
+    }
     let ask = Ask::Follow {
         node: node.config.node.clone(),
-        message: message.encode()?,
+        message,
     };
     match node.peer(to)?.streams.ask(&ask, ANSWER_MS).await {
         Ok(Reply::Followed { answer }) => Answer::decode(&answer),
--- a/src/coordination/takeovers.rs
+++ b/src/coordination/takeovers.rs
@@ -12,6 +12,7 @@
 use standby::ids::{Millis, Revision, ShardId, Token};
 use standby::takeover::{Observation, Owner, Refusal, State, Transition};
 use std::cell::Ref;
+use std::collections::HashMap;
 
 /// Silence of a peer after which it is suspected: its news come once a second.
 const SILENT_MS: u64 = 2500;
@@ -160,8 +161,30 @@
     }
 }
 
+/// Takes the standbys of all shards; a change that concerns this node's shards is logged.
+pub fn note_standbys(node: &Node, standbys: HashMap<ShardIx, String>) {
+    let before = node.standby_of.replace(standbys);
+    let cluster = node.cluster.borrow();
+    let now = node.standby_of.borrow();
+    let owned = (0..cluster.shards.len())
+        .map(ShardIx::new)
+        .filter(|shard| node.config.owns(&cluster, *shard));
+    for shard in owned.filter(|shard| before.get(shard) != now.get(shard)) {
+        let name = |roles: &HashMap<ShardIx, String>| {
+            let name = roles.get(&shard);
+            name.map_or("nobody".to_string(), Clone::clone)
+        };
+        log::info!(
+            "shard {}: its standby is {}, was {}",
+            shard.0,
+            name(&now),
+            name(&before)
+        );
+    }
+}
+
 /// The standby of each shard, as this node's view has it.
-pub fn standbys(cluster: &ClusterState, known: &Known, now: Ms) -> Vec<(ShardIx, String)> {
+pub fn standbys(cluster: &ClusterState, known: &Known, now: Ms) -> HashMap<ShardIx, String> {
     let shards = (0..cluster.shards.len()).map(ShardIx::new);
     let of = |shard| {
         let name = membership::standby_of(cluster, known, shard, now)?;
