--- a/src/bookkeeping/cluster_state.rs
+++ b/src/bookkeeping/cluster_state.rs
@@ -1,8 +1,8 @@
 //! The cached view: everything a controller knows. Pure, no I/O.
 
 use super::fleet::{Attempt, Machine, MachineType, Seen};
-use super::graph::{self, Graph};
-use super::job::{DependencyState, Job, JobRecord, JobState, Placement, Spec, StoredPlacement};
+use super::graph::Graph;
+use super::job::{Job, JobRecord, JobState, Placement, Spec, StoredPlacement};
 use super::knowledge::Knowledge;
 use super::names::{
     ImageIx, Index, Interner, JobIx, MachineIx, MachineTypeIx, ShardIx, TeamIx, ZoneIx,
@@ -11,17 +11,13 @@
     BookingRecord, NodeRecord, PartRecord, ShardRecord, TeamLimits, TeamRecord, Versioned, ROOT,
 };
 use super::resource_totals::ResourceTotals;
-use super::units::{ms_of, Ms, Resources};
+use super::units::{Ms, Resources};
 use crate::protocol::cloud::Flavors;
-use crate::protocol::state::{Entry, Event};
-use crate::protocol::users::{JobSpec, Rank, Shape};
+use crate::protocol::users::{JobSpec, Shape};
 use crate::protocol::workers::TaskState;
-use rmpv::Value;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
-/// Cancellations kept in mind that no record here shows yet.
-const MOST_TOLD: usize = 10_000;
 /// Arrivals remembered for the rate of each class: 50 a second over the time that counts.
 const MAX_ARRIVALS: usize = 8192;
 
@@ -75,9 +71,9 @@
     /// Dependencies between jobs.
     pub graph: Graph,
     /// Versions of the parts of jobs' records.
-    parts: BTreeMap<(JobIx, u16), u64>,
+    pub(super) parts: BTreeMap<(JobIx, u16), u64>,
     /// Jobs that others told are cancelled, until a record says so.
-    told: HashSet<Rc<str>>,
+    pub(super) told: HashSet<Rc<str>>,
     /// Per job: machines on which it failed, and the earliest next try.
     pub failures: HashMap<JobIx, (HashSet<MachineIx>, Ms)>,
     /// Jobs that came lately: time of day, ms, and description.
@@ -103,12 +99,6 @@
     })
 }
 
-/// Job and number of a part by its name.
-fn part_of(name: &str) -> Option<(&str, u16)> {
-    let (id, part) = name.rsplit_once('.')?;
-    Some((id, part.parse().ok()?))
-}
-
 /// Size of a description in a record, as the state service counts it.
 fn stored_bytes(wire: &JobSpec) -> usize {
     let bytes = rmp_serde::to_vec_named(wire).unwrap_or_default();
@@ -453,7 +443,7 @@
         }
     }
 
-    fn complain(&mut self, key: &str, what: &str) {
+    pub(super) fn complain(&mut self, key: &str, what: &str) {
         if self.bad.len() < 1000 && self.bad.insert(key.to_string()) {
             log::error!("record {key} is unreadable and ignored: {what}");
         }
@@ -526,108 +516,7 @@
         self.look_around();
     }
 
-    /// What follows for a job from those around it, and whether it is cancelled with one.
-    fn dependency_state(
-        &self,
-        id: &str,
-        submitted: u64,
-        spec: Option<&Spec>,
-    ) -> (DependencyState, bool) {
-        let rank = spec.map_or(Rank::Low, Spec::rank);
-        let due = spec.and_then(|s| s.wire.deadline_s);
-        let due = due.map(|s| submitted.saturating_add(ms_of(s)));
-        let names = spec.map_or(&[] as &[String], |s| &s.wire.awaits);
-        let dependencies = names.iter().map(|n| self.job(n).map(|(_, j)| j));
-        let dependents = self.graph.dependents(id).iter().map(|d| &self.jobs[d.at()]);
-        graph::dependency_state(submitted, (rank, due), dependencies, dependents)
-    }
-
-    /// Enters an open job under those that it needs.
-    fn enter(&mut self, ix: JobIx, job: &Job) {
-        let Some(spec) = job.spec.clone().filter(|_| job.open()) else {
-            return;
-        };
-        for name in &spec.wire.awaits {
-            let dependency = self.job(name).map(|(at, j)| (at, j.open()));
-            if dependency.is_none_or(|(_, open)| open) {
-                self.graph.awaits(ix, name);
-            }
-            // It has one more that needs it.
-            self.graph.changed.extend(dependency.map(|d| d.0));
-        }
-    }
-
-    /// Looks at all jobs whose surroundings have changed, and at what changes by that.
-    fn look_around(&mut self) {
-        while let Some(ix) = self.graph.changed.pop() {
-            let Some(job) = self.jobs.get(ix.at()).filter(|j| j.open()) else {
-                continue;
-            };
-            let (id, spec) = (job.id.clone(), job.spec.clone());
-            let (dependency_state, cancelled) =
-                self.dependency_state(&id, job.submitted, spec.as_deref());
-            if cancelled {
-                let state = JobState::Cancelled;
-                let job = Job {
-                    state,
-                    ..job.clone()
-                };
-                self.graph.unwritten.insert(ix);
-                self.store_job(ix, job);
-                continue;
-            }
-            if dependency_state == job.dependency_state {
-                continue;
-            }
-            self.jobs[ix.at()].dependency_state = dependency_state;
-            self.look_at_needs(spec.as_deref());
-        }
-    }
-
-    /// What a job needs is to be looked at, as that job has changed.
-    fn look_at_needs(&mut self, spec: Option<&Spec>) {
-        let names = spec.into_iter().flat_map(|s| &s.wire.awaits);
-        let needs: Vec<JobIx> = names.filter_map(|n| Some(self.job(n)?.0)).collect();
-        self.graph.changed.extend(needs);
-    }
-
-    /// Takes the news that a job's cancellation was confirmed to its user; true if it is new.
-    ///
-    /// It holds whatever the record known here says, which may not be readable for minutes. What
-    /// rests on that record fails all the same, since the newest one has another version.
-    pub fn learn_cancelled(&mut self, id: &str) -> bool {
-        let known = self.job(id);
-        if known.is_some_and(|(_, job)| !job.open())
-            || self.told.len() >= MOST_TOLD
-            || !self.told.insert(id.into())
-        {
-            return false;
-        }
-        if let Some((ix, job)) = self.job(id) {
-            let job = job.clone();
-            let state = JobState::Cancelled;
-            self.store_job(ix, Job { state, ..job });
-            self.look_around();
-        }
-        true
-    }
-
-    /// Cancelled jobs of which tasks may be left, by what is known here.
-    pub fn cancelled(&self) -> impl Iterator<Item = (JobIx, &Job)> {
-        let cancelled = |(_, j): &(JobIx, &Job)| j.state == JobState::Cancelled;
-        self.active_jobs().filter(cancelled)
-    }
-
-    /// Names of cancelled jobs of which tasks may be left. Of one whose cancelled record was not
-    /// read here nothing is known of its tasks, so all those are among them.
-    pub fn cancelled_names(&self) -> Vec<String> {
-        let read = self.cancelled().map(|(_, j)| &j.id);
-        let read = read.filter(|id| !self.told.contains(*id));
-        let all = read.chain(&self.told);
-        all.map(|id| id.to_string()).collect()
-    }
-
-    fn store_job(&mut self, ix: JobIx, job: Job) {
+    pub(super) fn store_job(&mut self, ix: JobIx, job: Job) {
         if job.settled() {
             self.active.remove(&ix.0);
             self.failures.remove(&ix);
@@ -660,164 +549,6 @@
         }
     }
 
-    /// Puts a team's shares of this version into the view. Older versions change nothing.
-    pub fn put_team(&mut self, team: TeamIx, version: u64, rec: TeamRecord) {
-        let slot = &mut self.teams[team.at()];
-        if slot.version < version {
-            *slot = Versioned { version, rec };
-            self.suspect_teams.remove(&team);
-        }
-    }
-
-    /// Takes one put key.
-    pub fn put(&mut self, key: &str, version: u64, v: &Value) {
-        let Some((kind, name)) = key.strip_prefix(ROOT).and_then(|k| k.split_once('/')) else {
-            return;
-        };
-        fn read<T: serde::de::DeserializeOwned>(v: &Value) -> Result<T, String> {
-            // By way of bytes: the direct way can't read unit variants.
-            let bytes = rmp_serde::to_vec(v).map_err(|e| e.to_string())?;
-            rmp_serde::from_slice(&bytes).map_err(|e| e.to_string())
-        }
-        fn newer<T>(slot: &mut Versioned<T>, version: u64, rec: T) {
-            if slot.version < version {
-                *slot = Versioned { version, rec };
-            }
-        }
-        let result = match kind {
-            "job" => read::<JobRecord>(v).map(|r| self.put_job(name, version, &r)),
-            "node" => read::<NodeRecord>(v).map(|rec| {
-                newer(
-                    self.nodes.entry(name.to_string()).or_default(),
-                    version,
-                    rec,
-                );
-            }),
-            "shard" => read::<ShardRecord>(v).map(|rec| {
-                if let Some(slot) = name
-                    .parse()
-                    .ok()
-                    .and_then(|i: usize| self.shards.get_mut(i))
-                {
-                    newer(slot, version, rec);
-                }
-            }),
-            "team" => read::<TeamRecord>(v).map(|rec| {
-                if let Some(t) = self.team_names.find(name) {
-                    self.put_team(t, version, rec);
-                }
-            }),
-            "book" => read::<BookingRecord>(v).map(|rec| {
-                newer(
-                    self.bookings.entry(name.to_string()).or_default(),
-                    version,
-                    rec,
-                );
-            }),
-            "more" => read::<PartRecord>(v).map(|r| {
-                if let Some((id, part)) = part_of(name) {
-                    self.put_part(id, part, version, &r.placements);
-                }
-            }),
-            "form" => {
-                self.second_form = true;
-                Ok(())
-            }
-            "flavors" => read::<Flavors>(v).map(|f| {
-                self.flavors_version = version;
-                self.set_flavors(&f);
-            }),
-            _ => Ok(()),
-        };
-        if let Err(e) = result {
-            self.complain(key, &e);
-        }
-    }
-
-    /// Takes one deleted key.
-    pub fn delete(&mut self, key: &str, version: u64) {
-        let Some((kind, name)) = key.strip_prefix(ROOT).and_then(|k| k.split_once('/')) else {
-            return;
-        };
-        match kind {
-            "node" if self.nodes.get(name).is_some_and(|n| n.version < version) => {
-                self.nodes.remove(name);
-            }
-            "book" if self.bookings.get(name).is_some_and(|b| b.version < version) => {
-                self.bookings.remove(name);
-            }
-            "more" => {
-                if let Some((id, part)) = part_of(name) {
-                    self.put_part(id, part, version, &[]);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// Takes the changes of a watch that was asked from `from`.
-    pub fn take_changes(&mut self, from: u64, revision: u64, events: &[Event]) {
-        // Watches and reads overlap; what is known already must not come back,
-        // least of all a node or booking that has been deleted since.
-        let known = self.revision;
-        for e in events.iter().filter(|e| e.version > known) {
-            self.changes += 1;
-            match (&e.set, &e.remove, &e.v) {
-                (Some(key), _, Some(v)) => self.put(key, e.version, v),
-                (_, Some(key), _) => self.delete(key, e.version),
-                _ => {}
-            }
-        }
-        // A watch that started later than what is known would leave a gap.
-        if from <= self.revision {
-            self.revision = self.revision.max(revision);
-        }
-    }
-
-    /// Takes a page of a full read of all keys. Nothing of it is kept but what it brings, so a
-    /// read of any number of records needs no more memory than a page; `fleeting` gathers the
-    /// keys that others delete, for [`ClusterState::end_read`].
-    pub fn take_page(&mut self, entries: &[Entry], fleeting: &mut HashSet<String>) {
-        for e in entries {
-            let kind = e.key.strip_prefix(ROOT).and_then(|k| k.split_once('/'));
-            if matches!(kind, Some(("node" | "book" | "more", _))) {
-                fleeting.insert(e.key.clone());
-            }
-            self.put(&e.key, e.version, &e.v);
-        }
-    }
-
-    /// Ends a full read whose lowest revision this is: what it did not show is gone.
-    pub fn end_read(&mut self, fleeting: &HashSet<String>, revision: u64) {
-        // What is newer came meanwhile by a watch.
-        let stays = |key: String, version: u64| version > revision || fleeting.contains(&key);
-        self.nodes
-            .retain(|n, r| stays(format!("{ROOT}node/{n}"), r.version));
-        self.bookings
-            .retain(|n, b| stays(format!("{ROOT}book/{n}"), b.version));
-        let gone: Vec<(JobIx, u16)> = self
-            .parts
-            .iter()
-            .filter(|((ix, part), version)| {
-                !stays(Self::part_key(&self.jobs[ix.at()].id, *part), **version)
-            })
-            .map(|(at, _)| *at)
-            .collect();
-        for (ix, part) in gone {
-            let id = self.jobs[ix.at()].id.clone();
-            self.put_part(&id, part, revision, &[]);
-        }
-        self.revision = self.revision.max(revision);
-        self.loaded = true;
-    }
-
-    /// Takes a full read in one page.
-    pub fn take_all(&mut self, entries: &[Entry], revision: u64) {
-        let mut fleeting = HashSet::new();
-        self.take_page(entries, &mut fleeting);
-        self.end_read(&fleeting, revision);
-    }
-
     /// Status word, done and placed tasks for users.
     pub fn status(job: &Job) -> (&'static str, u32, u32) {
         let running = job
