--- a/crates/standby/src/shadow.rs
+++ b/crates/standby/src/shadow.rs
@@ -51,6 +51,16 @@
         self.machines.get(name)
     }
 
+    /// Number of machines.
+    pub fn len(&self) -> usize {
+        self.machines.size()
+    }
+
+    /// True without any machine.
+    pub fn is_empty(&self) -> bool {
+        self.machines.is_empty()
+    }
+
     /// All machines in the order of their names.
     pub fn machines(&self) -> impl Iterator<Item = (&String, &MachineState)> {
         self.machines.iter()
--- a/src/coordination/replication.rs
+++ b/src/coordination/replication.rs
@@ -135,21 +135,24 @@
 
 /// Publishes the machines of a shard that have changed since they were published last.
 pub fn publish_changes(cluster: &ClusterState, shard: ShardIx, now: Ms, publisher: &mut Publisher) {
+    let of_shard = || cluster.all_machines().filter(|(_, m)| m.shard == shard);
     let mut changed = Vec::new();
-    let mut present: HashSet<&str> = HashSet::new();
-    for (_, machine) in cluster.all_machines().filter(|(_, m)| m.shard == shard) {
-        present.insert(&machine.name);
+    let (mut present, mut added) = (0, 0);
+    for (_, machine) in of_shard() {
+        present += 1;
         let known = publisher.shadow().machine(&machine.name);
-        let unchanged = known.is_some_and(|state| is_state_of(cluster, machine, now, state));
-        if !unchanged {
-            let state = state_of(cluster, machine, now);
-            let name = machine.name.to_string();
-            changed.push(Decision::Machine { name, state });
+        if known.is_some_and(|state| is_state_of(cluster, machine, now, state)) {
+            continue;
         }
+        added += usize::from(known.is_none());
+        let state = state_of(cluster, machine, now);
+        let name = machine.name.to_string();
+        changed.push(Decision::Machine { name, state });
     }
-    if publisher.shadow().machines().count() + changed.len() > present.len() {
+    if publisher.shadow().len() + added > present {
+        let names: HashSet<&str> = of_shard().map(|(_, m)| &*m.name).collect();
         let published = publisher.shadow().machines().map(|(name, _)| name);
-        let gone = published.filter(|name| !present.contains(name.as_str()));
+        let gone = published.filter(|name| !names.contains(name.as_str()));
         changed.extend(gone.map(|name| Decision::Gone { name: name.clone() }));
     }
     for decision in changed {
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -493,7 +493,7 @@
     d.owner.cluster.set_gone(m1);
     replication::publish_changes(&d.owner.cluster, NORTH, Ms(900), &mut publisher);
     assert_eq!(publisher.lag(), Some(1));
-    assert_eq!(publisher.shadow().machines().count(), 0);
+    assert_eq!(publisher.shadow().len(), 0);
 }
 
 #[test]
