Rehearsal: one way to start controllers, one job of stand-in users, violations as a kind and its event

Need: the load example, the rehearsal and the tests each had settings, starts and a job of their own (duplicates), and each violation repeated what its event holds. Change: examples/load.rs uses rehearsal::process; rehearsal::jobs serves tests and users; tests of the standby share their steps. A start on another machine or of another attempt than the claimed one is now planted as well.

--- a/crates/rehearsal/src/checker.rs
+++ b/crates/rehearsal/src/checker.rs
@@ -3,92 +3,49 @@
 use crate::history::{Entry, Event};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// Something in a history that must not be.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug, thiserror::Error)]
-pub enum Violation {
+/// What must not be in a history.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
+pub enum Kind {
     /// An accepted job was not answered as done in the end.
-    #[error("{job} was accepted and is not done")]
-    Unfinished {
-        /// Job.
-        job: String,
-    },
+    #[error("accepted and never done")]
+    Unfinished,
     /// A job was done and then something else.
-    #[error("{job} went back from done to {status}")]
-    WentBack {
-        /// Job.
-        job: String,
-        /// Later status.
-        status: String,
-    },
+    #[error("went back from done")]
+    WentBack,
     /// A job was answered as done before all its tasks had completed.
-    #[error("{job} was called done with {completed} of {tasks} tasks")]
-    DoneTooEarly {
-        /// Job.
-        job: String,
-        /// Completed tasks.
-        completed: usize,
-        /// All tasks.
-        tasks: u32,
-    },
+    #[error("called done before all its tasks were")]
+    DoneTooEarly,
     /// A task was started while another machine had it.
-    #[error("{task} was started on {machine} while on {other}")]
-    RunsTwice {
-        /// Task.
-        task: String,
-        /// Machine of the start.
-        machine: String,
-        /// The other machine.
-        other: String,
-    },
+    #[error("started while on another machine")]
+    RunsTwice,
     /// A task was completed more than once.
-    #[error("{task} was completed {times} times")]
-    CompletedTwice {
-        /// Task.
-        task: String,
-        /// How often.
-        times: usize,
-    },
+    #[error("completed more than once")]
+    CompletedTwice,
     /// An attempt was started that no recorded claim has for that machine.
-    #[error("{task} attempt {attempt} was started on {machine} without a claim")]
-    StartedWithoutClaim {
-        /// Task.
-        task: String,
-        /// Attempt.
-        attempt: u64,
-        /// Machine.
-        machine: String,
-    },
+    #[error("started without a recorded claim")]
+    StartedWithoutClaim,
     /// A claim was recorded that did not rest on its shard's present record.
-    #[error("{task} attempt {attempt} was claimed without its shard's record")]
-    ClaimWithoutFence {
-        /// Task.
-        task: String,
-        /// Attempt.
-        attempt: u64,
-    },
+    #[error("claimed without its shard's record")]
+    ClaimWithoutFence,
     /// A decision was recorded under another token than the shard's present one.
-    #[error("shard {shard} was decided for under token {token}, not {recorded}")]
-    OutdatedToken {
-        /// Shard.
-        shard: u32,
-        /// Token of the decision.
-        token: u64,
-        /// Recorded token.
-        recorded: u64,
-    },
+    #[error("decided under an outdated token")]
+    OutdatedToken,
     /// A change of owner did not raise the token.
-    #[error("the token of shard {shard} went from {before} to {after}")]
-    TokenNotRaised {
-        /// Shard.
-        shard: u32,
-        /// Token before.
-        before: u64,
-        /// Token after.
-        after: u64,
-    },
+    #[error("owned without a higher token")]
+    TokenNotRaised,
 }
 
-/// All violations in a history, in a fixed order.
+/// Something in a history that must not be, with the event that shows it.
+#[derive(Clone, PartialEq, Eq, Debug, thiserror::Error)]
+#[error("{kind}: {event:?}")]
+pub struct Violation {
+    /// What is wrong.
+    pub kind: Kind,
+    /// The event.
+    pub event: Event,
+}
+
+/// All violations in a history, in the order in which they show.
 pub fn check(history: &[Entry]) -> Vec<Violation> {
     let mut check = Check::default();
     for entry in history {
@@ -99,11 +56,11 @@
 
 #[derive(Default)]
 struct Check<'a> {
-    accepted: BTreeMap<&'a str, u32>,
+    accepted: BTreeMap<&'a str, (u32, &'a Event)>,
     done: HashSet<&'a str>,
     claims: HashSet<(&'a str, u64, &'a str)>,
-    completed: BTreeMap<&'a str, usize>,
-    completed_of_job: HashMap<&'a str, usize>,
+    completed: HashSet<&'a str>,
+    completed_of_job: HashMap<&'a str, u32>,
     tokens: HashMap<u32, u64>,
     violations: Vec<Violation>,
 }
@@ -112,11 +69,26 @@
     fn take(&mut self, event: &'a Event) {
         match event {
             Event::Accepted { job, tasks } => {
-                self.accepted.insert(job, *tasks);
+                self.accepted.insert(job, (*tasks, event));
+            }
+            Event::Answered { job, status } if status == "done" => {
+                let completed = self.completed_of_job.get(job.as_str()).copied();
+                let tasks = self.accepted.get(job.as_str()).map(|(tasks, _)| *tasks);
+                let early = self.done.insert(job) && completed < tasks;
+                self.expect(!early, Kind::DoneTooEarly, event);
+            }
+            Event::Answered { job, .. } => {
+                let was_done = self.done.contains(job.as_str());
+                self.expect(!was_done, Kind::WentBack, event);
+            }
+            Event::Owned { shard, token, .. } => {
+                let before = self.tokens.insert(*shard, *token);
+                self.expect(before < Some(*token), Kind::TokenNotRaised, event);
+            }
+            Event::Decided { shard, token } => {
+                let present = self.tokens.get(shard) == Some(token);
+                self.expect(present, Kind::OutdatedToken, event);
             }
-            Event::Answered { job, status } => self.answered(job, status),
-            Event::Owned { shard, token, .. } => self.owned(*shard, *token),
-            Event::Decided { shard, token } => self.decided(*shard, *token),
             Event::Claimed {
                 task,
                 attempt,
@@ -124,103 +96,39 @@
                 fenced,
             } => {
                 self.claims.insert((task, *attempt, machine));
-                if !fenced {
-                    self.violations.push(Violation::ClaimWithoutFence {
-                        task: task.clone(),
-                        attempt: *attempt,
-                    });
-                }
+                self.expect(*fenced, Kind::ClaimWithoutFence, event);
             }
             Event::Started {
                 task,
                 attempt,
                 machine,
                 also_on,
-            } => self.started(task, *attempt, machine, also_on.as_deref()),
-            Event::Completed { task, .. } => self.completed(task),
-        }
-    }
-
-    fn answered(&mut self, job: &'a str, status: &str) {
-        if status == "done" {
-            let completed = self.completed_of_job.get(job).copied().unwrap_or(0);
-            let tasks = self.accepted.get(job).copied().unwrap_or(0);
-            if self.done.insert(job) && completed < tasks as usize {
-                self.violations.push(Violation::DoneTooEarly {
-                    job: job.to_string(),
-                    completed,
-                    tasks,
-                });
+            } => {
+                let claimed = self.claims.contains(&(task.as_str(), *attempt, machine));
+                self.expect(claimed, Kind::StartedWithoutClaim, event);
+                self.expect(also_on.is_none(), Kind::RunsTwice, event);
+            }
+            Event::Completed { task, .. } => {
+                let first = self.completed.insert(task);
+                self.expect(first, Kind::CompletedTwice, event);
+                let job = task.split('/').next().unwrap_or_default();
+                *self.completed_of_job.entry(job).or_default() += u32::from(first);
             }
-        } else if self.done.contains(job) {
-            self.violations.push(Violation::WentBack {
-                job: job.to_string(),
-                status: status.to_string(),
-            });
-        }
-    }
-
-    fn owned(&mut self, shard: u32, token: u64) {
-        let before = self.tokens.insert(shard, token).unwrap_or(0);
-        if token <= before {
-            self.violations.push(Violation::TokenNotRaised {
-                shard,
-                before,
-                after: token,
-            });
-        }
-    }
-
-    fn decided(&mut self, shard: u32, token: u64) {
-        let recorded = self.tokens.get(&shard).copied().unwrap_or(0);
-        if token != recorded {
-            self.violations.push(Violation::OutdatedToken {
-                shard,
-                token,
-                recorded,
-            });
-        }
-    }
-
-    fn started(&mut self, task: &'a str, attempt: u64, machine: &'a str, also_on: Option<&str>) {
-        if !self.claims.contains(&(task, attempt, machine)) {
-            self.violations.push(Violation::StartedWithoutClaim {
-                task: task.to_string(),
-                attempt,
-                machine: machine.to_string(),
-            });
-        }
-        if let Some(other) = also_on {
-            self.violations.push(Violation::RunsTwice {
-                task: task.to_string(),
-                machine: machine.to_string(),
-                other: other.to_string(),
-            });
         }
     }
 
-    fn completed(&mut self, task: &'a str) {
-        let times = self.completed.entry(task).or_default();
-        *times += 1;
-        if *times == 1 {
-            let job = task.split('/').next().unwrap_or_default();
-            *self.completed_of_job.entry(job).or_default() += 1;
+    fn expect(&mut self, holds: bool, kind: Kind, event: &Event) {
+        if !holds {
+            let event = event.clone();
+            self.violations.push(Violation { kind, event });
         }
     }
 
     fn end(mut self) -> Vec<Violation> {
-        let repeated = self.completed.iter().filter(|(_, times)| **times > 1);
-        let repeated = repeated.map(|(task, times)| Violation::CompletedTwice {
-            task: task.to_string(),
-            times: *times,
-        });
-        self.violations.extend(repeated);
-        let open = self.accepted.keys().filter(|job| !self.done.contains(*job));
-        let open = open.map(|job| Violation::Unfinished {
-            job: job.to_string(),
-        });
-        self.violations.extend(open);
-        self.violations.sort();
+        for (job, (_, event)) in std::mem::take(&mut self.accepted) {
+            let done = self.done.contains(job);
+            self.expect(done, Kind::Unfinished, event);
+        }
         self.violations
     }
 }
--- /dev/null
+++ b/crates/rehearsal/src/jobs.rs
@@ -0,0 +1,30 @@
+//! Jobs that stand-in users submit.
+
+use pointhook::protocol::users::{JobSpec, Rank, Shape};
+
+/// A small job; tests change what matters to them.
+pub fn job(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "bake".into(),
+        team: "ovens".into(),
+        shape: Shape::Array,
+        priority: Rank::Normal,
+        tasks,
+        vcpus: 4.0,
+        gpus: 1.0,
+        mem_gb: 8.0,
+        image: "bread".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        awaits: Vec::new(),
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod checker;
 pub mod cloud;
 pub mod history;
+pub mod jobs;
 pub mod network;
 pub mod process;
 pub mod store;
--- a/crates/rehearsal/src/process.rs
+++ b/crates/rehearsal/src/process.rs
@@ -18,10 +18,16 @@
     pub state: SocketAddr,
     /// Cloud.
     pub cloud: SocketAddr,
+    /// Command that the program is started under, if any; `{}` is the controller's name.
+    pub under: Option<String>,
     /// Workers' lease, seconds.
     pub lease_s: f64,
     /// Time between a worker's reports, seconds.
     pub report_s: f64,
+    /// Requests that the state service serves in a second.
+    pub state_rps: f64,
+    /// Changes that it serves in a second.
+    pub state_write_rps: f64,
 }
 
 /// Addresses of a controller.
@@ -109,12 +115,23 @@
             .create(true)
             .append(true)
             .open(log)?;
-        let mut command = Command::new(&self.deployment.program);
+        let under = self.deployment.under.clone().unwrap_or_default();
+        let under = under.replace("{}", self.name());
+        let mut words = under.split_whitespace();
+        let mut command = match words.next() {
+            Some(first) => {
+                let mut command = Command::new(first);
+                command.args(words).arg(&self.deployment.program);
+                command
+            }
+            None => Command::new(&self.deployment.program),
+        };
         command.arg("--config").arg(&self.settings);
         if let Some(features) = &self.deployment.features {
             command.arg("--features").arg(features);
         }
-        command.env("LOG_LEVEL", "info").stderr(Stdio::from(log));
+        let level = std::env::var("LOG_LEVEL").unwrap_or("info".to_string());
+        command.env("LOG_LEVEL", level).stderr(Stdio::from(log));
         self.child = Some(command.spawn()?);
         Ok(())
     }
@@ -128,6 +145,29 @@
         Ok(())
     }
 
+    /// The program's own process, below whatever it was started under.
+    pub fn program_pid(&self) -> Option<u32> {
+        let pid = self.child.as_ref()?.id();
+        let children = format!("/proc/{pid}/task/{pid}/children");
+        let below = std::fs::read_to_string(children).unwrap_or_default();
+        let below = below.split_whitespace().next().and_then(|p| p.parse().ok());
+        Some(below.unwrap_or(pid))
+    }
+
+    /// Ends the program and waits for what it was started under, which writes its figures then.
+    pub fn end(&mut self) -> std::io::Result<()> {
+        let program = self.program_pid();
+        let Some(mut child) = self.child.take() else {
+            return Ok(());
+        };
+        let program = program.and_then(|pid| Pid::from_raw(pid.try_into().ok()?));
+        if let Some(pid) = program {
+            kill_process(pid, Signal::TERM)?;
+        }
+        child.wait()?;
+        Ok(())
+    }
+
     /// Lets the process stand still.
     pub fn pause(&self) -> std::io::Result<()> {
         self.signal(Signal::STOP)
@@ -186,8 +226,8 @@
 gang_peer_s = 8.0
 cancel_s = 55.0
 [settings.state]
-rps = 1000.0
-write_rps = 200.0
+rps = {:.1}
+write_rps = {:.1}
 value_kb = 8.0
 txn_ops = 12
 [settings.cloud]
@@ -204,7 +244,9 @@
         deployment.state,
         all.len(),
         deployment.report_s,
-        deployment.lease_s
+        deployment.lease_s,
+        deployment.state_rps,
+        deployment.state_write_rps
     )
 }
 
--- a/crates/rehearsal/src/takeover.rs
+++ b/crates/rehearsal/src/takeover.rs
@@ -3,12 +3,13 @@
 
 use crate::checker::{check, Violation};
 use crate::history::{Entry, Event};
+use crate::jobs::job;
 use crate::network::{self, Habits, World};
 use crate::process::{own_folder, remove_folder, Addresses, Controller, Deployment};
 use async_executor::LocalExecutor;
 use hdrhistogram::Histogram;
 use http_types::Method;
-use pointhook::protocol::users::{JobSpec, JobStatus, Rank, Shape};
+use pointhook::protocol::users::{JobSpec, JobStatus};
 use pointhook::transport::http::{listen, Client};
 use pointhook::transport::pause;
 use std::cell::{Cell, RefCell};
@@ -128,8 +129,11 @@
         folder,
         state: state.get_ref().local_addr()?,
         cloud: cloud.get_ref().local_addr()?,
+        under: None,
         lease_s: 10.0,
         report_s: 1.0,
+        state_rps: 1000.0,
+        state_write_rps: 200.0,
     };
     let world = Rc::new(World::new(Habits {
         controllers: all.iter().map(|a| (a.name.clone(), a.bind)).collect(),
@@ -316,7 +320,7 @@
 
     /// Submits one job, again and again under the same id until it is accepted.
     async fn submit(self: Rc<Self>, number: u32) {
-        let spec = job(number);
+        let spec = job_of_batch(number);
         let body = rmp_serde::to_vec_named(&spec).unwrap_or_default();
         loop {
             let client = self.any_controller();
@@ -379,28 +383,9 @@
     }
 }
 
-fn job(number: u32) -> JobSpec {
+fn job_of_batch(number: u32) -> JobSpec {
     JobSpec {
-        id: format!("job-{number:06}"),
-        class: "bake".into(),
-        team: "ovens".into(),
-        shape: Shape::Array,
-        priority: Rank::Normal,
-        tasks: TASKS,
-        vcpus: 4.0,
-        gpus: 1.0,
-        mem_gb: 8.0,
-        image: "bread".into(),
-        image_gb: 1.0,
-        types: None,
         zone: Some(["north", "south"][number as usize % 2].into()),
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 2.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        awaits: Vec::new(),
+        ..job(&format!("job-{number:06}"), TASKS)
     }
 }
--- a/crates/rehearsal/tests/checker.rs
+++ b/crates/rehearsal/tests/checker.rs
@@ -4,7 +4,7 @@
 use pointhook::bookkeeping::records::{ShardRecord, ROOT};
 use pointhook::coordination::store::set;
 use pointhook::protocol::state::{Condition, Transaction};
-use rehearsal::checker::{check, Violation};
+use rehearsal::checker::{check, Kind};
 use rehearsal::history::{Entry, Event, Recorder};
 
 fn accepted(job: &str, tasks: u32) -> Event {
@@ -80,82 +80,58 @@
     ]
 }
 
-fn violations(events: Vec<Event>) -> Vec<Violation> {
+fn kinds(events: Vec<Event>) -> Vec<Kind> {
     let entry = |(at_ms, event)| Entry { at_ms, event };
     let history: Vec<Entry> = (0..).zip(events).map(entry).collect();
-    check(&history)
+    check(&history).into_iter().map(|v| v.kind).collect()
 }
 
 /// The good history with one event changed, left out or put in.
-fn with(change: impl FnOnce(&mut Vec<Event>)) -> Vec<Violation> {
+fn with(change: impl FnOnce(&mut Vec<Event>)) -> Vec<Kind> {
     let mut events = good();
     change(&mut events);
-    violations(events)
+    kinds(events)
 }
 
 #[test]
 fn a_good_history_has_no_violations() {
-    assert_eq!(violations(good()), []);
+    assert_eq!(kinds(good()), []);
 }
 
 #[test]
 fn each_planted_fault_is_found() {
-    let (job, task) = ("job-1".to_string(), "job-1/1".to_string());
-    let unfinished = Violation::Unfinished { job: job.clone() };
-    assert_eq!(with(|e| e.truncate(14)), [unfinished]);
-    let status = "pending".to_string();
-    let back = Violation::WentBack {
-        job: job.clone(),
-        status,
-    };
-    assert_eq!(with(|e| e.push(answered("job-1", "pending"))), [back]);
-    let early = Violation::DoneTooEarly {
-        job,
-        completed: 1,
-        tasks: 2,
-    };
-    assert_eq!(with(|e| e[12] = answered("job-1", "done")), [early]);
-    let twice = Violation::RunsTwice {
-        task: task.clone(),
+    assert_eq!(with(|e| e.truncate(14)), [Kind::Unfinished]);
+    let back = answered("job-1", "pending");
+    assert_eq!(with(|e| e.push(back)), [Kind::WentBack]);
+    let early = answered("job-1", "done");
+    assert_eq!(with(|e| e[12] = early), [Kind::DoneTooEarly]);
+    let elsewhere = Event::Started {
+        task: "job-1/1".into(),
+        attempt: 3,
         machine: "m2".into(),
-        other: "m1".into(),
-    };
-    let run_twice = |e: &mut Vec<Event>| {
-        if let Event::Started { also_on, .. } = &mut e[10] {
-            *also_on = Some("m1".into());
-        }
+        also_on: Some("m1".into()),
     };
-    assert_eq!(with(run_twice), [twice]);
-    let again = Violation::CompletedTwice {
-        task: task.clone(),
-        times: 2,
-    };
-    assert_eq!(with(|e| e.push(completed("job-1/1"))), [again]);
-    let unclaimed = Violation::StartedWithoutClaim {
-        task: task.clone(),
-        attempt: 4,
+    assert_eq!(with(|e| e[10] = elsewhere), [Kind::RunsTwice]);
+    let again = completed("job-1/1");
+    assert_eq!(with(|e| e.push(again)), [Kind::CompletedTwice]);
+    for unclaimed in [
+        started("job-1/1", 4, "m2"),
+        started("job-1/1", 3, "m1"),
+        started("job-1/0", 3, "m2"),
+    ] {
+        let found = with(|e| e.push(unclaimed));
+        assert_eq!(found, [Kind::StartedWithoutClaim]);
+    }
+    let unfenced = Event::Claimed {
+        task: "job-1/1".into(),
+        attempt: 3,
         machine: "m2".into(),
+        fenced: false,
     };
-    assert_eq!(with(|e| e.push(started("job-1/1", 4, "m2"))), [unclaimed]);
-    let unfenced = Violation::ClaimWithoutFence { task, attempt: 3 };
-    let lift_fence = |e: &mut Vec<Event>| {
-        if let Event::Claimed { fenced, .. } = &mut e[9] {
-            *fenced = false;
-        }
-    };
-    assert_eq!(with(lift_fence), [unfenced]);
-    let outdated = Violation::OutdatedToken {
-        shard: 0,
-        token: 1,
-        recorded: 2,
-    };
-    assert_eq!(with(|e| e.push(decided(1))), [outdated]);
-    let not_raised = Violation::TokenNotRaised {
-        shard: 0,
-        before: 2,
-        after: 2,
-    };
-    assert_eq!(with(|e| e.push(owned(2))), [not_raised]);
+    assert_eq!(with(|e| e[9] = unfenced), [Kind::ClaimWithoutFence]);
+    assert_eq!(with(|e| e.push(decided(1))), [Kind::OutdatedToken]);
+    assert_eq!(with(|e| e.push(decided(3))), [Kind::OutdatedToken]);
+    assert_eq!(with(|e| e.push(owned(2))), [Kind::TokenNotRaised]);
 }
 
 fn shard_key() -> String {
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -13,8 +13,8 @@
 use pointhook::transport::http::{listen, Client};
 use pointhook::transport::pause;
 use rehearsal::network::{self, Habits, World};
+use rehearsal::process::{own_folder, Addresses, Controller, Deployment};
 use std::net::SocketAddr;
-use std::process::{Child, Command};
 use std::rc::Rc;
 
 /// Puts a steady load on controllers and tells what it costs them.
@@ -50,67 +50,6 @@
     ([127, 0, 0, 1], port).into()
 }
 
-const FIRST_PORT: u16 = 7500;
-
-fn settings(args: &Args, i: usize) -> String {
-    let zone = |i: usize| {
-        if i.is_multiple_of(2) {
-            "north"
-        } else {
-            "south"
-        }
-    };
-    let port = |i: usize| FIRST_PORT + 2 * i as u16;
-    let siblings: String = (0..args.nodes)
-        .filter(|k| *k != i)
-        .map(|k| {
-            format!(
-                "[[siblings]]\nnode = \"n{k}\"\ndomain = \"{}\"\naddr = \"127.0.0.1:{}\"\n",
-                zone(k),
-                port(k) + 1
-            )
-        })
-        .collect();
-    format!(
-        r#"node = "n{i}"
-domain = "{}"
-bind = "127.0.0.1:{}"
-cluster_listen = "127.0.0.1:{}"
-{siblings}
-[outside]
-cloud = "127.0.0.1:7482"
-state = "127.0.0.1:7483"
-[settings]
-nodes = {}
-zones = ["north", "south"]
-skew_ms = 100.0
-[[settings.teams]]
-name = "ovens"
-[settings.workers]
-report_s = {:.1}
-lease_s = 30.0
-gang_wait_s = 35.0
-gang_peer_s = 8.0
-cancel_s = 55.0
-[settings.state]
-rps = 250.0
-write_rps = 20.0
-value_kb = 8.0
-txn_ops = 12
-[settings.cloud]
-rps = 4.0
-list_lag_s = 2.0
-[settings.machine_limits]
-max_connections = 1200
-"#,
-        zone(i),
-        port(i),
-        port(i) + 1,
-        args.nodes,
-        args.report_s
-    )
-}
-
 /// What a process has used, by the system's counters.
 #[derive(Clone, Copy, Default)]
 struct Used {
@@ -146,14 +85,6 @@
     out
 }
 
-/// The process itself, below whatever it was started under.
-fn served_by(child: &Child) -> u32 {
-    let children = format!("/proc/{0}/task/{0}/children", child.id());
-    let below = std::fs::read_to_string(children).unwrap_or_default();
-    let below = below.split_whitespace().next().and_then(|p| p.parse().ok());
-    below.unwrap_or(child.id())
-}
-
 /// Jobs of all shapes in the proportions of a busy deployment; about one task in two of a machine.
 fn job(n: u64) -> JobSpec {
     let (shape, tasks, priority, size) = match n % 16 {
@@ -225,33 +156,12 @@
     }
 }
 
-fn start(args: &Args, i: usize, dir: &std::path::Path) -> std::io::Result<Child> {
-    let file = dir.join(format!("n{i}.toml"));
-    std::fs::write(&file, settings(args, i))?;
-    let under = args
-        .under
-        .clone()
-        .unwrap_or_default()
-        .replace("{}", &format!("n{i}"));
-    let mut words = under.split_whitespace().chain([args.program.as_str()]);
-    let mut command = Command::new(words.next().unwrap_or_default());
-    command.args(words).arg("--config").arg(file);
-    if let Some(features) = &args.features {
-        command.arg("--features").arg(features);
-    }
-    command.env(
-        "LOG_LEVEL",
-        std::env::var("LOG_LEVEL").unwrap_or("error".into()),
-    );
-    command.spawn()
-}
-
 fn main() -> std::io::Result<()> {
     let args = Args::parse();
     let ex = Rc::new(LocalExecutor::new());
-    let controllers = (0..args.nodes).map(|i| (format!("n{i}"), addr(FIRST_PORT + 2 * i as u16)));
+    let all = Addresses::allot(args.nodes)?;
     let w = Rc::new(World::new(Habits {
-        controllers: controllers.collect(),
+        controllers: all.iter().map(|a| (a.name.clone(), a.bind)).collect(),
         report_ms: (args.report_s * 1000.0) as u64,
         fetch_ms: 10_000,
         run_ms: args.run_s * 1000,
@@ -259,21 +169,35 @@
         tell: false,
     }));
     w.cloud.borrow_mut().capacity = args.machines;
-    let (s, c) = (listen(addr(7483))?, listen(addr(7482))?);
-    let dir = std::env::temp_dir().join(format!("pointhook-load-{}", std::process::id()));
-    std::fs::create_dir_all(&dir)?;
-    let mut children = Vec::new();
-    for i in 0..args.nodes {
-        children.push(start(&args, i, &dir)?);
+    let (state, cloud) = (listen(addr(7483))?, listen(addr(7482))?);
+    let deployment = Deployment {
+        program: args.program.clone().into(),
+        features: args.features.clone(),
+        folder: own_folder("load")?,
+        state: addr(7483),
+        cloud: addr(7482),
+        under: args.under.clone(),
+        lease_s: 30.0,
+        report_s: args.report_s,
+        state_rps: 250.0,
+        state_write_rps: 20.0,
+    };
+    let mut controllers = Vec::new();
+    for at in 0..all.len() {
+        controllers.push(Controller::start(&deployment, &all, at)?);
     }
     // Half of a machine's room for each task, about eight tasks a job, all of them busy.
     let every_ms = (args.run_s as f64 * 1000.0 * 6.5 / f64::from(args.machines)) as u64;
     let measured = async {
-        ex.spawn(network::run(w.clone(), ex.clone(), s, c)).detach();
+        ex.spawn(network::run(w.clone(), ex.clone(), state, cloud))
+            .detach();
         pause(1000).await;
         ex.spawn(users(w.clone(), ex.clone(), every_ms)).detach();
         pause(args.seconds * 1000).await;
-        let pids: Vec<u32> = children.iter().map(served_by).collect();
+        let pids: Vec<u32> = controllers
+            .iter()
+            .filter_map(Controller::program_pid)
+            .collect();
         let before: Vec<Used> = pids.iter().map(|p| used(*p)).collect();
         let (answered, started) = (w.answered.get(), w.started.get());
         pause(args.seconds * 1000).await;
@@ -297,18 +221,9 @@
         }
     };
     async_io::block_on(ex.run(measured));
-    for (child, pid) in children
-        .iter_mut()
-        .map(|c| (served_by(c), c))
-        .map(|(p, c)| (c, p))
-    {
-        // What it runs under writes its own figures once the program has ended.
-        if pid == child.id() {
-            child.kill()?;
-        } else {
-            let _ = Command::new("kill").arg(pid.to_string()).status();
-        }
-        child.wait()?;
+    for controller in &mut controllers {
+        controller.end()?;
     }
-    std::fs::remove_dir_all(&dir)
+    println!("logs of the controllers: {}", deployment.folder.display());
+    Ok(())
 }
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -61,6 +61,12 @@
     c.carry_out(store, &wanted, now)
 }
 
+/// Takes the northern shard over, which succeeds.
+fn take_over(c: &mut Controller, store: &mut Store, now: u64) {
+    let outcome = take_north(c, store, now);
+    assert!(matches!(outcome, Outcome::Done(_)), "{outcome:?}");
+}
+
 #[test]
 fn nothing_starts_before_the_records_are_known_as_of_the_fence() {
     let mut d = deposed();
@@ -71,10 +77,7 @@
     d.owner.visit(&mut d.store, &mut other, 4000);
     assert!(!d.worker.has("job-1/0") && other.has("job-1/0"));
     // The standby takes over without having read that: by its view the attempt is still due here.
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 4000),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 4000);
     let report = d.worker.report(4500);
     let answer = d.standby.report_without_store(&report, 4500).unwrap();
     assert!(answer.orders.is_empty(), "{:?}", answer.orders);
@@ -98,10 +101,7 @@
 fn a_service_that_is_down_between_fence_and_catch_up_only_delays_the_first_decision() {
     let mut d = deposed();
     d.owner.submit(&mut d.store, job("job-2", 1), 600);
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 700),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 700);
     d.store.down = true;
     for now in (1000..20_000).step_by(1000) {
         assert!(!d.standby.sync(&d.store));
@@ -124,10 +124,7 @@
     d.store.late_ms = Some(3000);
     d.owner.visit(&mut d.store, &mut other, 1000);
     d.store.late_ms = None;
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 2000),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 2000);
     d.store.deliver_late(4000);
     d.standby.sync(&d.store);
     assert!(d.standby.job("job-2").placements.is_empty());
@@ -143,10 +140,7 @@
     d.store.loses_answers = true;
     d.owner.visit(&mut d.store, &mut other, 1000);
     d.store.loses_answers = false;
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 2000),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 2000);
     d.standby.sync(&d.store);
     let claimed = d.standby.job("job-2").placements.clone();
     assert_eq!(claimed.len(), 1);
@@ -164,10 +158,7 @@
 #[test]
 fn a_deposed_owner_says_so_once_and_decides_nothing_more() {
     let mut d = deposed();
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 700),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 700);
     d.standby.sync(&d.store);
     d.standby.visit(&mut d.store, &mut d.worker, 1000);
     d.owner.submit(&mut d.store, job("job-2", 1), 1100);
@@ -192,10 +183,7 @@
     let mut d = deposed();
     let mut third = Controller::start_as("n3", 3, Standby::SameZone, &mut d.store, 0);
     d.standby.sync(&d.store);
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 700),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 700);
     assert!(matches!(
         take_north(&mut third, &mut d.store, 700),
         Outcome::Conflict(_)
@@ -214,16 +202,10 @@
     let mut d = deposed();
     let mut third = Controller::start_as("n3", 3, Standby::SameZone, &mut d.store, 0);
     d.standby.sync(&d.store);
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 700),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 700);
     d.store.end_lease(d.standby.lease);
     third.sync(&d.store);
-    assert!(matches!(
-        take_north(&mut third, &mut d.store, 900),
-        Outcome::Done(_)
-    ));
+    take_over(&mut third, &mut d.store, 900);
     third.sync(&d.store);
     third.visit(&mut d.store, &mut d.worker, 1000);
     assert_eq!(d.worker.started.len(), 1);
@@ -356,6 +338,16 @@
     ids
 }
 
+/// Gives the jobs time to end, and checks that all did and no rule was broken.
+fn all_complete(w: &mut World, ids: &[String], what: &str) {
+    w.run(90_000);
+    assert!(w.unfinished().is_empty(), "{what}: {:#?}", w.unfinished());
+    w.keeps_the_rules();
+    for id in ids {
+        assert!(w.completed(id), "{what}: {id}");
+    }
+}
+
 #[test]
 fn an_owner_lost_at_any_step_of_a_batch_loses_and_repeats_nothing() {
     for standby in [Standby::Off, Standby::SameZone, Standby::OtherZone] {
@@ -374,16 +366,7 @@
             w.run(15_000);
             w.start(active);
             w.start(next);
-            w.run(90_000);
-            assert!(
-                w.unfinished().is_empty(),
-                "{standby:?} {step}: {:#?}",
-                w.unfinished()
-            );
-            w.keeps_the_rules();
-            for id in ids {
-                assert!(w.completed(&id), "{standby:?} {step}: {id}");
-            }
+            all_complete(&mut w, &ids, &format!("{standby:?}, step {step}"));
         }
     }
 }
@@ -392,26 +375,15 @@
 fn an_owner_paused_beyond_its_lease_wakes_into_a_takeover_and_steps_down() {
     for pause_ms in (1000..14_000).step_by(1000) {
         let mut w = World::with(4, Standby::SameZone);
-        submit_batch_without_pipeline(&mut w);
+        w.begin_second_form();
+        let ids = submit_batch(&mut w);
         w.run(2000);
         let active = w.owner_of_zone("north");
         // It stands still: neither reads nor renews, and wakes with the view of then.
         let asleep = w.nodes[active].take();
         w.run(pause_ms);
         w.nodes[active] = asleep;
-        w.run(90_000);
-        assert!(
-            w.unfinished().is_empty(),
-            "{pause_ms}: {:#?}",
-            w.unfinished()
-        );
-        w.keeps_the_rules();
-    }
-}
-
-fn submit_batch_without_pipeline(w: &mut World) {
-    for i in 0..4 {
-        assert!(w.submit(0, job(&format!("job-{i}"), 6)));
+        all_complete(&mut w, &ids, &format!("paused for {pause_ms} ms"));
     }
 }
 
@@ -420,10 +392,7 @@
     let mut d = deposed();
     d.owner.submit(&mut d.store, job("job-2", 1), 600);
     d.owner.observe(650);
-    assert!(matches!(
-        take_north(&mut d.standby, &mut d.store, 700),
-        Outcome::Done(_)
-    ));
+    take_over(&mut d.standby, &mut d.store, 700);
     d.owner.sync(&d.store);
     let permits = d.owner.takeovers.permits();
     assert!(permits.get(ShardId(0)).is_some());
@@ -515,15 +484,6 @@
             ids.push(id);
             w.run(3000);
         }
-        w.run(90_000);
-        assert!(
-            w.unfinished().is_empty(),
-            "{back_after}: {:#?}",
-            w.unfinished()
-        );
-        w.keeps_the_rules();
-        for id in ids {
-            assert!(w.completed(&id), "{back_after}: {id}");
-        }
+        all_complete(&mut w, &ids, &format!("back after {back_after}"));
     }
 }
