observe standby: owners, states, standbys and their lag, as one controller sees them

Need: an operator has to see before a failure whether each shard has a standby and how far it is. Change: a question and an answer at the end of the frames, asked at the peers' address; text or JSON. Excluded: an address of its own for operators.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 };
 use crate::features::Features;
 use crate::job_command::{self, JobAction, JobCommandError};
+use crate::observe_command::{self, ObserveError, Subject};
 use crate::settings::{Operator, Platform, SettingsError};
 use crate::transport::executor_priorities::Lanes;
 use crate::transport::{frames, http};
@@ -43,6 +44,11 @@
 enum Command {
     /// Checks settings files without starting
     Check(Files),
+    /// Shows what a running controller sees
+    Observe {
+        #[command(subcommand)]
+        subject: Subject,
+    },
     /// Prints the JSON schema of the features file
     Schema,
     /// Submits, shows and cancels jobs
@@ -65,6 +71,8 @@
     },
     #[error(transparent)]
     Job(#[from] JobCommandError),
+    #[error(transparent)]
+    Observe(#[from] ObserveError),
 }
 
 /// Runs the program.
@@ -78,6 +86,9 @@
             }
             println!("settings are good");
         }),
+        Some(Command::Observe { subject }) => {
+            observe_command::run(&subject).map_err(CliError::from)
+        }
         Some(Command::Schema) => {
             println!("{:#}", Features::schema());
             Ok(())
--- a/src/coordination/peer_messages.rs
+++ b/src/coordination/peer_messages.rs
@@ -333,6 +333,9 @@
             node: from,
             message,
         } => replication::answer(node, &from, &message),
+        Ask::Standbys => Reply::Standbys {
+            shards: replication::standing(node),
+        },
     }
 }
 
--- a/src/coordination/replication.rs
+++ b/src/coordination/replication.rs
@@ -11,8 +11,9 @@
 use crate::bookkeeping::fleet::Machine;
 use crate::bookkeeping::names::{Index, ShardIx};
 use crate::bookkeeping::units::Ms;
-use crate::protocol::peers::{Ask, Reply};
+use crate::protocol::peers::{Ask, Reply, ShardStanding};
 use standby::follower::Follower;
+use standby::ids::ShardId;
 use standby::message::{Answer, Decision, MachineState, Message, QueuedTask};
 use standby::permit::Permits;
 use standby::publisher::{Publisher, StreamLimits};
@@ -269,6 +270,32 @@
     Some(answer)
 }
 
+/// How all shards and their standbys stand, for operators.
+pub fn standing(node: &Node) -> Vec<ShardStanding> {
+    node.observe_shards();
+    let cluster = node.cluster.borrow();
+    let standby_of = node.standby_of.borrow();
+    let takeovers = node.takeovers.borrow();
+    let replication = node.replication.borrow();
+    let standing = |shard: ShardIx| {
+        let record = &cluster.shards[shard.at()].rec;
+        let stream = replication.published.get(&shard);
+        let follower = replication.followed.get(&shard);
+        let complete = follower.filter(|f| f.shadow().is_some());
+        ShardStanding {
+            shard: shard.0,
+            owner: record.owner.clone(),
+            token: record.token,
+            state: takeovers.state(ShardId(shard.0)).name().to_string(),
+            standby: standby_of.get(&shard).cloned(),
+            behind: stream.and_then(|s| s.publisher.lag()),
+            follows: complete.map(Follower::token),
+        }
+    };
+    let shards = (0..cluster.shards.len()).map(ShardIx::new);
+    shards.map(standing).collect()
+}
+
 /// Attempts that a draft removes from the records, by the shard of their machine.
 pub fn ended(node: &Node, draft: &DraftTransaction) -> Vec<(ShardIx, QueuedTask, u64)> {
     if node.features.standby().is_none() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod coordination;
 pub mod features;
 pub mod job_command;
+pub mod observe_command;
 pub mod protocol;
 pub mod settings;
 pub mod transport;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -55,6 +55,25 @@
     pub sick: bool,
 }
 
+/// How a shard and its standby stand, as one node sees it.
+#[derive(Archive, Serialize, Deserialize, serde::Serialize, Clone, PartialEq, Debug)]
+pub struct ShardStanding {
+    /// Shard; the last one is the renting duty.
+    pub shard: u32,
+    /// Owner, by the records.
+    pub owner: String,
+    /// Token, by the records.
+    pub token: u64,
+    /// State of the shard's takeover on the node that was asked.
+    pub state: String,
+    /// Standby, as that node sees it.
+    pub standby: Option<String>,
+    /// Decisions that the standby lacks, if that node streams to it and it has a snapshot.
+    pub behind: Option<u64>,
+    /// Token of the owner whose complete state that node has as its standby.
+    pub follows: Option<u64>,
+}
+
 /// A request.
 #[derive(Archive, Serialize, Deserialize, Clone, PartialEq, Debug)]
 pub enum Ask {
@@ -114,6 +133,8 @@
         /// The message.
         message: Vec<u8>,
     },
+    /// From an operator's tool: how do shards and their standbys stand?
+    Standbys,
 }
 
 /// A reply.
@@ -139,6 +160,11 @@
         /// The answer.
         answer: Vec<u8>,
     },
+    /// How shards and their standbys stand, as one node sees it.
+    Standbys {
+        /// Shards.
+        shards: Vec<ShardStanding>,
+    },
 }
 
 /// Encodes a frame's content.
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -10,6 +10,8 @@
 use pointhook::coordination::plan::{self, DraftTransaction};
 use pointhook::coordination::replication;
 use pointhook::coordination::store::Outcome;
+use pointhook::observe_command;
+use pointhook::protocol::peers::{self, Reply, ShardStanding};
 use pointhook::protocol::users::{JobSpec, Shape};
 use pointhook::settings::Workers;
 use standby::follower::Follower;
@@ -487,3 +489,39 @@
         all_complete(&mut w, &ids, &format!("back after {back_after}"));
     }
 }
+
+#[test]
+fn operators_see_how_far_each_standby_is() {
+    let standing = |behind, follows| ShardStanding {
+        shard: 3,
+        owner: "stoker-1".into(),
+        token: 41,
+        state: "active".into(),
+        standby: Some("stoker-2".into()),
+        behind,
+        follows,
+    };
+    let shards = [
+        standing(Some(0), None),
+        standing(Some(12), None),
+        standing(None, Some(40)),
+        standing(None, None),
+    ];
+    let reply = Reply::Standbys {
+        shards: shards.to_vec(),
+    };
+    let sent = peers::encode(&reply).unwrap();
+    assert_eq!(peers::decode_reply(&sent), Some(reply));
+    let table = observe_command::table(&shards);
+    let lines: Vec<&str> = table.lines().collect();
+    assert!(lines[0].starts_with("shard  owner"));
+    for (line, end) in lines[1..].iter().zip([
+        "up to date",
+        "12 decisions behind",
+        "has the state of token 40",
+        "-",
+    ]) {
+        assert!(line.starts_with("3      stoker-1"), "{line}");
+        assert!(line.ends_with(end), "{line}");
+    }
+}
