--- a/src/coordination/renting/mod.rs
+++ b/src/coordination/renting/mod.rs
@@ -90,12 +90,12 @@
             continue;
         }
         learn_flavors(&node).await;
+        // Not before its predecessor's rentals are known: they would be made once more.
         let token = {
+            let permits = node.permits();
             let cluster = node.cluster.borrow();
-            let shard = cluster.renting();
-            node.config
-                .owns(&cluster, shard)
-                .then(|| cluster.shards[shard.at()].rec.token)
+            let permit = node.config.permit(&cluster, &permits, cluster.renting());
+            permit.map(|permit| permit.token().0)
         };
         let Some(token) = token else {
             duty.owner_since = None;
