--- a/src/coordination/renting/mod.rs
+++ b/src/coordination/renting/mod.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines: one duty with one fenced owner.
 
 use crate::bookkeeping::cluster_state::ROOT;
-use crate::bookkeeping::names::{Index, MachineIx};
+use crate::bookkeeping::names::MachineIx;
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::coordination::node::Node;
 use crate::coordination::rate_limiter::RateLimiter;
