Demand for machines: one demand's fit in a type of its own, with named steps

Need: renting::demand::wanted was the longest function, with seven closures over its locals (docs/ROADMAP.md, debts). Change: DemandFit holds what they shared; each rule is a method. No behaviour is meant to change.

--- a/src/coordination/renting/demand.rs
+++ b/src/coordination/renting/demand.rs
@@ -8,6 +8,7 @@
 use crate::coordination::plan;
 use crate::coordination::plan::{DraftTransaction, SchedulerConfig};
 use crate::protocol::cloud::Listed;
+use crate::protocol::users::Rank;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
@@ -175,103 +176,169 @@
 ) -> Wanted {
     let mut out = Wanted::default();
     let spares = expected(cluster, config, wall_ms);
-    for d in demands(cluster, now, wall_ms).into_iter().chain(spares) {
-        let spec = &d.spec;
-        let job = d.ix.map(|ix| (ix, &cluster.jobs[ix.at()]));
+    for demand in demands(cluster, now, wall_ms).into_iter().chain(spares) {
+        let mut fit = DemandFit::new(cluster, config, &demand, wall_ms);
+        fit.choose_zone(supply, blocked);
+        fit.place(supply, blocked, &mut out);
+    }
+    out
+}
+
+/// Where the tasks of one demand may go, given those that are placed already.
+struct DemandFit<'a> {
+    cluster: &'a ClusterState,
+    config: &'a SchedulerConfig,
+    demand: &'a Demand,
+    job: Option<(JobIx, &'a Job)>,
+    rank: Rank,
+    waited_ms: u64,
+    /// Tasks by zone, those that run included.
+    per_zone: HashMap<ZoneIx, u32>,
+    /// The only zone in which a gang of one zone can be complete.
+    only: Option<ZoneIx>,
+}
+
+impl<'a> DemandFit<'a> {
+    fn new(
+        cluster: &'a ClusterState,
+        config: &'a SchedulerConfig,
+        demand: &'a Demand,
+        wall_ms: u64,
+    ) -> DemandFit<'a> {
+        let job = demand.ix.map(|ix| (ix, &cluster.jobs[ix.at()]));
         let mut per_zone: HashMap<ZoneIx, u32> = HashMap::new();
         for p in job.iter().flat_map(|(_, j)| &j.placements) {
-            if let Some(z) = cluster.shard_zone(p.shard) {
-                *per_zone.entry(z).or_default() += 1;
+            if let Some(zone) = cluster.shard_zone(p.shard) {
+                *per_zone.entry(zone).or_default() += 1;
             }
         }
-        // Expected jobs are many: what binds the tasks of one to a zone does not bind theirs.
-        let one_zone = spec.wire.one_zone && job.is_some();
-        let cap = if job.is_some() {
-            spec.zone_cap()
-        } else {
-            u32::MAX
-        };
-        let kind_ok = |p: &Pool| {
-            spec.machine_types
-                .as_ref()
-                .is_none_or(|r| r.contains(&p.machine_type))
-                && spec.zone.is_none_or(|z| z == p.zone)
-                && (spec.wire.spot || !p.spot)
-        };
-        let rank = job.map_or(spec.rank(), |(_, j)| j.dependency_state.rank);
-        let waited = job.map_or(0, |(_, j)| wall_ms.saturating_sub(j.dependency_state.since));
-        let alone = |p: &Pool, empty: bool| {
-            plan::leaves_alone(
-                cluster,
-                config,
-                spec,
-                rank,
-                waited,
-                (p.machine_type, p.spot),
-                empty,
-            )
-        };
-        // Room for what may come is kept at the low price only, if it may be had there.
-        let dear = |p: &Pool| job.is_none() && spec.wire.spot && !p.spot;
-        let zone_ok = |per: &HashMap<ZoneIx, u32>, z: ZoneIx| {
-            per.get(&z).copied().unwrap_or(0) < cap && (!one_zone || per.keys().all(|k| *k == z))
-        };
-        // A gang that must be in one zone: where it can be complete, with the most room now.
-        let only = (one_zone && spec.is_wide_gang())
-            .then(|| {
-                gang_zone(cluster, supply, spec, |p| {
-                    kind_ok(p) && !blocked.contains(p)
-                })
-            })
-            .flatten();
+        let since = job.map(|(_, j)| j.dependency_state.since);
+        DemandFit {
+            cluster,
+            config,
+            demand,
+            job,
+            rank: job.map_or(demand.spec.rank(), |(_, j)| j.dependency_state.rank),
+            waited_ms: since.map_or(0, |since| wall_ms.saturating_sub(since)),
+            per_zone,
+            only: None,
+        }
+    }
+
+    /// True if all tasks have to be in one zone. Expected jobs are many: what binds the tasks of
+    /// one to a zone does not bind theirs.
+    fn one_zone(&self) -> bool {
+        self.demand.spec.wire.one_zone && self.job.is_some()
+    }
+
+    /// For a gang that must be in one zone: where it can be complete, with the most room now.
+    fn choose_zone(&mut self, supply: &[Supply], blocked: &HashSet<Pool>) {
+        let spec = &self.demand.spec;
+        if self.one_zone() && spec.is_wide_gang() {
+            let open = |p: &Pool| self.allows_kind(p) && !blocked.contains(p);
+            self.only = gang_zone(self.cluster, supply, spec, open);
+        }
+    }
+
+    /// Places all tasks, on what is there or on what is to be rented.
+    fn place(&mut self, supply: &mut Vec<Supply>, blocked: &HashSet<Pool>, out: &mut Wanted) {
+        let need = self.demand.spec.need;
         let mut next = 0;
-        for _ in 0..d.tasks {
-            let ok = |p: &Pool, per: &HashMap<ZoneIx, u32>| {
-                kind_ok(p) && zone_ok(per, p.zone) && only.is_none_or(|z| z == p.zone)
-            };
-            // Room, zones and kinds only get fewer while one job's tasks are placed: what
-            // did not suit one task suits none of the next.
-            let found = loop {
-                let Some(s) = supply.get(next) else {
-                    break None;
-                };
-                let here = s.machine.and_then(|m| Some((m, cluster.machine(m)?)));
-                let good = spec.need.fits(s.free)
-                    && ok(&s.pool, &per_zone)
-                    && !(dear(&s.pool) && whole(cluster, s))
-                    && !alone(&s.pool, whole(cluster, s))
-                    && here.zip(job).is_none_or(|((mix, m), (ix, j))| {
-                        plan::allowed(cluster, j, ix, spec, mix, m)
-                    });
-                if good {
-                    break supply.get_mut(next);
-                }
+        for _ in 0..self.demand.tasks {
+            // Room, zones and kinds only get fewer while one job's tasks are placed: what did not
+            // suit one task suits none of the next.
+            while supply.get(next).is_some_and(|s| !self.suits(s)) {
                 next += 1;
-            };
-            if let Some(s) = found {
-                s.free = s.free.minus(spec.need);
-                *per_zone.entry(s.pool.zone).or_default() += 1;
+            }
+            if let Some(s) = supply.get_mut(next) {
+                s.free = s.free.minus(need);
+                *self.per_zone.entry(s.pool.zone).or_default() += 1;
                 out.needed.extend(s.machine);
                 continue;
             }
-            let Some(pool) = cheapest(cluster, &spec.need, d.tasks, |p| {
-                ok(p, &per_zone) && !blocked.contains(p) && !alone(p, true) && !dear(p)
-            }) else {
-                break;
-            };
-            let Some(machine_type) = cluster.machine_types.get(&pool.machine_type) else {
-                break;
+            let Some((pool, room)) = self.pool_to_rent(blocked) else {
+                return;
             };
             *out.rent.entry(pool).or_default() += 1;
-            *per_zone.entry(pool.zone).or_default() += 1;
+            *self.per_zone.entry(pool.zone).or_default() += 1;
             supply.push(Supply {
                 pool,
-                free: machine_type.room.minus(spec.need),
+                free: room.minus(need),
                 machine: None,
             });
         }
     }
-    out
+
+    /// The cheapest pool for the next task, and the room of a machine of it.
+    fn pool_to_rent(&self, blocked: &HashSet<Pool>) -> Option<(Pool, Resources)> {
+        let open = |p: &Pool| {
+            self.allows(p)
+                && !blocked.contains(p)
+                && !self.leaves_alone(p, true)
+                && !self.is_dear(p)
+        };
+        let need = &self.demand.spec.need;
+        let pool = cheapest(self.cluster, need, self.demand.tasks, open)?;
+        let machine_type = self.cluster.machine_types.get(&pool.machine_type)?;
+        Some((pool, machine_type.room))
+    }
+
+    /// True if the next task may go to this machine.
+    fn suits(&self, s: &Supply) -> bool {
+        let spec = &self.demand.spec;
+        let is_whole = whole(self.cluster, s);
+        let machine = s.machine.and_then(|m| Some((m, self.cluster.machine(m)?)));
+        spec.need.fits(s.free)
+            && self.allows(&s.pool)
+            && !(self.is_dear(&s.pool) && is_whole)
+            && !self.leaves_alone(&s.pool, is_whole)
+            && machine.zip(self.job).is_none_or(|((mix, m), (ix, job))| {
+                plan::allowed(self.cluster, job, ix, spec, mix, m)
+            })
+    }
+
+    /// True if the job allows machines of this pool beside its other tasks.
+    fn allows(&self, p: &Pool) -> bool {
+        self.allows_kind(p)
+            && self.allows_zone(p.zone)
+            && self.only.is_none_or(|zone| zone == p.zone)
+    }
+
+    fn allows_kind(&self, p: &Pool) -> bool {
+        let spec = &self.demand.spec;
+        let types = spec.machine_types.as_ref();
+        types.is_none_or(|types| types.contains(&p.machine_type))
+            && spec.zone.is_none_or(|zone| zone == p.zone)
+            && (spec.wire.spot || !p.spot)
+    }
+
+    fn allows_zone(&self, zone: ZoneIx) -> bool {
+        let cap = match self.job {
+            Some(_) => self.demand.spec.zone_cap(),
+            None => u32::MAX,
+        };
+        let here = self.per_zone.get(&zone).copied().unwrap_or(0);
+        here < cap && (!self.one_zone() || self.per_zone.keys().all(|z| *z == zone))
+    }
+
+    /// True for ordinary machines that the job leaves to others for now.
+    fn leaves_alone(&self, p: &Pool, empty: bool) -> bool {
+        plan::leaves_alone(
+            self.cluster,
+            self.config,
+            &self.demand.spec,
+            self.rank,
+            self.waited_ms,
+            (p.machine_type, p.spot),
+            empty,
+        )
+    }
+
+    /// True for the high price: room for what may come is kept at the low one only, if it may be
+    /// had there.
+    fn is_dear(&self, p: &Pool) -> bool {
+        self.job.is_none() && self.demand.spec.wire.spot && !p.spot
+    }
 }
 
 /// The zone for a gang that must be in one.
