--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -32,17 +32,21 @@
     live: &[&'a str],
     shard: ShardIx,
 ) -> Option<&'a str> {
-    let near: Vec<&str> = match cluster.shard_zone(shard) {
-        Some(z) => live
-            .iter()
-            .copied()
-            .filter(|n| zones.get(*n) == Some(&z))
-            .collect(),
-        None => Vec::new(),
+    let candidate = |name: &&'a str| Candidate {
+        name,
+        zone: zones.get(*name).map(|zone| zone.0),
+        settled: true,
+        reaches_workers: true,
     };
-    let choice = if near.is_empty() { live.to_vec() } else { near };
-    let turn = shard.at() % cluster.shards_per_zone.max(1);
-    choice.get(turn % choice.len().max(1)).copied()
+    let candidates: Vec<Candidate> = live.iter().map(candidate).collect();
+    let zone = cluster.shard_zone(shard);
+    let preference = zone.map_or(ZonePreference::Any, |zone| ZonePreference::Inside(zone.0));
+    role::pick(&candidates, preference, turn(cluster, shard))
+}
+
+/// Spreads the shards of a zone over equally good nodes.
+fn turn(cluster: &ClusterState, shard: ShardIx) -> usize {
+    shard.at() % cluster.shards_per_zone.max(1)
 }
 
 /// Least time between rises of tokens for late starts.
@@ -102,14 +106,11 @@
 ) -> Option<&'a str> {
     let rule = known.standby.as_ref()?;
     let owner = cluster.shards[shard.at()].rec.owner.as_str();
-    let candidate = |(name, node): (&'a String, &Versioned<NodeRecord>)| {
-        let seen = known.seen.get(&(name.clone(), node.rec.incarnation));
-        Candidate {
-            name: name.as_str(),
-            zone: rule.zones.get(name).map(|zone| zone.0),
-            settled: seen.is_some_and(|t| now.since(*t) >= rule.settle_ms),
-            reaches_workers: !known.deaf.contains(name),
-        }
+    let candidate = |(name, node): (&'a String, &Versioned<NodeRecord>)| Candidate {
+        name: name.as_str(),
+        zone: rule.zones.get(name).map(|zone| zone.0),
+        settled: is_settled(known, rule, name, node, now),
+        reaches_workers: !known.deaf.contains(name),
     };
     let able = |(_, node): &(&String, &Versioned<NodeRecord>)| node.rec.standby > 0;
     let candidates: Vec<Candidate> = cluster.nodes.iter().filter(able).map(candidate).collect();
@@ -119,8 +120,32 @@
         (Some(zone), true) => ZonePreference::Outside(zone),
         (Some(zone), false) => ZonePreference::Inside(zone),
     };
-    let turn = shard.at() % cluster.shards_per_zone.max(1);
-    role::standby_of(owner, &candidates, preference, turn)
+    role::standby_of(owner, &candidates, preference, turn(cluster, shard))
+}
+
+fn is_settled(
+    known: &Known,
+    rule: &StandbyRule,
+    name: &str,
+    node: &Versioned<NodeRecord>,
+    now: Ms,
+) -> bool {
+    let seen = known.seen.get(&(name.to_string(), node.rec.incarnation));
+    seen.is_some_and(|t| now.since(*t) >= rule.settle_ms)
+}
+
+/// The standby of a shard, if it has been there for long enough to have followed the owner: after a
+/// restart of all nobody has, and shards go straight to whoever should have them.
+fn settled_standby_of<'a>(
+    cluster: &'a ClusterState,
+    known: &Known,
+    shard: ShardIx,
+    now: Ms,
+) -> Option<&'a str> {
+    let rule = known.standby.as_ref()?;
+    let name = standby_of(cluster, known, shard, now)?;
+    let node = cluster.nodes.get(name)?;
+    is_settled(known, rule, name, node, now).then_some(name)
 }
 
 /// The node that should take a shard without a living owner.
@@ -135,7 +160,7 @@
     let abandoned = since.is_some_and(|t| now.since(*t) >= ABANDONED_MS);
     let never_owned = cluster.shards[shard.at()].rec.owner.is_empty();
     if !abandoned && !never_owned {
-        if let Some(name) = standby_of(cluster, known, shard, now) {
+        if let Some(name) = settled_standby_of(cluster, known, shard, now) {
             return Some(name);
         }
     }
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -525,3 +525,12 @@
         assert!(line.ends_with(end), "{line}");
     }
 }
+
+#[test]
+fn after_a_restart_of_all_shards_go_straight_to_whoever_should_have_them() {
+    let (mut store, mut nodes, mut known) = three_nodes(Standby::OtherZone);
+    without_n1(&mut store, &mut nodes);
+    // Nobody has been there for long: no standby has followed anyone.
+    known.seen.clear();
+    assert_eq!(takers(&nodes[1..], &known, 10_000), ["n2"]);
+}
