A conflict of a transaction under an earlier token refuses the present one no more

Cause: an owner that raises its own token while a transaction is on its way gets that one's conflict afterwards. It was held against the new token, whose permit went until newer records came; where nothing else was recorded, never, with work waiting. Excluded: refusals by workers, which carry their token. Change: a draft keeps the token of each permit that it rests on, and a refusal counts for that token only.

--- a/crates/standby/src/takeover.rs
+++ b/crates/standby/src/takeover.rs
@@ -51,8 +51,11 @@
 /// Why a token was refused.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Refusal {
-    /// The state service has another version of the shard's record.
-    StateService,
+    /// The state service has another version of the shard's record than a transaction rested on.
+    StateService {
+        /// Token of the permit that the transaction rested on.
+        token: Token,
+    },
     /// A worker has seen a higher token.
     Worker {
         /// Token that the worker has seen.
@@ -193,13 +196,15 @@
     ) -> Option<Transition> {
         let takeover = self.shards.get_mut(shard.0 as usize)?;
         let token = takeover.owned_token()?;
-        if let Refusal::Worker { seen } = refusal {
+        match refusal {
+            // Its answer came after the token was raised here: that of now was not refused, and
+            // nothing newer might ever be recorded that could explain it.
+            Refusal::StateService { token: refused } if refused != token => return None,
+            Refusal::StateService { .. } => {}
             // A worker that goes on showing a token which the records don't know is at fault
             // itself, and must not stop its whole shard again and again.
-            if seen <= token || seen <= takeover.highest_seen {
-                return None;
-            }
-            takeover.highest_seen = seen;
+            Refusal::Worker { seen } if seen <= token.max(takeover.highest_seen) => return None,
+            Refusal::Worker { seen } => takeover.highest_seen = seen,
         }
         takeover.refused = Some(Refused { token, known });
         self.permits.withdraw(shard);
--- a/crates/standby/tests/takeover.rs
+++ b/crates/standby/tests/takeover.rs
@@ -140,7 +140,11 @@
 
 #[test]
 fn a_refusal_withdraws_the_permit_until_newer_records_explain_it() {
-    for refusal in [Refusal::StateService, Refusal::Worker { seen: Token(2) }] {
+    let token = Token(1);
+    for refusal in [
+        Refusal::StateService { token },
+        Refusal::Worker { seen: Token(2) },
+    ] {
         let mut p = Played::new();
         p.observe(seen(me(1, 3), 5));
         assert!(p.refused(refusal, 5));
@@ -153,6 +157,19 @@
     }
 }
 
+#[test]
+fn a_refusal_that_comes_after_the_token_was_raised_stops_nothing() {
+    let mut p = Played::new();
+    p.observe(seen(me(1, 3), 3));
+    // A transaction under token 1 is on its way while the owner raises its own token.
+    p.observe(seen(me(2, 6), 6));
+    let token = Token(1);
+    assert!(!p.refused(Refusal::StateService { token }, 6));
+    // Nothing else is ever recorded: the owner goes on all the same.
+    assert!(p.observe(seen(me(2, 6), 6)).is_empty());
+    assert_eq!(p.permit(), Some(2));
+}
+
 #[test]
 fn a_worker_with_a_token_that_nobody_recorded_stops_its_shard_once_at_most() {
     let mut p = Played::new();
@@ -197,7 +214,12 @@
                     takeovers.fence_sent(SHARD, now);
                 }
                 if refused {
-                    takeovers.refused(SHARD, Refusal::StateService, Revision(known), now);
+                    let token = match owner {
+                        Owner::Me { token, .. } => token,
+                        _ => Token(0),
+                    };
+                    let refusal = Refusal::StateService { token };
+                    takeovers.refused(SHARD, refusal, Revision(known), now);
                 }
                 let permit = takeovers.permits().get(SHARD);
                 issued += u64::from(permit.is_some());
--- a/src/coordination/plan/mod.rs
+++ b/src/coordination/plan/mod.rs
@@ -144,8 +144,8 @@
 pub struct DraftTransaction {
     /// Jobs as they shall be.
     pub jobs: BTreeMap<JobIx, Job>,
-    /// Shards whose ownership the changes rest on.
-    shards: BTreeSet<ShardIx>,
+    /// Shards whose ownership the changes rest on, with the tokens of the permits.
+    shards: BTreeMap<ShardIx, Token>,
     /// Teams' shares as they shall be.
     pub teams: BTreeMap<TeamIx, TeamRecord>,
     /// New placements.
@@ -174,10 +174,11 @@
     }
     /// Notes that the changes rest on the ownership that a permit stands for.
     fn rest_on(&mut self, permit: &Permit) {
-        self.shards.insert(ShardIx(permit.shard().0));
+        self.shards
+            .insert(ShardIx(permit.shard().0), permit.token());
     }
-    /// Shards whose ownership the changes rest on.
-    pub fn shards(&self) -> &BTreeSet<ShardIx> {
+    /// Shards whose ownership the changes rest on, with the tokens of the permits.
+    pub fn shards(&self) -> &BTreeMap<ShardIx, Token> {
         &self.shards
     }
     /// True if nothing changes.
--- a/src/coordination/planner.rs
+++ b/src/coordination/planner.rs
@@ -188,13 +188,11 @@
 
 /// Shards whose record has another version than the draft rests on: their tokens are refused.
 fn note_refused_tokens(node: &Node, draft: &DraftTransaction, keys: &[String]) {
-    let refused: Vec<ShardIx> = {
-        let cluster = node.cluster.borrow();
-        let has_changed = |shard: &ShardIx| keys.contains(&cluster.shard_key(*shard));
-        draft.shards().iter().copied().filter(has_changed).collect()
-    };
-    for shard in refused {
-        node.token_refused(shard, Refusal::StateService);
+    for (shard, token) in draft.shards() {
+        let key = node.cluster.borrow().shard_key(*shard);
+        if keys.contains(&key) {
+            node.token_refused(*shard, Refusal::StateService { token: *token });
+        }
     }
 }
 
--- a/src/coordination/store.rs
+++ b/src/coordination/store.rs
@@ -239,7 +239,7 @@
         let job = &cluster.jobs[ix.at()];
         condition(ClusterState::job_key(&job.id), job.version);
     }
-    for s in draft.shards() {
+    for s in draft.shards().keys() {
         condition(cluster.shard_key(*s), cluster.shards[s.at()].version);
     }
     for t in draft.teams.keys() {
