--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -11,8 +11,9 @@
 use crate::bookkeeping::units::{ms_of, Ms};
 use crate::protocol::state::{Condition, Lease, LeaseRequest, Transaction};
 use http_types::Method;
-use standby::ids::ShardId;
+use standby::ids::{Millis, ShardId};
 use standby::role::{self, Candidate, ZonePreference};
+use standby::takeover::{Takeovers, Transition};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
@@ -426,19 +427,18 @@
         let Some((transaction, record)) = transaction else {
             continue;
         };
-        let here = m.to == node.config.node;
-        if here {
-            fence_sent(node, m.shard);
+        if m.to == node.config.node {
+            note_fence(node, m.shard, Takeovers::fence_sent);
         }
         match node.commit(&transaction).await {
             Outcome::Done(revision) => note_moved(node, &m, revision, record),
             Outcome::Conflict(_) => {
-                fence_refused(node, m.shard);
+                note_fence(node, m.shard, Takeovers::fence_refused);
                 node.refreshed(1500).await;
                 return false;
             }
             Outcome::Refused(_) => {
-                fence_refused(node, m.shard);
+                note_fence(node, m.shard, Takeovers::fence_refused);
                 return false;
             }
             // It may have been carried out, or still be: the records will tell.
@@ -448,23 +448,14 @@
     true
 }
 
-fn fence_sent(node: &Node, shard: ShardIx) {
-    let now = takeovers::millis(node.now());
-    let change = node
-        .takeovers
-        .borrow_mut()
-        .fence_sent(ShardId(shard.0), now);
-    if let Some(change) = change {
-        node.log_transition(change);
-    }
-}
-
-fn fence_refused(node: &Node, shard: ShardIx) {
+/// A step of the transaction that raises a shard's token, told to the shard's takeover.
+fn note_fence(
+    node: &Node,
+    shard: ShardIx,
+    step: fn(&mut Takeovers, ShardId, Millis) -> Option<Transition>,
+) {
     let now = takeovers::millis(node.now());
-    let change = node
-        .takeovers
-        .borrow_mut()
-        .fence_refused(ShardId(shard.0), now);
+    let change = step(&mut node.takeovers.borrow_mut(), ShardId(shard.0), now);
     if let Some(change) = change {
         node.log_transition(change);
     }
