--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -436,6 +436,8 @@
         self.run_s, self.boot_s = run_s, boot_s
         s = settings["state"]
         self.state = State(record, s["rps"], s["write_rps"], s["value_kb"], s["txn_ops"])
+        self.cloud_s, self.cloud_list_s = 0.05, 0.05
+        self.on_cloud = lambda node, method, path, body: None
         self.cloud_requests = Bucket(settings["cloud"]["rps"], 2.0)
         self.jobs, self.results = {}, set()
         self.machines, self.bookings = {}, {}
@@ -473,12 +475,20 @@
                 worker.wake.set()
             self.record(f"gang {job} try {attempt} runs")
 
-    # The cloud.
+    # The cloud. Every controller reaches it at a port of its own, so that it is known who asks.
 
-    async def cloud(self, method, path, query, body):
+    async def listen_cloud(self, node):
+        async def handler(method, path, query, body):
+            return await self.cloud(node, method, path, query, body)
+
+        _, port = await web.serve(handler)
+        return port
+
+    async def cloud(self, node, method, path, query, body):
         if not self.cloud_requests.take():
             return 429, None
-        await asyncio.sleep(0.05)
+        self.on_cloud(node, method, path, body)
+        await asyncio.sleep(self.cloud_list_s if (method, path) == ("GET", "/hosts") else self.cloud_s)
         if path == "/flavors":
             return 200, {"rigs": list(self.rigs.values())}
         if method == "GET":
@@ -515,7 +525,9 @@
 
     async def boot(self, name):
         await asyncio.sleep(self.boot_s * random.uniform(0.6, 1.5))
-        machine = self.machines[name]
+        machine = self.machines.get(name)
+        if machine is None:
+            return
         worker = Worker(self, name, *machine["pool"])
         await worker.start()
         machine["worker"], machine["status"] = worker, "running"
@@ -537,11 +549,11 @@
     async def begin(self, nodes):
         """Starts the stand-ins and one controller for each (name, zone)."""
         asyncio.create_task(self.state.run())
-        _, self.cloud_port = await web.serve(self.cloud)
         ports = free_ports(2 * len(nodes))
         for i, (name, zone) in enumerate(nodes):
             self.nodes[name] = Node(name, zone, ports[2 * i], ports[2 * i + 1])
             self.nodes[name].state_port = await self.state.listen(name)
+            self.nodes[name].cloud_port = await self.listen_cloud(name)
         for name in self.nodes:
             self.start_node(name)
 
@@ -565,7 +577,7 @@
             if peer is not node:
                 lines += ["[[siblings]]", f'node = "{peer.name}"', f'domain = "{peer.zone}"',
                           f'addr = "127.0.0.1:{peer.peer_port}"']
-        lines += ["[outside]", f'cloud = "127.0.0.1:{self.cloud_port}"', f'state = "127.0.0.1:{node.state_port}"',
+        lines += ["[outside]", f'cloud = "127.0.0.1:{node.cloud_port}"', f'state = "127.0.0.1:{node.state_port}"',
                   "[settings]", f"nodes = {len(self.nodes)}", f"zones = {json.dumps(s['zones'])}", "skew_ms = 1000.0"]
         for team in s["teams"]:
             lines += ["[[settings.teams]]"] + [f"{k} = {json.dumps(v)}" for k, v in team.items()]
