Placements that one version of a job has and another lacks: found in one place

Cause: three places compared the placements of two versions of a job pair by pair, so their time grew with the square of the job's width. Change: Job::placements_missing_from, with a set; free capacity, abandoned attempts and replication use it.

--- a/src/coordination/reconciliation/unwanted_attempts.rs
+++ b/src/coordination/reconciliation/unwanted_attempts.rs
@@ -41,11 +41,9 @@
 pub fn mark_abandoned(cluster: &mut ClusterState, draft: &DraftTransaction) {
     let mut removed: Vec<(MachineIndex, TaskAttempt)> = Vec::new();
     for (job_index, job) in &draft.jobs {
-        for placement in &cluster.jobs[job_index.at()].placements {
-            if !job.placements.contains(placement) {
-                let attempt = TaskAttempt::new(*job_index, placement.task, placement.attempt);
-                removed.push((placement.machine, attempt));
-            }
+        for placement in cluster.jobs[job_index.at()].placements_missing_from(job) {
+            let attempt = TaskAttempt::new(*job_index, placement.task, placement.attempt);
+            removed.push((placement.machine, attempt));
         }
     }
     for (machine_index, attempt) in removed {
--- a/src/coordination/replication/committed.rs
+++ b/src/coordination/replication/committed.rs
@@ -25,8 +25,7 @@
     let cluster = controller.cluster.borrow();
     let mut ended = Vec::new();
     for (job_index, job) in &draft.jobs {
-        let recorded = cluster.jobs[job_index.at()].placements.iter();
-        for placement in recorded.filter(|placement| !job.placements.contains(placement)) {
+        for placement in cluster.jobs[job_index.at()].placements_missing_from(job) {
             ended.push(EndedAttempt {
                 shard: placement.shard,
                 task: QueuedTask {
--- a/src/coordination/scheduler/free_capacity.rs
+++ b/src/coordination/scheduler/free_capacity.rs
@@ -5,7 +5,7 @@
 use crate::coordination::scheduler::placement_rules::MachineRef;
 use crate::protocol::workers::TaskState;
 use crate::state::cluster_state::ClusterState;
-use crate::state::job::{Job, Placement, Spec};
+use crate::state::job::{Placement, Spec};
 use crate::state::machine::TaskAttempt;
 use crate::state::names::{Index, JobIndex, MachineIndex};
 use crate::state::units::Resources;
@@ -41,10 +41,10 @@
     for (job_index, drafted) in &draft.jobs {
         let Some(spec) = &drafted.spec else { continue };
         let stored = &cluster.jobs[job_index.at()];
-        for placement in placements_only_in(drafted, stored) {
+        for placement in drafted.placements_missing_from(stored) {
             free.allocate(placement.machine, spec.need);
         }
-        for placement in placements_only_in(stored, drafted) {
+        for placement in stored.placements_missing_from(drafted) {
             if frees_capacity(cluster, *job_index, placement) {
                 free.release(placement.machine, spec.need);
             }
@@ -53,11 +53,6 @@
     free
 }
 
-fn placements_only_in<'a>(job: &'a Job, other: &'a Job) -> impl Iterator<Item = &'a Placement> {
-    let all = job.placements.iter();
-    all.filter(|placement| !other.placements.contains(placement))
-}
-
 /// True if the removal of a placement frees capacity in the cached cluster state. A task that the
 /// machine's newest message still shows uses capacity until it has exited. A task that has exited
 /// as done is already counted as free.
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -5,6 +5,7 @@
 use super::units::Resources;
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 /// State of a job.
@@ -150,11 +151,25 @@
     pub overflow_index: u16,
 }
 
+/// What identifies a placement: all but the record in which it is stored.
+type PlacementIdentity = (u32, u64, MachineIndex, ShardIndex, ShardIndex);
+
+impl Placement {
+    fn identity(&self) -> PlacementIdentity {
+        (
+            self.task,
+            self.attempt,
+            self.machine,
+            self.shard,
+            self.charged_shard,
+        )
+    }
+}
+
 /// Compares placements without regard to the record in which they are stored.
 impl PartialEq for Placement {
     fn eq(&self, other: &Placement) -> bool {
-        let fields = |p: &Placement| (p.task, p.attempt, p.machine, p.shard, p.charged_shard);
-        fields(self) == fields(other)
+        self.identity() == other.identity()
     }
 }
 
@@ -267,6 +282,16 @@
             ..self
         }
     }
+    /// The placements of this job that another version of the job lacks, in their order.
+    pub fn placements_missing_from<'a>(
+        &'a self,
+        other: &Job,
+    ) -> impl Iterator<Item = &'a Placement> {
+        let others: HashSet<PlacementIdentity> =
+            other.placements.iter().map(Placement::identity).collect();
+        let own = self.placements.iter();
+        own.filter(move |placement| !others.contains(&placement.identity()))
+    }
     /// The placement of a task; `None` if the task has none.
     pub fn placement(&self, task: u32) -> Option<&Placement> {
         self.placements.iter().find(|p| p.task == task)
