Transactions of the scheduler stay under 64 KiB, overflow records included

Callers saw: a controller whose pass placed or ended some 2,400 tasks of one job got 400, took it for a lower limit on changes and kept to that until it ended.

Cause: the draft counted each job's own record as it was before the pass, neither the placements that the pass adds nor the overflow records that it writes. With 16 changes of 16 KiB that is a quarter of what they allow.

The stand-in of the store now enforces the 64 KiB of the protocol.

Why it works: the draft counts an overflow record with what is in it when it is included, and each placement when it is added; claims take as many placements as the rest of the transaction has space for and leave the others to the next pass. The search for the record of a placement no longer begins anew for each one.

Test: no_pass_exceeds_the_size_of_a_transaction; before: "left: 1, right: 0" refused transactions.

--- a/crates/testkit/src/kv_store.rs
+++ b/crates/testkit/src/kv_store.rs
@@ -17,6 +17,8 @@
 const UNAVAILABLE: u16 = 503;
 
 const MAX_KEY_LENGTH: usize = 200;
+/// Maximum size of all keys and values in a transaction, in bytes.
+const MAX_TRANSACTION_BYTES: usize = 64 * 1024;
 /// Maximum number of conditions in a transaction, as a multiple of the maximum number of writes.
 const CONDITIONS_PER_WRITE: usize = 4;
 /// Value of `max_writes_per_s` from which on writes are not limited.
@@ -101,6 +103,8 @@
     /// Maximum number of writes per second; not enforced from 1e9 on.
     pub max_writes_per_s: f64,
     write_budget: WriteBudget,
+    /// Number of transactions that were refused as malformed or too large.
+    pub refused_as_invalid: u32,
     /// Fault: transactions and watches are refused with status 503.
     pub unavailable: bool,
     /// Fault: transactions are executed, but their responses are lost.
@@ -125,6 +129,7 @@
             max_logged_changes: 10_000,
             max_writes_per_s: f64::MAX,
             write_budget: WriteBudget::default(),
+            refused_as_invalid: 0,
             unavailable: false,
             drops_responses: false,
             execution_delay_ms: None,
@@ -185,6 +190,7 @@
 
     fn execute(&mut self, transaction: &Transaction, now_ms: u64) -> KvResponse<CommitResponse> {
         if !self.is_well_formed(transaction) {
+            self.refused_as_invalid += 1;
             return KvResponse::without_body(BAD_REQUEST);
         }
         if !self.spend_write_budget(transaction, now_ms) {
@@ -212,8 +218,10 @@
     }
 
     fn is_well_formed(&self, transaction: &Transaction) -> bool {
+        let bytes: usize = transaction.writes.iter().map(written_bytes).sum();
         transaction.writes.len() <= self.max_txn_ops
             && transaction.conditions.len() <= CONDITIONS_PER_WRITE * self.max_txn_ops
+            && bytes <= MAX_TRANSACTION_BYTES
             && transaction
                 .writes
                 .iter()
@@ -372,6 +380,14 @@
     }
 }
 
+/// Size of a write's key and value, in bytes of their printed form.
+fn written_bytes(write: &Write) -> usize {
+    match write {
+        Write::Set { set: key, v, .. } => key.len() + v.to_string().len(),
+        Write::Remove { remove: key } => key.len(),
+    }
+}
+
 /// Key that an event sets or removes.
 fn key_of(event: &Event) -> &str {
     let key = event.set.as_deref().or(event.remove.as_deref());
--- a/src/coordination/scheduler/draft.rs
+++ b/src/coordination/scheduler/draft.rs
@@ -6,13 +6,14 @@
 
 use crate::coordination::scheduler::config::SchedulerConfig;
 use crate::state::cluster_state::{ClusterState, TeamRecord};
-use crate::state::job::{Job, Placement};
+use crate::state::job::{Job, Placement, PLACEMENT_BYTES};
 use crate::state::names::{Index, JobIndex, ShardIndex, TeamIndex};
 use standby::ids::FencingToken;
 use standby::permit::Permit;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Total size of the drafted job records at which no further record is added, bytes.
+/// Total size of the drafted records of jobs at which no further record is added, bytes. The
+/// key-value store accepts 64 KiB; the rest is left for the last record, keys and conditions.
 const MAX_TRANSACTION_BYTES: usize = 48 * 1024;
 
 /// A placement that a draft adds to a job.
@@ -46,6 +47,7 @@
     /// True if a change was left out because the transaction was full or a team's limit was
     /// reached.
     pub truncated: bool,
+    /// Estimated size of the changed records of jobs, bytes.
     bytes: usize,
 }
 
@@ -78,12 +80,41 @@
         config: &SchedulerConfig,
         additional_keys: usize,
     ) -> bool {
+        additional_keys <= self.remaining_keys(cluster, config) && self.remaining_bytes() > 0
+    }
+    /// Number of further keys that the transaction has space for.
+    pub(super) fn remaining_keys(&self, cluster: &ClusterState, config: &SchedulerConfig) -> usize {
         let keys = self.jobs.len() + self.team_quotas.len() + self.overflow_records.len();
-        keys + additional_keys <= config.limits(cluster).txn_ops
-            && self.bytes < MAX_TRANSACTION_BYTES
+        config.limits(cluster).txn_ops.saturating_sub(keys)
+    }
+    /// Number of further bytes that the transaction has space for.
+    pub(super) fn remaining_bytes(&self) -> usize {
+        MAX_TRANSACTION_BYTES.saturating_sub(self.bytes)
+    }
+    /// Adds a placement to a job of the draft; its overflow record must be in the draft as well.
+    pub(super) fn add_placement(&mut self, job: JobIndex, placement: Placement) {
+        if let Some(drafted) = self.jobs.get_mut(&job) {
+            drafted.placements.push(placement);
+            self.bytes += PLACEMENT_BYTES;
+            self.claims.push(Claim { job, placement });
+        }
+    }
+    /// Adds an overflow record of a job to the changed records. For index 0, the job's own record,
+    /// nothing is added.
+    pub(super) fn add_overflow(
+        &mut self,
+        cluster: &ClusterState,
+        job_index: JobIndex,
+        overflow_index: u16,
+    ) {
+        let record = (job_index, overflow_index);
+        if overflow_index > 0 && !self.overflow_records.contains(&record) {
+            self.bytes += self.job(cluster, job_index).overflow_bytes(overflow_index);
+            self.overflow_records.insert(record);
+        }
     }
-    /// Adds an overflow record of a job to the changed records; false if the transaction is full.
-    /// For index 0, the job's own record, nothing is added.
+    /// Adds an overflow record like [`DraftTransaction::add_overflow`]; false if the transaction is
+    /// full.
     pub(crate) fn include_overflow(
         &mut self,
         cluster: &ClusterState,
@@ -99,7 +130,8 @@
             self.truncated = true;
             return false;
         }
-        self.overflow_records.insert(record)
+        self.add_overflow(cluster, job_index, overflow_index);
+        true
     }
     /// The job, including the changes drafted so far.
     pub fn job<'a>(&'a self, cluster: &'a ClusterState, job_index: JobIndex) -> &'a Job {
--- a/src/coordination/scheduler/placement.rs
+++ b/src/coordination/scheduler/placement.rs
@@ -4,11 +4,11 @@
 //! within the team's quota, within the size limits of the job's records and of the transaction,
 //! and under a permit whose shard the transaction then requires to be owned.
 
-use crate::coordination::scheduler::draft::{Claim, DraftTransaction};
+use crate::coordination::scheduler::draft::DraftTransaction;
 use crate::coordination::scheduler::pass::PassContext;
 use crate::coordination::scheduler::placement_rules::MachineRef;
 use crate::coordination::scheduler::quota::{charge, QuotaCharge};
-use crate::state::job::{Placement, Spec};
+use crate::state::job::{Job, Placement, Spec, PLACEMENT_BYTES};
 use crate::state::names::{JobIndex, ShardIndex};
 use standby::permit::Permit;
 
@@ -28,78 +28,122 @@
     pub(super) permit: &'a Permit,
 }
 
-/// Drafts placements of tasks under the job's next attempt number. False if the transaction is
-/// full, the job's records can't hold the placements, or the team's limit is reached.
+/// Drafts placements of all requested tasks under the job's next attempt number. False if the
+/// transaction is full, the job's records can't hold the placements, or the team's limit is
+/// reached.
 pub(super) fn place(
     pass: &PassContext,
     draft: &mut DraftTransaction,
     request: &PlacementRequest,
 ) -> bool {
-    let PlacementRequest {
-        job_index,
-        spec,
-        tasks,
-        permit,
-    } = *request;
-    let charged_shard: ShardIndex = permit.shard().into();
-    let quota_charge = QuotaCharge {
-        team: spec.team,
-        charged_shard,
-        usage: spec.need.times(tasks.len() as u32).quota(),
-    };
-    if !charge(pass, draft, &quota_charge) {
+    if !charge_tasks(pass, draft, request, request.tasks.len() as u32) {
         return false;
     }
-    let Some(overflow_indices) = include_overflows(pass, draft, job_index, tasks.len()) else {
+    let job = draft.job(pass.cluster, request.job_index);
+    let Some(overflow_indices) = overflow_indices(pass, job, request.tasks.len()) else {
         return false;
     };
-    let mut claims = Vec::with_capacity(tasks.len());
-    let Some(job) = draft.edit(pass.cluster, pass.config, job_index) else {
+    let fitting = placements_that_fit(pass, draft, request.job_index, &overflow_indices);
+    if fitting < request.tasks.len() {
+        draft.truncated = true;
+        return false;
+    }
+    let Some(job) = draft.edit(pass.cluster, pass.config, request.job_index) else {
         return false;
     };
     let attempt = job.next_attempt;
     job.next_attempt += 1;
-    for (TaskOnMachine { task, target }, overflow_index) in tasks.iter().zip(overflow_indices) {
-        let placement = Placement {
-            overflow_index,
-            task: *task,
-            attempt,
-            machine: target.index,
-            shard: target.machine.shard,
-            charged_shard,
-        };
-        job.placements.push(placement);
-        claims.push(Claim {
-            job: job_index,
-            placement,
-        });
-    }
-    draft.require_ownership(permit);
-    draft.claims.append(&mut claims);
+    draft_placements(pass, draft, request, attempt, &overflow_indices);
     true
 }
 
-/// The overflow index of the record that stores each of this many new placements; the overflow
-/// records are added to the draft. `None` if the job's records or the transaction have no space.
-fn include_overflows(
+/// Charges the quota of this many tasks to the share of the permit's shard.
+pub(super) fn charge_tasks(
     pass: &PassContext,
     draft: &mut DraftTransaction,
-    job_index: JobIndex,
-    placements: usize,
-) -> Option<Vec<u16>> {
+    request: &PlacementRequest,
+    tasks: u32,
+) -> bool {
+    let quota_charge = QuotaCharge {
+        team: request.spec.team,
+        charged_shard: request.permit.shard().into(),
+        usage: request.spec.need.times(tasks).quota(),
+    };
+    charge(pass, draft, &quota_charge)
+}
+
+/// The overflow index of the record that stores each of this many new placements of a job; `None`
+/// if the job's records have no space for them.
+pub(super) fn overflow_indices(pass: &PassContext, job: &Job, count: usize) -> Option<Vec<u16>> {
     let value_bytes = pass.config.limits(pass.cluster).value_bytes;
     let allow_overflow = pass.cluster.record_format_v2;
+    job.overflow_indices_for(count, value_bytes, allow_overflow)
+}
+
+/// Number of placements, from the first on, that the rest of the transaction has space for, each in
+/// the record with the given overflow index.
+pub(super) fn placements_that_fit(
+    pass: &PassContext,
+    draft: &DraftTransaction,
+    job_index: JobIndex,
+    overflow_indices: &[u16],
+) -> usize {
     let job = draft.job(pass.cluster, job_index);
-    let indices = job.overflow_indices_for(placements, value_bytes, allow_overflow)?;
-    let mut added: Vec<u16> = indices.iter().copied().filter(|i| *i > 0).collect();
-    added.dedup();
-    added.retain(|i| !draft.overflow_records.contains(&(job_index, *i)));
-    let job_record = usize::from(!draft.jobs.contains_key(&job_index));
-    if !draft.has_capacity_for(pass.cluster, pass.config, added.len() + job_record) {
-        draft.truncated = true;
-        return None;
+    let mut keys = draft.remaining_keys(pass.cluster, pass.config);
+    let mut bytes = draft.remaining_bytes();
+    if !draft.jobs.contains_key(&job_index) {
+        if keys == 0 || bytes == 0 {
+            return 0;
+        }
+        keys -= 1;
+        bytes = bytes.saturating_sub(job.record_bytes());
+    }
+    let mut newest_index = 0;
+    for (count, index) in overflow_indices.iter().copied().enumerate() {
+        let mut added_bytes = PLACEMENT_BYTES;
+        if index != newest_index && !draft.overflow_records.contains(&(job_index, index)) {
+            if keys == 0 {
+                return count;
+            }
+            keys -= 1;
+            added_bytes += job.overflow_bytes(index);
+        }
+        newest_index = index;
+        // The first placement may exceed the rest, or a job with a large record would get none.
+        let is_first = count == 0 && draft.claims.is_empty();
+        if !is_first && added_bytes > bytes {
+            return count;
+        }
+        bytes = bytes.saturating_sub(added_bytes);
+    }
+    overflow_indices.len()
+}
+
+/// Adds placements of the first tasks of the request, one for each overflow index, to a job that
+/// is in the draft. The caller has checked that the transaction has space for them.
+pub(super) fn draft_placements(
+    pass: &PassContext,
+    draft: &mut DraftTransaction,
+    request: &PlacementRequest,
+    attempt: u64,
+    overflow_indices: &[u16],
+) {
+    let job_index = request.job_index;
+    let charged_shard: ShardIndex = request.permit.shard().into();
+    let placements = request.tasks.iter().zip(overflow_indices);
+    let placements = placements.map(
+        |(TaskOnMachine { task, target }, overflow_index)| Placement {
+            overflow_index: *overflow_index,
+            task: *task,
+            attempt,
+            machine: target.index,
+            shard: target.machine.shard,
+            charged_shard,
+        },
+    );
+    for placement in placements {
+        draft.add_overflow(pass.cluster, job_index, placement.overflow_index);
+        draft.add_placement(job_index, placement);
     }
-    let added = added.into_iter().map(|i| (job_index, i));
-    draft.overflow_records.extend(added);
-    Some(indices)
+    draft.require_ownership(request.permit);
 }
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -368,10 +368,15 @@
     ) -> Option<Vec<u16>> {
         let mut sizes = self.stored_sizes();
         let mut indices = Vec::with_capacity(count);
+        // Records only grow here, so one that is full stays full: the search never goes back.
+        let mut index = 0;
         for _ in 0..count {
-            let fits = |size: &usize| size + PLACEMENT_BYTES <= value_bytes;
-            let first_fit = sizes.iter().position(fits);
-            let index = first_fit.unwrap_or(sizes.len());
+            while sizes
+                .get(index)
+                .is_some_and(|size| size + PLACEMENT_BYTES > value_bytes)
+            {
+                index += 1;
+            }
             if index > 0 && !overflow_allowed || index > usize::from(MAX_OVERFLOW_RECORDS) {
                 return None;
             }
@@ -383,6 +388,12 @@
         }
         Some(indices)
     }
+    /// Estimated size of one of the job's overflow records, in bytes.
+    pub fn overflow_bytes(&self, overflow_index: u16) -> usize {
+        let placements = self.placements.iter();
+        let stored = placements.filter(|p| p.overflow_index == overflow_index);
+        OVERFLOW_BASE_BYTES + stored.count() * PLACEMENT_BYTES
+    }
     /// Estimated sizes in bytes: first the job's own record, then its overflow records.
     fn stored_sizes(&self) -> Vec<usize> {
         let mut sizes = vec![self.record_bytes()];
