Gangs that one transaction can't hold are recorded in steps

Cause: all placements of a gang were one transaction. Under these limits that is 39 in its record and 50 in each of three overflow records; a gang of more was left out of every pass, without a word in the log.

Change: such a gang is staged. Several transactions record its placements under one attempt; its own record, which each writes under its version, says so until the last. Until then nothing of it is started or counted as broken or running. Its quota is charged whole with the first step, which is made only if machines for all of it are free; a step leaves a quarter of its transaction to other jobs. It is given up after 10 s without a step, or if it finds no machines while another staged gang precedes it. One that loses a placement is placed anew under another attempt.

Why it works: what comes next follows from the records. A new owner goes on; a former owner's step, or one that crosses a cancellation, fails its conditions; an older process takes a staged gang for a broken one, starts nothing and drops the mark, which breaks it for all. So staging begins only while all live controllers say that they read the third form.

Golden records: two lines more, none changed.

--- a/crates/testkit/tests/checker.rs
+++ b/crates/testkit/tests/checker.rs
@@ -196,6 +196,7 @@
             placements: vec![StoredPlacement::from((0, attempt, "m1".to_string(), 0, 0))],
             next_attempt: attempt + 1,
             finished_at: 0,
+            staged: None,
         };
         transaction_setting(format!("{KEY_PREFIX}job/job-1"), &record)
     };
--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -61,8 +61,12 @@
             continue;
         }
         let remaining = &mut remaining[spec.team.at()];
-        let (tasks, after) = tasks_within_quota(job, spec, *remaining);
-        if spec.is_wide_gang() && tasks < spec.tasks() {
+        let (tasks, after) = match job.is_staged() {
+            // The quota of all its tasks is charged already.
+            true => (job.waiting_count(), *remaining),
+            false => tasks_within_quota(job, spec, *remaining),
+        };
+        if spec.is_wide_gang() && !job.is_staged() && tasks < spec.tasks() {
             // While services use too much of the quota for the gang to start, keeping the rest
             // free would only delay the team's other jobs.
             if fits_beside_services(cluster, spec) {
--- a/src/coordination/autoscaler/placement.rs
+++ b/src/coordination/autoscaler/placement.rs
@@ -123,9 +123,11 @@
         let zones = (0..self.cluster.zone_names.len()).map(ZoneIndex::new);
         self.gang_zone = zones
             .filter(|zone| spec.zone.is_none_or(|only| only == *zone))
+            // The tasks of a staged gang that are placed already determine its zone.
+            .filter(|zone| self.tasks_by_zone.are_all_in(*zone))
             .max_by_key(|zone| {
                 let fitting = machines_that_fit(spec, supply, *zone);
-                let complete = fitting >= spec.tasks() || self.can_request_in(*zone);
+                let complete = fitting >= self.demand.tasks || self.can_request_in(*zone);
                 (complete, fitting)
             });
     }
--- a/src/coordination/membership/lease.rs
+++ b/src/coordination/membership/lease.rs
@@ -8,7 +8,7 @@
 use crate::coordination::kv::transactions::set;
 use crate::protocol::kv::Transaction;
 use crate::state::cluster_state::{ClusterState, ControllerRecord};
-use crate::state::records::{RECORD_FORMAT_V2, STANDBY_VERSION};
+use crate::state::records::{NEWEST_RECORD_FORMAT, STANDBY_VERSION};
 
 /// A lease of the key-value store.
 #[derive(Clone, Copy)]
@@ -74,7 +74,7 @@
     let name = controller.config.controller_name.as_str();
     let record = ControllerRecord {
         incarnation: controller.config.incarnation,
-        record_format: RECORD_FORMAT_V2,
+        record_format: NEWEST_RECORD_FORMAT,
         standby_version: match controller.features.standby() {
             Some(_) => STANDBY_VERSION,
             None => 0,
--- a/src/coordination/reconciliation/unwanted_attempts.rs
+++ b/src/coordination/reconciliation/unwanted_attempts.rs
@@ -6,11 +6,13 @@
 use crate::state::machine::{Machine, TaskAttempt};
 use crate::state::names::{Index, MachineIndex};
 
-/// True if a gang has lost some of its tasks, so that its remaining tasks must be stopped.
+/// True if a gang has lost some of its tasks, so that its remaining tasks must be stopped. A staged
+/// gang lacks tasks that were not placed yet, and none of its tasks runs.
 pub fn is_broken_gang(job: &Job) -> bool {
     let Some(spec) = &job.spec else { return false };
     spec.is_wide_gang()
         && job.is_open()
+        && !job.is_staged()
         && !job.placements.is_empty()
         && (job.placements.len() as u32) < spec.tasks()
 }
--- a/src/coordination/scheduler/commands.rs
+++ b/src/coordination/scheduler/commands.rs
@@ -182,7 +182,9 @@
     placed
         .filter(|attempt| {
             let job = &cluster.jobs[attempt.job.at()];
-            machine.observed(*attempt).is_none()
+            // A staged gang may never be completed, and half a gang must not run.
+            !job.is_staged()
+                && machine.observed(*attempt).is_none()
                 && !is_unwanted(job, machine, *attempt)
                 && !is_abandoned(machine, *attempt)
         })
--- a/src/coordination/scheduler/gang_reservations.rs
+++ b/src/coordination/scheduler/gang_reservations.rs
@@ -18,7 +18,7 @@
 pub struct GangReservation {
     /// The gang.
     pub job: JobIndex,
-    /// One machine per task of the gang.
+    /// One machine per waiting task of the gang.
     pub machines: Vec<MachineIndex>,
 }
 
@@ -119,7 +119,7 @@
     machines
 }
 
-/// Selects one machine per task of a gang, the least loaded first. If the gang must run in one
+/// Selects one machine per waiting task of a gang, the least loaded first. If the gang must run in one
 /// zone, the zone with the lowest total load of its selection is chosen. `None` if there are too
 /// few machines.
 fn least_loaded_machines(
@@ -148,7 +148,7 @@
     machines: &[LoadedMachine],
     zone: ZoneIndex,
 ) -> Option<(i64, Vec<MachineIndex>)> {
-    let tasks = gang.spec.tasks() as usize;
+    let tasks = gang.job.waiting_count() as usize;
     let usable = machines.iter().filter(|loaded| {
         (!gang.spec.submitted.one_zone || loaded.candidate.machine.zone == zone)
             && gang.spec.need.fits(loaded.capacity)
--- a/src/coordination/scheduler/gangs.rs
+++ b/src/coordination/scheduler/gangs.rs
@@ -1,5 +1,5 @@
 //! Gang scheduling: gangs of more than one task are not queued; all their tasks are claimed in one
-//! transaction.
+//! transaction, or, if one can't hold them, in several before any of them starts (`staging`).
 //!
 //! A gang is placed by the owner of the shard that the gang's id hashes to, on machines of any
 //! owner. The owners of those machines learn of the placements through the watch on the key-value
@@ -12,11 +12,11 @@
 };
 use crate::coordination::scheduler::job_order::waiting_gangs;
 use crate::coordination::scheduler::pass::PassContext;
-use crate::coordination::scheduler::placement::{place, PlacementRequest, TaskOnMachine};
+use crate::coordination::scheduler::placement::{PlacementRequest, TaskOnMachine};
 use crate::coordination::scheduler::placement_rules::{
     is_allowed, JobRef, MachineRef, TasksByZone,
 };
-use crate::state::job::Spec;
+use crate::coordination::scheduler::staging::{abandon_if_stalled, place_gang, yield_to_other};
 use crate::state::names::{Index, ZoneIndex};
 use crate::state::units::Resources;
 use standby::permit::Permit;
@@ -41,28 +41,54 @@
     };
     let machines: Vec<MachineRef> = machines_with_capacity(pass, free, smallest).collect();
     for gang in gangs {
-        let Some(chosen) = select_gang_machines(pass, gang.job, free, &machines) else {
+        // A staged gang of which this pass has removed a placement is no longer staged.
+        if draft.jobs.contains_key(&gang.job.index) {
             continue;
-        };
-        let numbered = (0..).zip(&chosen);
-        let tasks: Vec<TaskOnMachine> = numbered
-            .map(|(task, target)| TaskOnMachine {
-                task,
-                target: *target,
-            })
-            .collect();
-        let request = PlacementRequest {
-            job_index: gang.job.index,
-            spec: gang.job.spec,
-            tasks: &tasks,
-            permit: gang.permit,
-        };
-        if place(pass, draft, &request) {
-            for candidate in chosen {
-                free.allocate(candidate.index, gang.job.spec.need);
-            }
+        }
+        let chosen = select_gang_machines(pass, gang.job, free, &machines);
+        let found = chosen.is_some();
+        let claimed = chosen.is_some_and(|chosen| claim_gang(pass, draft, free, &gang, &chosen));
+        if gang.job.job.is_staged() && !claimed {
+            abandon_if_stalled(pass, draft, gang.job);
+        }
+        if gang.job.job.is_staged() && !found {
+            yield_to_other(pass, draft, gang.job);
+        }
+    }
+}
+
+/// Claims the chosen machines, one for each waiting task of the gang; false if none is claimed.
+/// While the gang is recorded in part only, this pass leaves the machines of its other tasks free.
+fn claim_gang(
+    pass: &PassContext,
+    draft: &mut DraftTransaction,
+    free: &mut FreeCapacity,
+    gang: &OwnedGang,
+    chosen: &[MachineRef],
+) -> bool {
+    let tasks: Vec<TaskOnMachine> = gang
+        .job
+        .job
+        .waiting_tasks()
+        .zip(chosen)
+        .map(|(task, target)| TaskOnMachine {
+            task,
+            target: *target,
+        })
+        .collect();
+    let request = PlacementRequest {
+        job_index: gang.job.index,
+        spec: gang.job.spec,
+        tasks: &tasks,
+        permit: gang.permit,
+    };
+    let claimed = place_gang(pass, draft, &request);
+    if claimed {
+        for candidate in chosen {
+            free.allocate(candidate.index, gang.job.spec.need);
         }
     }
+    claimed
 }
 
 fn owned_gangs<'a>(pass: &PassContext<'a>) -> Vec<OwnedGang<'a>> {
@@ -86,7 +112,7 @@
     pull_ms: u64,
 }
 
-/// Selects a machine for each task of a gang, all in one zone if the job requires it. Among the
+/// Selects a machine for each waiting task of a gang, all in one zone if the job requires it. Among the
 /// zones, the zone in which the gang can start first is chosen. `None` if the gang fits nowhere.
 fn select_gang_machines<'a>(
     pass: &PassContext<'a>,
@@ -96,7 +122,7 @@
 ) -> Option<Vec<MachineRef<'a>>> {
     let mut best: Option<(u64, Vec<Slot>)> = None;
     for slots in slots_by_zone(pass, gang, free, machines).into_values() {
-        let Some(slots) = fastest_slots(gang.spec, slots) else {
+        let Some(slots) = fastest_slots(pass, gang, slots) else {
             continue;
         };
         // A gang can start only when its slowest image pull is finished.
@@ -149,9 +175,14 @@
     reservation.is_some_and(|reserved| reserved.gang != gang.index && reserved.is_active(pass.now))
 }
 
-/// Selects one slot per task of the gang: the shortest image pull first, then spot machines before
+/// Selects one slot per waiting task of the gang: the shortest image pull first, then spot machines before
 /// on-demand machines. `None` if there are too few slots.
-fn fastest_slots<'a>(spec: &Spec, mut slots: Vec<Slot<'a>>) -> Option<Vec<Slot<'a>>> {
+fn fastest_slots<'a>(
+    pass: &PassContext,
+    gang: JobRef,
+    mut slots: Vec<Slot<'a>>,
+) -> Option<Vec<Slot<'a>>> {
+    let spec = gang.spec;
     slots.sort_by_key(|slot| {
         (
             slot.pull_ms,
@@ -160,13 +191,13 @@
         )
     });
     if spec.submitted.spread {
-        let mut by_zone = TasksByZone::default();
+        let mut by_zone = TasksByZone::of_placements(pass.cluster, gang.job);
         slots.retain(|slot| {
             by_zone.add(slot.candidate.machine.zone);
             by_zone.count(slot.candidate.machine.zone) <= spec.max_tasks_per_zone()
         });
     }
-    let tasks = spec.tasks() as usize;
+    let tasks = gang.job.waiting_count() as usize;
     if slots.len() < tasks {
         return None;
     }
--- a/src/coordination/scheduler/job_order.rs
+++ b/src/coordination/scheduler/job_order.rs
@@ -187,24 +187,28 @@
     waiting.collect()
 }
 
-/// Waiting gangs of more than one task: by priority, then the oldest first.
+/// Waiting gangs of more than one task: staged gangs first, then by priority, then the oldest first.
+///
+/// A staged gang uses machines on which nothing runs, so it is completed before others begin.
 pub fn waiting_gangs(cluster: &ClusterState, now: MonotonicMillis) -> Vec<JobIndex> {
-    let mut gangs: Vec<(Priority, u64, JobIndex)> = cluster
+    let mut gangs: Vec<(bool, Priority, u64, JobIndex)> = cluster
         .active_jobs()
         .filter(|(job_index, job)| {
             job.is_runnable()
-                && job.placements.is_empty()
+                && (job.placements.is_empty() || job.is_staged())
                 && !is_backed_off(cluster, *job_index, now)
         })
         .filter(|(_, job)| job.spec.as_ref().is_some_and(|spec| spec.is_wide_gang()))
         .map(|(job_index, job)| {
             let state = &job.dependency_state;
-            (state.priority, state.eligible_since, job_index)
+            (
+                !job.is_staged(),
+                state.priority,
+                state.eligible_since,
+                job_index,
+            )
         })
         .collect();
     gangs.sort();
-    gangs
-        .into_iter()
-        .map(|(_, _, job_index)| job_index)
-        .collect()
+    gangs.into_iter().map(|(.., job_index)| job_index).collect()
 }
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -15,7 +15,8 @@
 //! | `gang_reservations` | the status broadcast task |
 //!
 //! `placement_rules`, `bin_packing` and `free_capacity` determine which machines suit a task. A
-//! pass writes its changes to a `draft`, and all new placements go through `placement`.
+//! pass writes its changes to a `draft`, and all new placements go through `placement`; `staging`
+//! records gangs in several transactions that one can't hold.
 
 pub mod bin_packing;
 pub mod binding;
@@ -38,6 +39,7 @@
 pub mod preemption_round;
 pub mod queues;
 pub mod quota;
+mod staging;
 pub mod starved_gangs;
 pub mod work_stealing;
 pub mod write_budget;
--- a/src/coordination/scheduler/placement.rs
+++ b/src/coordination/scheduler/placement.rs
@@ -1,8 +1,9 @@
 //! Placement: the only code that drafts new placements in a job's record.
 //!
-//! Claims of single tasks and of whole gangs both use it. Invariant: a placement is drafted only
-//! within the team's quota, within the size limits of the job's records and of the transaction,
-//! and under a permit whose shard the transaction then requires to be owned.
+//! Claims of single tasks and of whole gangs both use it; `staging` uses it for gangs that one
+//! transaction can't hold. Invariant: a placement is drafted only within the team's quota, within
+//! the size limits of the job's records and of the transaction, and under a permit whose shard the
+//! transaction then requires to be owned.
 
 use crate::coordination::scheduler::draft::DraftTransaction;
 use crate::coordination::scheduler::pass::PassContext;
@@ -43,7 +44,7 @@
     let Some(overflow_indices) = overflow_indices(pass, job, request.tasks.len()) else {
         return false;
     };
-    let fitting = placements_that_fit(pass, draft, request.job_index, &overflow_indices);
+    let fitting = placements_that_fit(pass, draft, request.job_index, &overflow_indices, 0);
     if fitting < request.tasks.len() {
         draft.truncated = true;
         return false;
@@ -81,15 +82,17 @@
 }
 
 /// Number of placements, from the first on, that the rest of the transaction has space for, each in
-/// the record with the given overflow index.
+/// the record with the given overflow index. `kept_keys` further keys stay free.
 pub(super) fn placements_that_fit(
     pass: &PassContext,
     draft: &DraftTransaction,
     job_index: JobIndex,
     overflow_indices: &[u16],
+    kept_keys: usize,
 ) -> usize {
     let job = draft.job(pass.cluster, job_index);
-    let mut keys = draft.remaining_keys(pass.cluster, pass.config);
+    let remaining_keys = draft.remaining_keys(pass.cluster, pass.config);
+    let mut keys = remaining_keys.saturating_sub(kept_keys);
     let mut bytes = draft.remaining_bytes();
     if !draft.jobs.contains_key(&job_index) {
         if keys == 0 || bytes == 0 {
--- a/src/coordination/scheduler/planner.rs
+++ b/src/coordination/scheduler/planner.rs
@@ -17,6 +17,7 @@
 use crate::coordination::scheduler::draft::{Claim, DraftTransaction};
 use crate::coordination::scheduler::pass::PassContext;
 use crate::coordination::scheduler::quota;
+use crate::coordination::scheduler::staging::describe_staging;
 use crate::coordination::scheduler::work_stealing::WorkStealing;
 use crate::coordination::scheduler::write_budget::WriteBudget;
 use crate::state::names::{Index, MachineIndex};
@@ -141,6 +142,7 @@
 /// Commits the draft of a pass and applies the outcome; true if another pass should follow at once.
 async fn commit_pass(controller: &Rc<Controller>, draft: &DraftTransaction) -> bool {
     let claim_lines = describe_claims(controller, draft);
+    let staging_lines = describe_staging(&controller.cluster.borrow(), draft);
     let ended = replication::ended_attempts(controller, draft);
     let (jobs, claims) = (draft.jobs.len(), draft.claims.len());
     match commit_draft(controller, draft).await {
@@ -150,6 +152,9 @@
             for line in claim_lines {
                 log::debug!("{line}");
             }
+            for line in staging_lines {
+                log::info!("{line}");
+            }
             // Only after a truncated draft can another pass make more changes at once.
             draft.truncated
         }
--- a/src/coordination/scheduler/quota.rs
+++ b/src/coordination/scheduler/quota.rs
@@ -23,8 +23,8 @@
     let mut used = cluster.quota_used(team);
     for (job_index, job) in &draft.jobs {
         if let Some(spec) = job.spec.as_ref().filter(|spec| spec.team == team) {
-            let stored = cluster.jobs[job_index.at()].placements.len() as i64;
-            let added = job.placements.len() as i64 - stored;
+            let stored = &cluster.jobs[job_index.at()];
+            let added = i64::from(job.charged_tasks()) - i64::from(stored.charged_tasks());
             used = used.plus(spec.need.quota().times(added));
         }
     }
@@ -86,18 +86,15 @@
     team: TeamIndex,
     charged_shard: ShardIndex,
 ) -> QuotaUsage {
-    let charged_placements = |job: &Job| {
-        let charged = job.placements.iter();
-        charged.filter(|p| p.charged_shard == charged_shard).count() as i64
-    };
     let mut used = cluster.quota_used_by_shard(team, charged_shard);
     for (job_index, job) in &draft.jobs {
         let Some(spec) = job.spec.as_ref().filter(|spec| spec.team == team) else {
             continue;
         };
         let stored = &cluster.jobs[job_index.at()];
-        let added = (charged_placements(job) - charged_placements(stored)).max(0);
-        used = used.plus(spec.need.quota().times(added));
+        let before = stored.tasks_charged_to(charged_shard);
+        let added = job.tasks_charged_to(charged_shard).saturating_sub(before);
+        used = used.plus(spec.need.quota().times(i64::from(added)));
     }
     used
 }
--- a/src/coordination/scheduler/starved_gangs.rs
+++ b/src/coordination/scheduler/starved_gangs.rs
@@ -65,7 +65,9 @@
             let is_first = starved.iter().all(|gang| gang.team != spec.team);
             let waited_long = job.waited_ms(pass.wall_ms) >= pass.config.gang_reservation_after_ms;
             let limited = !cluster.team_limits[spec.team.at()].unlimited();
-            if is_first && waited_long && limited && fits_beside_services(cluster, spec) {
+            // The quota of a staged gang is charged already.
+            let waits_for_quota = limited && !job.is_staged();
+            if is_first && waited_long && waits_for_quota && fits_beside_services(cluster, spec) {
                 starved.push(StarvedGang {
                     team: spec.team,
                     priority_and_age: priority_and_age(job),
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -1,6 +1,7 @@
 //! Jobs: their records in the key-value store, and their form in memory.
 
 use super::names::{ImageIndex, MachineIndex, MachineTypeIndex, ShardIndex, TeamIndex, ZoneIndex};
+use super::staged_attempt::StagedAttempt;
 use super::task_ranges::TaskRanges;
 use super::units::Resources;
 use crate::protocol::users::{JobKind, JobSpec, Priority};
@@ -28,6 +29,8 @@
 const RECORD_BASE_BYTES: usize = 120;
 /// Estimated size of one range of done tasks in a record, in bytes.
 const TASK_RANGE_BYTES: usize = 14;
+/// Estimated size of a staged attempt in a record, in bytes.
+const STAGED_ATTEMPT_BYTES: usize = 50;
 /// Estimated size of an overflow record without placements, in bytes.
 const OVERFLOW_BASE_BYTES: usize = 20;
 /// Maximum number of overflow records of a job.
@@ -110,6 +113,9 @@
     /// record was written by version 0.1.
     #[serde(rename = "f", default, skip_serializing_if = "is_zero")]
     pub finished_at: u64,
+    /// The attempt of a gang whose placements are being recorded in several transactions.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub staged: Option<StagedAttempt>,
 }
 
 impl JobRecord {
@@ -123,6 +129,7 @@
             placements: Vec::new(),
             next_attempt: 1,
             finished_at: 0,
+            staged: None,
         }
     }
 }
@@ -238,6 +245,8 @@
     pub next_attempt: u64,
     /// Wall-clock time at which the job's last task was done, ms; 0: not done, or unknown.
     pub finished_at: u64,
+    /// The attempt of a gang whose placements are being recorded in several transactions.
+    pub staged: Option<StagedAttempt>,
     /// The part of the job's state that is derived from its dependencies and dependents.
     pub dependency_state: DependencyState,
 }
@@ -341,12 +350,16 @@
         }
     }
     /// Removes the placement of an attempt that is proven not to run; returns false if the attempt
-    /// has no placement.
+    /// has no placement. A staged gang that loses a placement is no longer staged.
     pub fn remove_placement(&mut self, task: u32, attempt: u64) -> bool {
         let before = self.placements.len();
         self.placements
             .retain(|p| (p.task, p.attempt) != (task, attempt));
-        before != self.placements.len()
+        let removed = before != self.placements.len();
+        if removed {
+            self.staged = None;
+        }
+        removed
     }
     /// Estimated size of the job's own record as JSON, without overflow records, in bytes.
     pub fn record_bytes(&self) -> usize {
@@ -355,6 +368,7 @@
         RECORD_BASE_BYTES
             + spec
             + self.done.range_count() * TASK_RANGE_BYTES
+            + self.staged.map_or(0, |_| STAGED_ATTEMPT_BYTES)
             + own.count() * PLACEMENT_BYTES
     }
     /// Chooses the record in which to store each of `count` more placements: the first record that
--- a/src/state/job_store.rs
+++ b/src/state/job_store.rs
@@ -101,6 +101,7 @@
             placements: self.merge_placements(job_index, record),
             next_attempt: record.next_attempt,
             finished_at: record.finished_at,
+            staged: record.staged,
             dependency_state,
             id,
         };
@@ -254,9 +255,12 @@
     }
 
     /// Job status for users: status word, number of tasks done, number of tasks running. Tasks
-    /// that are placed count as running.
+    /// that are placed count as running, except those of a staged gang.
     pub fn job_status(job: &Job) -> (&'static str, u32, u32) {
-        let running = job.unfinished_placements();
+        let running = match job.is_staged() {
+            true => 0,
+            false => job.unfinished_placements(),
+        };
         let done = job.done.count();
         match job.state {
             JobState::Done => ("done", done, 0),
--- a/src/state/record_formats.rs
+++ b/src/state/record_formats.rs
@@ -15,6 +15,12 @@
 }
 
 impl ClusterState {
+    /// True if all live controllers can read this format of records.
+    pub fn all_controllers_read(&self, record_format: u32) -> bool {
+        let mut controllers = self.controllers.values();
+        controllers.all(|controller| controller.record.record_format >= record_format)
+    }
+
     /// Key of a job's record: `ph/job/<id>`.
     pub fn job_key(id: &str) -> String {
         format!("{KEY_PREFIX}job/{id}")
@@ -36,6 +42,7 @@
             placements: self.stored_placements(job, 0),
             next_attempt: job.next_attempt,
             finished_at: job.finished_at,
+            staged: job.staged.filter(|_| job.is_open()),
         }
     }
 
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -34,6 +34,14 @@
 /// dependencies and overflow records, and is written only once every controller can read it.
 pub const RECORD_FORMAT_V2: u32 = 2;
 
+/// The third record format. It adds staged attempts of gangs to the records of jobs, and is written
+/// only while every live controller can read it: an earlier version takes a staged gang for one
+/// that has lost tasks, starts none of them and removes their placements.
+pub const RECORD_FORMAT_V3: u32 = 3;
+
+/// The newest record format that this version reads.
+pub const NEWEST_RECORD_FORMAT: u32 = RECORD_FORMAT_V3;
+
 /// Version of the messages that replicate a shard owner's state to its standby.
 pub const STANDBY_VERSION: u32 = 1;
 
--- a/src/state/resource_totals.rs
+++ b/src/state/resource_totals.rs
@@ -46,7 +46,7 @@
     }
 
     /// Adds the quota that a job's placements use to the sums of the job's team, `times` times: 1
-    /// charges the team, -1 reverses the charge.
+    /// charges the team, -1 reverses the charge. A staged gang uses the quota of all its tasks.
     fn charge(&mut self, job: &Job, times: i64) {
         let Some(spec) = &job.spec else { return };
         for placement in &job.placements {
@@ -54,6 +54,12 @@
             let used = slot(by_shard, placement.charged_shard.at());
             *used = used.plus(spec.need.quota().times(times));
         }
+        if let Some(staged) = &job.staged {
+            let unplaced = i64::from(job.unplaced_staged_tasks());
+            let by_shard = slot(&mut self.used_by_shard, spec.team.at());
+            let used = slot(by_shard, staged.charged_shard.at());
+            *used = used.plus(spec.need.quota().times(unplaced * times));
+        }
     }
 
     /// Attempts placed on a machine.
--- a/tests/golden_records.rs
+++ b/tests/golden_records.rs
@@ -11,7 +11,7 @@
 use pointhook::state::names::{ShardIndex, TeamIndex};
 use pointhook::state::records::{
     ControllerRecord, OverflowRecord, ProvisioningRecord, ShardRecord, TeamRecord, Versioned,
-    RECORD_FORMAT_V2, STANDBY_VERSION,
+    RECORD_FORMAT_V2, RECORD_FORMAT_V3, STANDBY_VERSION,
 };
 use pointhook::state::units::QuotaUsage;
 use serde_json::{json, Value};
@@ -45,6 +45,11 @@
         );
         group.message::<JobRecord>(&format!("job {state}"), &full);
     }
+    let staged = with(
+        job.clone(),
+        json!({"g": [7, 3, 1_764_650_010_123_u64], "f": null, "j": without_optional}),
+    );
+    group.message::<JobRecord>("job staged", &staged);
     group.message_read_by(
         "job x",
         &with(job, json!({"s": "x"})),
@@ -62,6 +67,7 @@
     group.message::<cloud::MachineTypeCatalog>("flavors", &machine_type_catalog());
     group.message::<bool>("form", &json!(true));
     group.line("second form", &RECORD_FORMAT_V2.to_string());
+    group.line("third form", &RECORD_FORMAT_V3.to_string());
     group.line("standby version", &STANDBY_VERSION.to_string());
     group.compare();
 }
--- a/tests/support/simulated_cluster/invariants.rs
+++ b/tests/support/simulated_cluster/invariants.rs
@@ -2,6 +2,9 @@
 
 use super::SimulatedCluster;
 use crate::support::simulated_controller::CANCEL_MS;
+use pointhook::protocol::users::JobKind;
+use pointhook::state::cluster_state::ClusterState;
+use pointhook::state::job::{JobRecord, JobState};
 use pointhook::state::names::{Index, TeamIndex};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,6 +22,7 @@
         self.check_dependencies(&mut violations);
         self.check_starts_of_cancelled_jobs(&mut violations);
         self.check_team_limits(&mut violations);
+        self.check_staged_gangs(&mut violations);
         let now = self.now;
         let violations = violations.into_iter();
         self.violations
@@ -124,6 +128,24 @@
         }
     }
 
+    /// Checks that no task of a gang is on a machine while the gang is recorded in part.
+    fn check_staged_gangs(&self, violations: &mut Vec<String>) {
+        for (id, view) in &self.user_views {
+            let is_wide_gang = view.spec.kind == JobKind::Gang && view.spec.tasks > 1;
+            if is_wide_gang && self.runs(id) && self.is_staged(id) {
+                violations.push(format!("{id} runs although it is staged"));
+            }
+        }
+    }
+
+    /// True if the job's record in the key-value store says that its gang is staged.
+    fn is_staged(&self, id: &str) -> bool {
+        let entry = self.store.entry(&ClusterState::job_key(id));
+        let bytes = entry.and_then(|entry| rmp_serde::to_vec(&entry.v).ok());
+        let record = bytes.and_then(|bytes| rmp_serde::from_slice::<JobRecord>(&bytes).ok());
+        record.is_some_and(|record| record.state == JobState::Open && record.staged.is_some())
+    }
+
     /// GPU limit of a team according to the first running controller; zero means no limit.
     fn gpu_limit_of(&self, team: &str) -> Option<f64> {
         let controller = self.controllers.iter().flatten().next()?;
--- a/tests/support/simulated_controller/mod.rs
+++ b/tests/support/simulated_controller/mod.rs
@@ -24,7 +24,7 @@
 use pointhook::state::cluster_state::{ClusterState, ControllerRecord, KEY_PREFIX};
 use pointhook::state::job::{Job, JobRecord, JobState};
 use pointhook::state::names::{Index, JobIndex, MachineIndex, ShardIndex, ZoneIndex};
-use pointhook::state::records::{RECORD_FORMAT_V2, STANDBY_VERSION};
+use pointhook::state::records::{NEWEST_RECORD_FORMAT, STANDBY_VERSION};
 use pointhook::state::units::Incarnation;
 use standby::failover::Failovers;
 use std::cell::Cell;
@@ -219,7 +219,7 @@
     fn registration(&self, version: u64) -> Transaction {
         let record = ControllerRecord {
             incarnation: self.config.incarnation,
-            record_format: RECORD_FORMAT_V2,
+            record_format: NEWEST_RECORD_FORMAT,
             standby_version: self.standby.version(),
         };
         let key = self.key();
--- a/tests/support/simulated_controller/scheduling.rs
+++ b/tests/support/simulated_controller/scheduling.rs
@@ -57,9 +57,7 @@
             if draft.is_empty() {
                 return;
             }
-            reconciliation::mark_abandoned(&mut self.cluster, &draft);
-            let outcome = Self::commit(store, &transaction(&self.cluster, &draft), now);
-            apply_outcome(&mut self.cluster, &draft, &outcome);
+            let outcome = self.commit_draft(store, &draft, now);
             // Like the background task, retries a refused transaction in its next round.
             let wait = matches!(outcome, CommitOutcome::Unknown | CommitOutcome::Refused(_));
             if wait {
@@ -73,6 +71,19 @@
         panic!("planning never settles");
     }
 
+    /// Commits a draft and applies its outcome.
+    pub fn commit_draft(
+        &mut self,
+        store: &mut FakeKvStore,
+        draft: &DraftTransaction,
+        now: u64,
+    ) -> CommitOutcome {
+        reconciliation::mark_abandoned(&mut self.cluster, draft);
+        let outcome = Self::commit(store, &transaction(&self.cluster, draft), now);
+        apply_outcome(&mut self.cluster, draft, &outcome);
+        outcome
+    }
+
     /// Answers a heartbeat like [`SimulatedController::receive_heartbeat`], with an unreachable
     /// key-value store.
     pub fn receive_heartbeat_without_kv(
--- a/tests/transaction_size.rs
+++ b/tests/transaction_size.rs
@@ -54,7 +54,7 @@
 /// controller took that for a lower limit on the number of writes.
 #[test]
 fn no_pass_exceeds_the_size_of_a_transaction() {
-    for kind in [JobKind::Array] {
+    for kind in [JobKind::Array, JobKind::Gang] {
         let (mut store, mut controller, mut workers) = controller_with_machines();
         controller.submit(&mut store, wide_job(kind), 100);
         controller.run_planner(&mut store, 200);
--- a/tests/version_compatibility.rs
+++ b/tests/version_compatibility.rs
@@ -9,6 +9,7 @@
 use pointhook::state::records::{
     ControllerRecord, OverflowRecord, ProvisioningRecord, ShardRecord, TeamRecord, RECORD_FORMAT_V2,
 };
+use pointhook::state::staged_attempt::StagedAttempt;
 use pointhook::state::task_ranges::TaskRanges;
 use pointhook::state::units::Incarnation;
 use pointhook::state::units::QuotaUsage;
@@ -107,6 +108,7 @@
         ],
         next_attempt: 9,
         finished_at: 0,
+        staged: None,
     }
 }
 
@@ -121,6 +123,7 @@
         placements: Vec::new(),
         next_attempt: 2,
         finished_at: 0,
+        staged: None,
     };
     check_record("record/job/over", &cancelled);
     let incarnation = 1_234_567;
@@ -309,6 +312,7 @@
         done: TaskRanges::all(300),
         next_attempt: 301,
         finished_at: 1_764_650_090_456,
+        staged: None,
         ..waiting
     };
     check("record/job/done", &finished);
@@ -328,6 +332,37 @@
     check_record_of(VERSION_0_2, "record/form", &true);
 }
 
+/// Guards against a staged gang that the production version, which does not know the mark, turns
+/// into one whose tasks may start: written back by it, the gang is broken.
+#[test]
+fn the_production_version_writes_a_staged_gang_back_without_its_mark() {
+    let staged = StagedAttempt {
+        attempt: 7,
+        charged_shard: ShardIndex(0),
+        last_step_at: 1_764_650_010_123,
+    };
+    let record = JobRecord {
+        placements: vec![StoredPlacement::from((2, 7, "n-000231".to_string(), 1, 0))],
+        staged: Some(staged),
+        ..open_job()
+    };
+    let bytes = rmp_serde::to_vec_named(&record).expect("a record");
+    assert_eq!(
+        rmp_serde::from_slice::<JobRecord>(&bytes).ok(),
+        Some(record.clone())
+    );
+    let read: old::JobRecord = rmp_serde::from_slice(&bytes).expect("a record that it reads");
+    let written = rmp_serde::to_vec_named(&read).expect("a record");
+    let unmarked = JobRecord {
+        staged: None,
+        ..record
+    };
+    assert_eq!(
+        rmp_serde::from_slice::<JobRecord>(&written).ok(),
+        Some(unmarked)
+    );
+}
+
 #[test]
 fn cancellation_frames_equal_those_of_the_production_version() {
     let jobs = vec!["job-000412".to_string(), "job-000398".to_string()];
@@ -367,9 +402,10 @@
     assert_eq!(old::decode_response(&response), None);
 }
 
-/// Requests and responses between controllers as version 0.1 declares them.
+/// Requests and responses between controllers as version 0.1 declares them, and the record of a job
+/// as the production version does.
 mod old {
-    use super::{MachineStatus, TaskRef};
+    use super::{JobSpec, JobState, MachineStatus, StoredPlacement, TaskRanges, TaskRef};
     use rkyv::{rancor::Error, util::AlignedVec, Archive, Deserialize, Serialize};
 
     #[derive(Archive, Serialize, Deserialize, PartialEq, Debug)]
@@ -406,6 +442,24 @@
         Closed(Vec<String>),
     }
 
+    #[derive(serde::Serialize, serde::Deserialize)]
+    pub struct JobRecord {
+        #[serde(rename = "j", default, skip_serializing_if = "Option::is_none")]
+        spec: Option<JobSpec>,
+        #[serde(rename = "s")]
+        state: JobState,
+        #[serde(rename = "t")]
+        submitted_at: u64,
+        #[serde(rename = "d", default)]
+        done: TaskRanges,
+        #[serde(rename = "p", default)]
+        placements: Vec<StoredPlacement>,
+        #[serde(rename = "n")]
+        next_attempt: u64,
+        #[serde(rename = "f", default)]
+        finished_at: u64,
+    }
+
     fn aligned(bytes: &[u8]) -> AlignedVec {
         let mut copy: AlignedVec = AlignedVec::new();
         copy.extend_from_slice(bytes);
