A gang of any width counts as demand for machines

Callers saw: a gang of 201 tasks is accepted with 201, and no machine is ever rented for it, without any disruption.

Cause: the autoscaler counts at most 200 tasks of a job in a round. The rest of an array follows later; a gang that was cut looked like one whose team's quota is used up.

Why it works: the bound keeps a round short for arrays and services, whose tasks count one by one; a gang has no part that could follow, so it counts whole or, by its quota, not at all.

Test: a_gang_of_any_width_counts_as_demand; before: "left: 0, right: 13" machines for 201 tasks.

--- a/src/coordination/autoscaler/demand.rs
+++ b/src/coordination/autoscaler/demand.rs
@@ -10,6 +10,7 @@
 use crate::coordination::scheduler::draft::DraftTransaction;
 use crate::coordination::scheduler::quota::used_by_team;
 use crate::coordination::scheduler::starved_gangs::{fits_beside_services, may_bypass_gangs};
+use crate::protocol::users::JobKind;
 use crate::state::cluster_state::ClusterState;
 use crate::state::job::{Job, Spec};
 use crate::state::names::{Index, JobIndex, TeamIndex};
@@ -17,7 +18,8 @@
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
-/// Maximum number of tasks of one job that are counted as demand in one round.
+/// Maximum number of tasks of one array or service that are counted as demand in one round. Those
+/// that are left out follow in later rounds; a gang, which starts whole, counts whole.
 const MAX_TASKS_PER_JOB: u32 = 200;
 
 /// Length of the sliding window over which the submission rate is computed.
@@ -128,7 +130,10 @@
 /// remains after them.
 fn tasks_within_quota(job: &Job, spec: &Spec, mut remaining: QuotaUsage) -> (u32, QuotaUsage) {
     let per_task = spec.need.quota();
-    let max_tasks = job.waiting_count().min(MAX_TASKS_PER_JOB);
+    let max_tasks = match spec.submitted.kind {
+        JobKind::Gang => job.waiting_count(),
+        JobKind::Array | JobKind::Service => job.waiting_count().min(MAX_TASKS_PER_JOB),
+    };
     let mut tasks = 0;
     while tasks < max_tasks && per_task.within(remaining) {
         remaining = remaining.minus(per_task);
--- a/tests/autoscaling.rs
+++ b/tests/autoscaling.rs
@@ -11,7 +11,7 @@
 use pointhook::coordination::rate_limiter::RateLimiter;
 use pointhook::protocol::cloud::{ListedMachine, MachineListPage};
 use pointhook::protocol::kv::Transaction;
-use pointhook::protocol::users::JobKind;
+use pointhook::protocol::users::{JobKind, JobSpec};
 use pointhook::state::cluster_state::{ProvisioningRecord, KEY_PREFIX};
 use pointhook::state::names::{Index, MachineTypeIndex, ZoneIndex};
 use pointhook::state::units::{MonotonicMillis, Resources};
@@ -68,6 +68,25 @@
     assert!(plan.machines_to_request.keys().all(|p| p.spot));
 }
 
+/// Guards against a gang that no machine is ever requested for: at most 200 tasks of a job counted as
+/// demand, and a gang that did not count whole counted not at all.
+#[test]
+fn a_gang_of_any_width_counts_as_demand() {
+    for (tasks, machines) in [(200, 13), (201, 13), (1000, 63)] {
+        let (mut store, mut controller) = start_controller();
+        let gang = JobSpec {
+            kind: JobKind::Gang,
+            vcpus: 1.0,
+            gpus: 0.0,
+            mem_gb: 1.0,
+            ..job("job-1", tasks)
+        };
+        controller.submit(&mut store, gang, 0);
+        let plan = plan(&controller, Vec::new(), &[]);
+        assert_eq!(plan.machines_to_request.values().sum::<u32>(), machines);
+    }
+}
+
 #[test]
 fn machines_being_provisioned_are_not_requested_again() {
     let (mut store, mut controller) = start_controller();
