The staging of a gang ends also without its planner

Callers would see: machines with placements of a gang of which nothing runs, and no other job on them, for as long as the planner of that gang makes no step: its job is backed off, or the owner of its planning shard is a process of an earlier version that came back after the staging had begun. Found by reading the change again; not seen.

Cause: only the planner gave up the staging of a gang, by the job's waiting state and its own permit.

The first removal ends the staging, and the gang begins anew.

Test: a_staged_gang_without_a_planner_loses_its_placements; without the condition: "assertion failed: placements.is_empty()" after 34 s. Long comment lines are wrapped.

--- a/src/coordination/reconciliation/placement_end.rs
+++ b/src/coordination/reconciliation/placement_end.rs
@@ -9,6 +9,10 @@
 use crate::state::machine::{Machine, ObservedTask, TaskAttempt};
 use standby::ids::FencingToken;
 
+/// Time without a step after which the owners of its machines end the staging of a gang, ms: its
+/// planner, which gives it up much earlier, may be gone or run an earlier version.
+const ORPHANED_STAGING_MS: u64 = 30_000;
+
 /// The proof on which a placement may be removed from its job's record.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum PlacementEnd {
@@ -41,7 +45,9 @@
     if let Some(task) = final_exit(job, machine, attempt, fencing_token) {
         return Some(PlacementEnd::Exited(task.exit_reason));
     }
-    let not_wanted_here = is_unwanted(job, machine, attempt) || is_abandoned(machine, attempt);
+    let given_up = job.is_staging_stalled(pass.wall_ms, ORPHANED_STAGING_MS);
+    let not_wanted_here =
+        given_up || is_unwanted(job, machine, attempt) || is_abandoned(machine, attempt);
     if not_wanted_here && proven_absent(machine, fencing_token, attempt) {
         return Some(PlacementEnd::ProvenAbsent);
     }
--- a/src/coordination/scheduler/gang_reservations.rs
+++ b/src/coordination/scheduler/gang_reservations.rs
@@ -119,9 +119,9 @@
     machines
 }
 
-/// Selects one machine per waiting task of a gang, the least loaded first. If the gang must run in one
-/// zone, the zone with the lowest total load of its selection is chosen. `None` if there are too
-/// few machines.
+/// Selects one machine per waiting task of a gang, the least loaded first. If the gang must run in
+/// one zone, the zone with the lowest total load of its selection is chosen. `None` if there are
+/// too few machines.
 fn least_loaded_machines(
     cluster: &ClusterState,
     gang: JobRef,
--- a/src/coordination/scheduler/gangs.rs
+++ b/src/coordination/scheduler/gangs.rs
@@ -112,8 +112,8 @@
     pull_ms: u64,
 }
 
-/// Selects a machine for each waiting task of a gang, all in one zone if the job requires it. Among the
-/// zones, the zone in which the gang can start first is chosen. `None` if the gang fits nowhere.
+/// Selects a machine for each waiting task of a gang, all in one zone if the job requires it. Among
+/// the zones, the zone in which the gang can start first is chosen. `None` if the gang fits nowhere.
 fn select_gang_machines<'a>(
     pass: &PassContext<'a>,
     gang: JobRef,
@@ -175,8 +175,8 @@
     reservation.is_some_and(|reserved| reserved.gang != gang.index && reserved.is_active(pass.now))
 }
 
-/// Selects one slot per waiting task of the gang: the shortest image pull first, then spot machines before
-/// on-demand machines. `None` if there are too few slots.
+/// Selects one slot per waiting task of the gang: the shortest image pull first, then spot machines
+/// before on-demand machines. `None` if there are too few slots.
 fn fastest_slots<'a>(
     pass: &PassContext,
     gang: JobRef,
--- a/src/coordination/scheduler/staging.rs
+++ b/src/coordination/scheduler/staging.rs
@@ -56,7 +56,8 @@
 /// True if the staging of a gang may begin: all controllers know staged gangs, and no other gang is
 /// being staged, so that two gangs don't each hold a part of what both need.
 fn may_begin(pass: &PassContext, draft: &DraftTransaction) -> bool {
-    let in_progress = |job: &Job| job.is_staged() && !is_stalled(pass, job);
+    let is_stalled = |job: &Job| job.is_staging_stalled(pass.wall_ms, STAGING_TIMEOUT_MS);
+    let in_progress = |job: &Job| job.is_staged() && !is_stalled(job);
     pass.cluster.all_controllers_read(RECORD_FORMAT_V3)
         && !draft.jobs.values().any(Job::is_staged)
         && !pass.cluster.active_jobs().any(|(_, job)| in_progress(job))
@@ -119,7 +120,10 @@
 
 /// Abandons the staging of a gang that has made no step for too long.
 pub(super) fn abandon_if_stalled(pass: &PassContext, draft: &mut DraftTransaction, gang: JobRef) {
-    if is_stalled(pass, gang.job) {
+    if gang
+        .job
+        .is_staging_stalled(pass.wall_ms, STAGING_TIMEOUT_MS)
+    {
         abandon(pass, draft, gang.index);
     }
 }
@@ -159,11 +163,6 @@
     draft.jobs.iter().filter_map(describe).collect()
 }
 
-fn is_stalled(pass: &PassContext, job: &Job) -> bool {
-    job.staged
-        .is_some_and(|staged| pass.wall_ms.saturating_sub(staged.last_step_at) > STAGING_TIMEOUT_MS)
-}
-
 /// Sort key of staged gangs. All controllers derive the same order, so of two gangs that each hold a
 /// part of what both need, one goes on.
 fn precedence(job: &Job) -> (Priority, u64, &str) {
--- a/src/state/staged_gang.rs
+++ b/src/state/staged_gang.rs
@@ -2,6 +2,7 @@
 
 use super::job::Job;
 use super::names::ShardIndex;
+use super::staged_attempt::StagedAttempt;
 
 impl Job {
     /// True while the gang's attempt is recorded in part, so that none of its tasks may start.
@@ -9,6 +10,12 @@
         self.staged.is_some() && self.is_open()
     }
 
+    /// True if the gang is staged and its latest step was more than `timeout_ms` ago.
+    pub fn is_staging_stalled(&self, wall_ms: u64, timeout_ms: u64) -> bool {
+        let since_step = |staged: StagedAttempt| wall_ms.saturating_sub(staged.last_step_at);
+        self.is_staged() && self.staged.map(since_step) > Some(timeout_ms)
+    }
+
     /// Number of tasks that are charged to the team's quota: those with a placement, and all tasks
     /// of a staged gang.
     pub fn charged_tasks(&self) -> u32 {
--- a/tests/staged_gangs.rs
+++ b/tests/staged_gangs.rs
@@ -7,10 +7,11 @@
 use pointhook::coordination::kv::{set, transaction, CommitOutcome};
 use pointhook::protocol::kv::{Limits, Transaction};
 use pointhook::protocol::users::{JobKind, JobSpec};
-use pointhook::state::cluster_state::ClusterState;
+use pointhook::state::cluster_state::{ClusterState, JobFailures};
 use pointhook::state::job::JobRecord;
 use pointhook::state::names::TeamIndex;
 use pointhook::state::records::{ControllerRecord, RECORD_FORMAT_V2};
+use pointhook::state::units::MonotonicMillis;
 use support::job;
 use support::kv_store::FakeKvStore;
 use support::simulated_cluster::SimulatedCluster;
@@ -255,6 +256,27 @@
     assert_eq!(started(&workers), 140);
 }
 
+/// Guards against a staged gang that keeps its machines for good because its planner can't end the
+/// staging: the owners of its machines remove the placements.
+#[test]
+fn a_staged_gang_without_a_planner_loses_its_placements() {
+    let (mut store, mut controller, mut workers) = controller_with_machines(MACHINES);
+    controller.submit(&mut store, gang("job-1", WIDE), 100);
+    commit_step(&mut store, &mut controller, 100);
+    // No steps are planned for a job that is backed off.
+    let job_index = controller.job_index("job-1");
+    let failures = JobFailures {
+        retry_at: MonotonicMillis(60_000),
+        ..JobFailures::default()
+    };
+    controller.cluster.failures.insert(job_index, failures);
+    heartbeats(&mut store, &mut controller, &mut workers, 500, 30_000);
+    assert!(controller.job("job-1").is_staged());
+    heartbeats(&mut store, &mut controller, &mut workers, 30_000, 34_000);
+    assert!(controller.job("job-1").placements.is_empty());
+    assert_eq!(started(&workers), 0);
+}
+
 /// Guards against two gangs that each hold a part of what both need.
 #[test]
 fn of_two_staged_gangs_the_younger_yields() {
