Log lines and counts of permits, starts, stops, final answers and incomplete requests

Cause: the records of the incident can't tell on what a final answer rested, nor who started a task under which token. Change: one event each for a permit, a start or stop that is sent (path, attempt, agent epoch, token, revision, age of the view), a final state, a refusal for good, and a body that did not arrive as a whole (reason, bytes, time); details at debug, counts once a minute at info. The body of a request is received in a module of its own, which names the reason. No answer changes.

--- a/src/coordination/cancellations/direct_stops.rs
+++ b/src/coordination/cancellations/direct_stops.rs
@@ -9,6 +9,7 @@
 //! Each round of the background task calls `stop_due_tasks`.
 
 use crate::coordination::controller::{tasks, Controller};
+use crate::coordination::scheduler::command_log::{self, CommandBasis, CommandPath};
 use crate::coordination::scheduler::config::SchedulerConfig;
 use crate::coordination::worker_connectivity::direct_commands;
 use crate::protocol::workers::{Command, DirectCommands, Heartbeat, TaskState};
@@ -210,5 +211,12 @@
         cancelled.addr,
         cancelled.tasks
     );
+    let basis = CommandBasis {
+        machine: &status.machine,
+        agent_epoch: commands.agent_epoch,
+        fencing_token: commands.fencing_token,
+        revision: controller.cluster.borrow().revision,
+    };
+    command_log::record(&controller, CommandPath::Direct, &basis, &commands.commands);
     worker.send(&commands).await;
 }
--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -15,6 +15,7 @@
 pub mod worker_connections;
 pub mod worker_reachability;
 
+use crate::coordination::event_counts::EventCounts;
 use crate::coordination::kv::client::KvClient;
 use crate::coordination::metrics::Metrics;
 use crate::coordination::replication::streams::Replication;
@@ -98,6 +99,8 @@
     pub worker_connections: WorkerConnections,
     /// Poll durations of the background tasks and request handlers.
     pub metrics: Metrics,
+    /// Counts of starts, stops, final responses and incomplete requests.
+    pub events: EventCounts,
     /// Executor of the background tasks.
     pub executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
@@ -194,6 +197,7 @@
             owned_since: RefCell::default(),
             worker_connections: WorkerConnections::new(shared.process.worker_connections()),
             metrics: Metrics::new(log::log_enabled!(log::Level::Debug)),
+            events: EventCounts::default(),
             executor,
             clock: Clock::new(monotonic),
             worker_reachability: Cell::new(WorkerReachability::new(lease_ms)),
@@ -301,6 +305,15 @@
         any
     }
 
+    /// Milliseconds since the cached state was last up to date with the key-value store, as a field
+    /// of log lines; `none` before the first read.
+    pub fn view_age(&self) -> String {
+        match self.view_updated_at.get() {
+            Some(at) => self.now().since(at).to_string(),
+            None => "none".to_string(),
+        }
+    }
+
     /// Logs a warning that a client can trigger without limit, at most once in ten seconds.
     pub fn warn_rate_limited(&self, message: &str) {
         self.warnings.warn(self.now(), message);
--- a/src/coordination/failover/permits.rs
+++ b/src/coordination/failover/permits.rs
@@ -4,6 +4,7 @@
 use super::observation::ShardView;
 use super::restore;
 use crate::coordination::controller::Controller;
+use crate::coordination::event_counts::CountedEvent;
 use crate::state::names::{Index, ShardIndex};
 use standby::failover::{FailoverState, Failovers, Refusal, Transition};
 use standby::ids::{Millis, Revision, ShardId};
@@ -30,11 +31,31 @@
     }
     for transition in &transitions {
         if let FailoverState::Active { .. } = transition.to {
+            record_permit(controller, transition.shard.into());
             restore::restore(controller, transition.shard.into());
         }
     }
 }
 
+/// Counts and logs a permit: from now on this controller decides for the shard.
+fn record_permit(controller: &Controller, shard: ShardIndex) {
+    let failovers = controller.failovers.borrow();
+    let Some(permit) = failovers.permits().get(shard.into()) else {
+        return;
+    };
+    controller.events.add(CountedEvent::PermitIssued, 1);
+    log::info!(
+        "permit issued: shard={} controller={} fencing_token={} fence_revision={} revision={} \
+         view_age_ms={}",
+        shard.0,
+        controller.config.controller_name,
+        permit.fencing_token(),
+        permit.fence_revision().0,
+        controller.cluster.borrow().revision,
+        controller.view_age()
+    );
+}
+
 fn update_failovers(controller: &Controller) -> Vec<Transition> {
     let now = controller.now();
     let cluster = controller.cluster.borrow();
--- a/src/coordination/heartbeats/handler.rs
+++ b/src/coordination/heartbeats/handler.rs
@@ -8,7 +8,9 @@
 use super::respond::respond;
 use crate::coordination::controller::Controller;
 use crate::coordination::failover;
-use crate::protocol::workers::{Heartbeat, NotOwner};
+use crate::coordination::scheduler::command_log::{self, CommandBasis, CommandPath};
+use crate::protocol::workers::{Command, Heartbeat, NotOwner};
+use crate::state::cluster_state::ClusterState;
 use crate::state::names::MachineIndex;
 use crate::state::units::millis_from_seconds;
 use crate::transport::http::ServerResponse;
@@ -90,7 +92,26 @@
     let mut cluster = controller.cluster.borrow_mut();
     let now = controller.now();
     match respond(&mut cluster, &controller.config, &permits, accepted, now) {
-        Some(response) => ServerResponse::with_body(200, &response),
+        Some(response) => {
+            record_commands(controller, &cluster, accepted, &response.commands);
+            ServerResponse::with_body(200, &response)
+        }
         None => not_owner(None),
     }
 }
+
+/// Counts and logs the starts and stops in a response, with what they rest on.
+fn record_commands(
+    controller: &Controller,
+    cluster: &ClusterState,
+    accepted: &AcceptedHeartbeat,
+    commands: &[Command],
+) {
+    let basis = CommandBasis {
+        machine: &accepted.heartbeat.machine,
+        agent_epoch: accepted.heartbeat.agent_epoch,
+        fencing_token: accepted.fencing_token,
+        revision: cluster.revision,
+    };
+    command_log::record(controller, CommandPath::Response, &basis, commands);
+}
--- a/src/coordination/job_api/mod.rs
+++ b/src/coordination/job_api/mod.rs
@@ -8,11 +8,13 @@
 //! so that a user who queries another controller never sees an earlier state of a job than before.
 
 mod cancellation;
+mod incomplete_requests;
 mod responses;
 mod retries;
 mod submission;
 
 use crate::coordination::controller::Controller;
+use crate::coordination::event_counts::CountedEvent;
 use crate::coordination::heartbeats;
 use crate::coordination::kv::fresh_reads::REFRESH_TIMEOUT_MS;
 use crate::protocol::users::valid_id;
@@ -64,24 +66,47 @@
 
 /// Handles a request of a user, a worker or a health check.
 pub async fn handle(controller: Rc<Controller>, request: ServerRequest) -> ServerResponse {
+    if let Err(incomplete) = &request.body {
+        incomplete_requests::record(&controller, &request.path, incomplete);
+    }
+    let path = request.path.clone();
+    let response = handle_route(&controller, request).await;
+    if responses::is_final_refusal(response.status) {
+        record_final_refusal(&controller, &path, response.status);
+    }
+    response
+}
+
+/// Counts and logs a response after which a user does not repeat the request.
+fn record_final_refusal(controller: &Controller, path: &str, status: u16) {
+    controller.events.add(CountedEvent::FinalRefusal, 1);
+    log::debug!(
+        "request refused for good: path={path:?} status={status} revision={} view_age_ms={}",
+        controller.cluster.borrow().revision,
+        controller.view_age()
+    );
+}
+
+/// Calls the handler of the request's endpoint, and measures its duration.
+async fn handle_route(controller: &Rc<Controller>, request: ServerRequest) -> ServerResponse {
     let path: Vec<&str> = request.path.trim_start_matches('/').split('/').collect();
     let metrics = &controller.metrics;
     match Route::of(&path, request.method) {
-        Route::HealthCheck => metrics.time("health checks", || health(&controller)),
+        Route::HealthCheck => metrics.time("health checks", || health(controller)),
         Route::Heartbeat => {
-            let work = heartbeats::handle(&controller, request.body);
+            let work = heartbeats::handle(controller, request.body.ok());
             metrics.time_polls("heartbeats", work).await
         }
         Route::SubmitJob => {
-            let work = submission::submit(&controller, request.body);
+            let work = submission::submit(controller, request.body.ok());
             metrics.time_polls("submissions", work).await
         }
         Route::JobStatus { id } => {
-            let work = job_status(&controller, id);
+            let work = job_status(controller, id);
             metrics.time_polls("job status requests", work).await
         }
         Route::CancelJob { id } => {
-            let work = cancellation::cancel(&controller, id);
+            let work = cancellation::cancel(controller, id);
             metrics.time_polls("cancellations", work).await
         }
         Route::MethodNotAllowed => ServerResponse::empty(status::METHOD_NOT_ALLOWED),
--- a/src/coordination/job_api/responses.rs
+++ b/src/coordination/job_api/responses.rs
@@ -1,6 +1,7 @@
 //! Responses to users' requests.
 
 use crate::coordination::controller::Controller;
+use crate::coordination::event_counts::CountedEvent;
 use crate::protocol::users::JobStatus;
 use crate::state::cluster_state::ClusterState;
 use crate::state::job::Job;
@@ -24,6 +25,15 @@
     pub const UNAVAILABLE: u16 = 503;
 }
 
+/// True for a status after which a user does not repeat the request, and which says nothing about a
+/// job's state.
+pub(super) fn is_final_refusal(status: u16) -> bool {
+    matches!(
+        status,
+        status::BAD_REQUEST | status::NOT_FOUND | status::UNPROCESSABLE
+    )
+}
+
 /// `Retry-After` of a response to a request that can't be served at present, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -72,5 +82,16 @@
 pub(super) fn final_state(controller: &Controller, id: &str) -> Option<ServerResponse> {
     let cluster = controller.cluster.borrow();
     let (_, job) = cluster.job(id)?;
-    (!job.is_open()).then(|| job_state(status::OK, job))
+    if job.is_open() {
+        return None;
+    }
+    controller.events.add(CountedEvent::FinalState, 1);
+    log::debug!(
+        "final state answered: job={id} status={} version={} revision={} view_age_ms={}",
+        ClusterState::job_status(job).0,
+        job.version,
+        cluster.revision,
+        controller.view_age()
+    );
+    Some(job_state(status::OK, job))
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod autoscaler;
 pub mod cancellations;
 pub mod controller;
+pub mod event_counts;
 pub mod failover;
 pub mod heartbeats;
 pub mod job_api;
--- a/src/coordination/peer_messages/status_updates.rs
+++ b/src/coordination/peer_messages/status_updates.rs
@@ -26,6 +26,8 @@
 const MACHINES_PER_STATUS: usize = 128;
 /// Rounds between two log lines on utilization.
 const UTILIZATION_LOG_ROUNDS: u64 = 15;
+/// Rounds between two log lines with the counts of events.
+const EVENT_LOG_ROUNDS: u64 = 60;
 
 /// Background task: updates queues, gang reservations and preemptions, and broadcasts the status.
 pub async fn run(controller: Rc<Controller>) {
@@ -34,6 +36,9 @@
         if round.is_multiple_of(UTILIZATION_LOG_ROUNDS) {
             utilization_log::write(&controller);
         }
+        if round.is_multiple_of(EVENT_LOG_ROUNDS) {
+            utilization_log::write_event_counts(&controller);
+        }
         queues::prune_queues(&controller);
         gang_reservations::reserve_for_gangs(&controller);
         preempt_for_waiting(&controller);
--- a/src/coordination/peer_messages/utilization_log.rs
+++ b/src/coordination/peer_messages/utilization_log.rs
@@ -36,6 +36,13 @@
     }
 }
 
+/// Writes the log line with the counts of events since the last such line.
+pub(super) fn write_event_counts(controller: &Controller) {
+    if let Some(summary) = controller.events.take_summary() {
+        log::info!("events counted: {summary}");
+    }
+}
+
 fn log_utilization(controller: &Controller) {
     let cluster = controller.cluster.borrow();
     for (index, machine_type) in &cluster.machine_types {
--- a/src/coordination/scheduler/direct_start_delivery.rs
+++ b/src/coordination/scheduler/direct_start_delivery.rs
@@ -5,6 +5,7 @@
 use crate::coordination::controller::Controller;
 use crate::coordination::failover;
 use crate::coordination::heartbeats::{self, StatusSource};
+use crate::coordination::scheduler::command_log::{self, CommandBasis, CommandPath};
 use crate::coordination::scheduler::direct_starts::{
     direct_starts, record_direct_start_outcome, DirectStart, DirectStartOutcome,
 };
@@ -34,6 +35,7 @@
         reserve_connection,
     );
     for (start, connection) in starts.into_iter().zip(connections) {
+        record_commands(controller, &start);
         let delivery = deliver(controller.clone(), start);
         let task = async move {
             delivery.await;
@@ -43,6 +45,18 @@
     }
 }
 
+/// Counts and logs direct starts that are about to be sent.
+fn record_commands(controller: &Controller, start: &DirectStart) {
+    let cluster = controller.cluster.borrow();
+    let basis = CommandBasis {
+        machine: cluster.machine_names.name(start.machine),
+        agent_epoch: start.agent_epoch,
+        fencing_token: start.fencing_token,
+        revision: cluster.revision,
+    };
+    command_log::record(controller, CommandPath::Direct, &basis, &start.commands);
+}
+
 async fn deliver(controller: Rc<Controller>, start: DirectStart) {
     let Ok(addr) = start.addr.parse() else {
         return;
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -21,6 +21,7 @@
 pub mod bin_packing;
 pub mod binding;
 pub mod claims;
+pub mod command_log;
 pub mod commands;
 pub mod config;
 mod direct_start_delivery;
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -8,6 +8,7 @@
 //! machine.
 
 use super::message::{requests_close, send, Stream, MESSAGE_PACK};
+use super::request_body::{read_body, IncompleteBody};
 use super::request_reading::PrefetchedStream;
 use crate::transport::executor_priorities::ExecutorPriorities;
 use crate::transport::{disable_nagle, sleep, within, ConnectionSlot};
@@ -15,8 +16,7 @@
 use async_executor::LocalExecutor;
 use async_h1::server::Encoder;
 use async_io::Async;
-use futures_lite::AsyncReadExt;
-use http_types::{Body, Method, Request, Response, StatusCode};
+use http_types::{Body, Method, Response, StatusCode};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
@@ -26,13 +26,9 @@
 const IDLE_TIMEOUT_MS: u64 = 75_000;
 /// Longest time to receive, handle and respond to a request, ms.
 const REQUEST_TIMEOUT_MS: u64 = 15_000;
-/// Longest time to receive the body of a request, ms.
-const BODY_TIMEOUT_MS: u64 = 4000;
 /// Delay after a failed accept, ms: when the process is out of sockets, it waits for some to close
 /// instead of retrying in a busy loop.
 const ACCEPT_RETRY_MS: u64 = 100;
-/// Maximum size of a request body; handlers receive a larger one as `None`.
-pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
 const BAD_REQUEST: u16 = 400;
 const INTERNAL_ERROR: u16 = 500;
@@ -46,8 +42,8 @@
     pub path: String,
     /// Query string without the question mark; empty if there is none.
     pub query: String,
-    /// Body; `None` if it was too large, timed out or could not be read.
-    pub body: Option<Vec<u8>>,
+    /// Body, if it was received as a whole.
+    pub body: Result<Vec<u8>, IncompleteBody>,
 }
 
 /// The response of a handler.
@@ -255,11 +251,9 @@
     let Some((mut request, _)) = async_h1::server::decode(prefetched).await? else {
         return Ok(None);
     };
-    let body = within(BODY_TIMEOUT_MS, read_body(&mut request))
-        .await
-        .flatten();
+    let body = read_body(&mut request).await;
     // The unread remainder of a body is not drained; the connection is closed instead.
-    let close = body.is_none() || requests_close(request.header("Connection"));
+    let close = body.is_err() || requests_close(request.header("Connection"));
     let request = ServerRequest {
         method: request.method(),
         path: request.url().path().to_string(),
@@ -269,18 +263,6 @@
     Ok(Some(ReceivedRequest { request, close }))
 }
 
-/// Reads the body of a request; `None` if it is too large or can't be read.
-async fn read_body(request: &mut Request) -> Option<Vec<u8>> {
-    if request.len().is_some_and(|length| length > MAX_BODY_BYTES) {
-        return None;
-    }
-    let mut bytes = Vec::with_capacity(request.len().unwrap_or(0));
-    // Reads one byte more than allowed, to tell a body that is too large from one that just fits.
-    let mut body = request.take_body().take(MAX_BODY_BYTES as u64 + 1);
-    body.read_to_end(&mut bytes).await.ok()?;
-    (bytes.len() <= MAX_BODY_BYTES).then_some(bytes)
-}
-
 fn to_http_response(response: ServerResponse, close: bool) -> Response {
     let status = StatusCode::try_from(response.status).unwrap_or(StatusCode::InternalServerError);
     let mut http_response = Response::new(status);
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -2,19 +2,16 @@
 
 mod support;
 
-use async_executor::LocalExecutor;
 use futures_lite::future::{block_on, or};
 use http_types::Method;
 use pointhook::coordination::controller::Controller;
 use pointhook::coordination::job_api::handle;
-use pointhook::features::Features;
-use pointhook::protocol::cloud::MachineTypeCatalog;
 use pointhook::protocol::users::{JobSpec, MAX_DEPENDENCIES};
-use pointhook::settings::{OperatorSettings, PlatformSettings};
 use pointhook::state::job::JobRecord;
 use pointhook::transport::http::{ServerRequest, ServerResponse};
 use std::rc::Rc;
-use support::{cloud, job};
+use support::job;
+use support::loopback_controller::loaded_controller;
 
 /// Result of a fresh read.
 #[derive(Clone, Copy, PartialEq)]
@@ -27,28 +24,6 @@
     Job(&'static str),
 }
 
-/// A controller that has read the records and knows the machine types. Nothing listens at the
-/// address of its key-value store.
-fn controller(record_format_v2: bool) -> Rc<Controller> {
-    let settings = include_str!("../examples/local_cluster.toml").replace("7483", "1");
-    let platform: PlatformSettings = toml::from_str(&settings).expect("settings");
-    let executor = Rc::new(LocalExecutor::new());
-    let controller = Rc::new(Controller::new(
-        platform,
-        OperatorSettings::default(),
-        Features::default(),
-        executor,
-    ));
-    let mut cluster = controller.cluster.borrow_mut();
-    cluster.loaded = true;
-    cluster.record_format_v2 = record_format_v2;
-    cluster.set_machine_types(&MachineTypeCatalog {
-        types: vec![cloud::machine_type()],
-    });
-    drop(cluster);
-    controller
-}
-
 /// Serves fresh reads as scripted, for as long as it is polled.
 async fn serve_reads(controller: &Controller, read: FreshRead) -> ServerResponse {
     loop {
@@ -68,7 +43,7 @@
         method: Method::Post,
         path: "/v1/jobs".into(),
         query: String::new(),
-        body: rmp_serde::to_vec_named(spec).ok(),
+        body: Ok(rmp_serde::to_vec_named(spec).expect("a description")),
     };
     block_on(or(
         handle(controller.clone(), request),
@@ -85,7 +60,7 @@
 
 #[test]
 fn an_unknown_id_is_refused_permanently_only_after_a_fresh_read() {
-    let controller = controller(true);
+    let controller = loaded_controller(true);
     let unknown = job_with_dependencies(&["job-1"]);
     assert_eq!(
         submit(&controller, &unknown, FreshRead::Nothing).status,
@@ -103,14 +78,14 @@
 
 #[test]
 fn dependencies_are_accepted_only_in_record_format_v2_and_as_many_as_a_record_holds() {
-    let format_v1 = controller(false);
+    let format_v1 = loaded_controller(false);
     let spec = job_with_dependencies(&["job-1"]);
     for read in [FreshRead::Nothing, FreshRead::Job("job-1")] {
         let answer = submit(&format_v1, &spec, read);
         assert_eq!(answer.status, 503);
         assert!(answer.retry_after_s.is_some());
     }
-    let format_v2 = controller(true);
+    let format_v2 = loaded_controller(true);
     let ids: Vec<String> = (1..=MAX_DEPENDENCIES + 1)
         .map(|n| format!("job-{}", 100 + n))
         .collect();
@@ -127,7 +102,7 @@
 
 #[test]
 fn a_repeated_submission_is_answered_whatever_became_of_its_dependencies() {
-    let controller = controller(true);
+    let controller = loaded_controller(true);
     let spec = job_with_dependencies(&["job-1"]);
     let record = JobRecord::submitted(spec.clone(), 0);
     controller.cluster.borrow_mut().put_job("job-9", 1, &record);
