--- a/crates/testkit/src/failover_measurement/interruption.rs
+++ b/crates/testkit/src/failover_measurement/interruption.rs
@@ -41,6 +41,12 @@
     let owner = &mut controllers[target.owner];
     let failover_time = match interruption {
         Interruption::Kill => Some(kill_owner(cluster, owner, &target).await?),
+        Interruption::QuickRestart { ms } => {
+            owner.kill()?;
+            sleep(ms).await;
+            owner.restart()?;
+            None
+        }
         Interruption::Pause { ms } => pause_owner(cluster, owner, &target, ms).await?,
     };
     sleep(RECOVERY_MS).await;
--- a/crates/testkit/src/failover_measurement/mod.rs
+++ b/crates/testkit/src/failover_measurement/mod.rs
@@ -4,10 +4,11 @@
 mod batch;
 mod interruption;
 
-use self::batch::Batch;
+use self::batch::{Batch, SUBMIT_INTERVAL_MS};
 use self::interruption::interrupt;
 use crate::checker::{check, Violation};
 use crate::history::{Entry, Event};
+use crate::network::faults::FaultRates;
 use crate::network::{self, LoopbackCluster, WorkerConfig};
 use crate::process::{
     create_work_dir, remove_work_dir, ControllerAddresses, ControllerProcess, Deployment,
@@ -22,6 +23,10 @@
 
 /// Run time of a task.
 const TASK_RUN_MS: u64 = 1200;
+/// Run time of a task while there are faults: long enough to meet messages that are held up.
+const TASK_RUN_WITH_FAULTS_MS: u64 = 8000;
+/// Time between the submissions of two jobs while there are faults.
+const SUBMIT_INTERVAL_WITH_FAULTS_MS: u64 = 1500;
 /// Time that a task takes to pull its image.
 const IMAGE_PULL_MS: u64 = 100;
 /// Duration of a worker's lease.
@@ -43,6 +48,11 @@
 pub enum Interruption {
     /// The controller process is killed, and restarted after the failover.
     Kill,
+    /// The controller process is killed, and restarted after this time, whoever leads then.
+    QuickRestart {
+        /// Time until the restart, in milliseconds.
+        ms: u64,
+    },
     /// The controller process is paused, and resumed after this time.
     Pause {
         /// Duration of the pause, in milliseconds.
@@ -61,8 +71,10 @@
     pub controllers: usize,
     /// Interruptions, carried out one after the other.
     pub interruptions: Vec<Interruption>,
-    /// Seed of the random choices of interruptions and submissions.
+    /// Seed of the random choices of interruptions, submissions and faults.
     pub seed: u64,
+    /// Faults of messages and machines during the interruptions; `None`: there are none.
+    pub faults: Option<FaultRates>,
 }
 
 /// Result of a measurement: failover times, history and violations.
@@ -75,6 +87,8 @@
     pub history: Vec<Entry>,
     /// Violations of invariants in the history.
     pub violations: Vec<Violation>,
+    /// Number of faults of messages and machines.
+    pub faults: u64,
 }
 
 impl Measurement {
@@ -130,14 +144,27 @@
 ) -> Result<Measurement, MeasurementError> {
     let mut rng = fastrand::Rng::with_seed(options.seed);
     let (cluster, mut controllers) = start_deployment(options, work_dir, &executor)?;
-    let batch = Rc::new(Batch::new(cluster.clone(), &controllers, rng.u64(..)));
+    let submit_interval_ms = match options.faults {
+        Some(_) => SUBMIT_INTERVAL_WITH_FAULTS_MS,
+        None => SUBMIT_INTERVAL_MS,
+    };
+    let batch = Rc::new(Batch::new(
+        cluster.clone(),
+        &controllers,
+        submit_interval_ms,
+        rng.u64(..),
+    ));
     let submitting = executor.spawn(batch.clone().submit_jobs(executor.clone()));
     let mut failover_times_ms = Vec::new();
+    if let Some(rates) = options.faults {
+        cluster.faults.start(rates, rng.u64(..));
+    }
     for interruption in &options.interruptions {
         let time = interrupt(&cluster, &mut controllers, *interruption, &mut rng).await?;
         failover_times_ms.push(time);
     }
     submitting.cancel().await;
+    cluster.faults.stop();
     let finished = batch.wait_until_done().await;
     let history = cluster.recorder.borrow().entries().to_vec();
     let violations = check(&history);
@@ -148,6 +175,7 @@
         failover_times_ms,
         history,
         violations,
+        faults: cluster.faults.drawn(),
     })
 }
 
@@ -176,7 +204,10 @@
         controllers: addresses.iter().map(|a| a.endpoint()).collect(),
         heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
         image_pull_ms: IMAGE_PULL_MS,
-        run_ms: TASK_RUN_MS,
+        run_ms: match options.faults {
+            Some(_) => TASK_RUN_WITH_FAULTS_MS,
+            None => TASK_RUN_MS,
+        },
         lease_ms: LEASE_MS,
         verbose: false,
     }));
--- a/crates/testkit/src/history.rs
+++ b/crates/testkit/src/history.rs
@@ -75,6 +75,18 @@
     },
 }
 
+impl Event {
+    /// The task that the event is about, as `job/index`; `None` if it is about no single task.
+    pub fn task(&self) -> Option<&str> {
+        match self {
+            Event::TaskClaimed { task, .. }
+            | Event::TaskStarted { task, .. }
+            | Event::TaskCompleted { task, .. } => Some(task),
+            _ => None,
+        }
+    }
+}
+
 /// Event of a history with its time.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Entry {
--- a/crates/testkit/src/network/kv_service.rs
+++ b/crates/testkit/src/network/kv_service.rs
@@ -1,6 +1,7 @@
 //! HTTP interface of the fake key-value store.
 
-use super::{query_field, LoopbackCluster};
+use super::faults::Delivery;
+use super::{leave_unanswered, query_field, Executor, LoopbackCluster};
 use crate::kv_store::KvResponse;
 
 use http_types::Method;
@@ -14,7 +15,11 @@
 const WATCH_POLL_INTERVAL_MS: u64 = 10;
 
 /// Handles an HTTP request to the key-value store, after revoking expired leases.
-pub(super) async fn handle(cluster: Rc<LoopbackCluster>, request: ServerRequest) -> ServerResponse {
+pub(super) async fn handle(
+    cluster: Rc<LoopbackCluster>,
+    executor: Executor,
+    request: ServerRequest,
+) -> ServerResponse {
     let path = request.path.clone();
     let path: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     cluster
@@ -22,7 +27,7 @@
         .borrow_mut()
         .expire_leases(cluster.now_ms());
     match (request.method, path.as_slice()) {
-        (Method::Post, ["commit"]) => commit(&cluster, request),
+        (Method::Post, ["commit"]) => commit_with_faults(&cluster, &executor, request).await,
         (Method::Post, ["grants"]) => grant_lease(&cluster, request),
         (Method::Post, ["grants", id, "touch"]) => renew_lease(&cluster, id),
         (Method::Get, ["keys"]) => read_page(&cluster, &request.query),
@@ -31,6 +36,29 @@
     }
 }
 
+async fn commit_with_faults(
+    cluster: &Rc<LoopbackCluster>,
+    executor: &Executor,
+    request: ServerRequest,
+) -> ServerResponse {
+    match cluster.faults.transaction() {
+        Delivery::Late { ms } => {
+            let late_cluster = cluster.clone();
+            let late = async move {
+                sleep(ms).await;
+                commit(&late_cluster, request);
+            };
+            executor.spawn(late).detach();
+            leave_unanswered().await
+        }
+        Delivery::AnswerLost => {
+            commit(cluster, request);
+            leave_unanswered().await
+        }
+        Delivery::Normal | Delivery::Twice { .. } => commit(cluster, request),
+    }
+}
+
 fn commit(cluster: &LoopbackCluster, request: ServerRequest) -> ServerResponse {
     let body = request.body.unwrap_or_default();
     let Ok(transaction) = rmp_serde::from_slice::<Transaction>(&body) else {
--- a/crates/testkit/src/network/mod.rs
+++ b/crates/testkit/src/network/mod.rs
@@ -2,6 +2,7 @@
 //! history of the run.
 
 mod cloud_service;
+pub mod faults;
 mod kv_service;
 mod worker_loop;
 
@@ -9,12 +10,14 @@
 use crate::history::Recorder;
 use crate::kv_store::FakeKvStore;
 use crate::worker::FakeWorker;
+use faults::Faults;
 
 use async_executor::LocalExecutor;
 use async_io::Async;
-use pointhook::transport::http::serve;
+use pointhook::transport::http::{serve, ServerResponse};
+use pointhook::transport::sleep;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Instant;
@@ -66,6 +69,10 @@
     pub answered_heartbeats: Cell<u64>,
     /// Number of task starts, repeated attempts included.
     pub started_tasks: Cell<u64>,
+    /// Names of all tasks with a result, which all workers share.
+    pub results: Rc<RefCell<HashSet<String>>>,
+    /// Faults of messages and machines; off at first.
+    pub faults: Faults,
     created_at: Instant,
 }
 
@@ -80,6 +87,8 @@
             recorder: RefCell::default(),
             answered_heartbeats: Cell::new(0),
             started_tasks: Cell::new(0),
+            results: Rc::default(),
+            faults: Faults::default(),
             created_at: Instant::now(),
         }
     }
@@ -97,12 +106,12 @@
     kv_listener: Async<TcpListener>,
     cloud_listener: Async<TcpListener>,
 ) {
-    let kv_cluster = cluster.clone();
+    let (kv_cluster, kv_executor) = (cluster.clone(), executor.clone());
     let kv_server = serve(
         executor.clone(),
         kv_listener,
         MAX_CONNECTIONS,
-        move |request| kv_service::handle(kv_cluster.clone(), request),
+        move |request| kv_service::handle(kv_cluster.clone(), kv_executor.clone(), request),
     );
     executor.spawn(kv_server).detach();
     let cloud_executor = executor.clone();
@@ -112,6 +121,15 @@
     .await;
 }
 
+/// Time for which a request that is never answered is held, ms: longer than any caller waits.
+const UNANSWERED_MS: u64 = 20_000;
+
+/// Holds a request until its caller has given up, and answers it with an error.
+async fn leave_unanswered() -> ServerResponse {
+    sleep(UNANSWERED_MS).await;
+    ServerResponse::empty(500)
+}
+
 /// Value of a field of a query string; empty if the field is missing.
 fn query_field<'a>(query: &'a str, name: &str) -> &'a str {
     query
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,9 +1,13 @@
 //! Fake worker: its tasks, fencing token, agent epoch and lease.
 
+use crate::network::faults::Restart;
 use pointhook::protocol::workers::{
     AgentEpoch, Command, DirectCommands, ExitReason, FencingToken, Heartbeat, HeartbeatResponse,
     TaskState, TaskStatus,
 };
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::rc::Rc;
 
 /// Age of a heartbeat above which its response is dropped.
 const RESPONSE_TIMEOUT_MS: u64 = 4000;
@@ -71,8 +75,13 @@
     pub started: Vec<(String, u64)>,
     /// All tasks that completed on the worker, in order.
     pub completed: Vec<String>,
+    /// Names of all tasks with a result, on whichever worker: one that is started again exits as
+    /// done once it has its image.
+    pub results: Rc<RefCell<HashSet<String>>>,
     /// Fault: tasks exit with an error instead of completing.
     pub fails_tasks: bool,
+    /// Fault: the machine does nothing before this time.
+    pub frozen_until_ms: u64,
 }
 
 impl FakeWorker {
@@ -94,7 +103,23 @@
             run_ms: 5000,
             started: Vec::new(),
             completed: Vec::new(),
+            results: Rc::default(),
             fails_tasks: false,
+            frozen_until_ms: 0,
+        }
+    }
+
+    /// Restarts the machine: its tasks are gone.
+    pub fn restart(&mut self, restart: Restart, now_ms: u64) {
+        self.tasks.clear();
+        self.lease_renewed_at_ms = now_ms;
+        match restart {
+            Restart::Anew => {
+                self.agent_epoch = AgentEpoch(1);
+                self.heartbeat_sequence = 0;
+                self.fencing_token = FencingToken(0);
+            }
+            Restart::NextEpoch => self.agent_epoch.0 += 1,
         }
     }
 
@@ -113,6 +138,10 @@
         self.expire_lease(now_ms);
         for task in &mut self.tasks {
             if task.state == TaskState::PullingImage && now_ms >= task.state_ends_at_ms {
+                if self.results.borrow().contains(&task.name) {
+                    task.exit(ExitReason::Done);
+                    continue;
+                }
                 task.state = TaskState::Running;
                 task.state_ends_at_ms += self.run_ms;
             }
@@ -123,6 +152,7 @@
                 task.exit(ExitReason::Error);
             } else {
                 task.exit(ExitReason::Done);
+                self.results.borrow_mut().insert(task.name.clone());
                 self.completed.push(task.name.clone());
             }
         }
--- a/tests/failover_processes.rs
+++ b/tests/failover_processes.rs
@@ -12,6 +12,7 @@
         controllers: 3,
         interruptions,
         seed,
+        faults: None,
     });
     measurement.expect("the measurement is finished")
 }
