Memory of requests that are being received has a bound

Callers saw: a controller that is killed for memory, with all connections to it, by one malformed request or by some hundred slow ones. Cause: the HTTP library reads the lines of a head without a limit and checks the size after each line; and each request that is being received holds up to 104 KB for seconds, whatever machine_limits.mem_mb is. Class: a limit that is checked in one path (the length of a body) and not in the others (its head, the sum over all connections). Change: the server reads the head itself, up to 8 KiB, and gives the library complete heads only (431 above); requests that are being received have a limit by number, from a fifth of mem_mb and 112 KiB each, and one beyond it ends the one that has been received for longest (503), so that slow senders keep nobody out.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,6 +15,7 @@
 use crate::observe_command::{self, ObserveAction, ObserveError};
 use crate::settings::{OperatorSettings, PlatformSettings, SettingsError};
 use crate::transport::executor_priorities::ExecutorPriorities;
+use crate::transport::http::ServerLimits;
 use crate::transport::{frames, http};
 use async_io::Async;
 use clap::{Args, Parser, Subcommand};
@@ -243,11 +244,15 @@
     });
     background.spawn(peer_server).detach();
     let public_controller = controller.clone();
+    let process = &controller.platform.settings.process;
     let public_server = http::serve_prioritized(
         executors.clone(),
         job_api::is_heartbeat_path,
         listeners.public,
-        controller.platform.settings.process.listener_connections(),
+        ServerLimits {
+            connections: process.listener_connections(),
+            receptions: process.receptions(),
+        },
         move |request| job_api::handle(public_controller.clone(), request),
     );
     // Spawned as a task, because the future given to `run` is polled again with each task that runs.
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -178,8 +178,26 @@
 pub struct ProcessLimits {
     /// Maximum number of open sockets.
     pub max_connections: usize,
+    /// Memory of the process, MB.
+    #[serde(default = "default_mem_mb")]
+    pub mem_mb: f64,
 }
 
+fn default_mem_mb() -> f64 {
+    DEFAULT_MEM_MB
+}
+
+/// Memory of a process whose settings name none, MB.
+const DEFAULT_MEM_MB: f64 = 64.0;
+/// KiB in an MB of a million bytes.
+const KIB_PER_MB: f64 = 1e6 / 1024.0;
+/// Part of the memory that requests may take while they are being received.
+const RECEPTION_MEM_FRACTION: f64 = 0.2;
+/// Upper bound of the memory of a request that is being received: its largest body and its buffers.
+const RECEPTION_KIB: f64 = 112.0;
+/// Lower bound of the number of requests that may be received at a time.
+const MIN_RECEPTIONS: usize = 16;
+
 /// Maximum number of connections that peers may open to this controller.
 pub const MAX_PEER_CONNECTIONS: usize = 64;
 /// Sockets reserved for connections to peers, the key-value store and the cloud, with some spare.
@@ -192,6 +210,11 @@
     pub fn worker_connections(&self) -> usize {
         (self.max_connections / 20).clamp(8, 160)
     }
+    /// Maximum number of requests of users and workers that are being received at a time.
+    pub fn receptions(&self) -> usize {
+        let usable_kib = self.mem_mb * KIB_PER_MB * RECEPTION_MEM_FRACTION;
+        ((usable_kib / RECEPTION_KIB) as usize).max(MIN_RECEPTIONS)
+    }
     /// Maximum number of connections that users and workers may open. The other sockets are reserved
     /// for direct commands to workers, the peers, the key-value store and the cloud.
     pub fn listener_connections(&self) -> usize {
@@ -290,6 +313,7 @@
             workers,
             kv,
             cloud,
+            process,
             ..
         } = &self.settings;
         if zones.is_empty() {
@@ -308,6 +332,7 @@
             ("settings.state.write_rps", kv.write_rps),
             ("settings.state.value_kb", kv.value_kb),
             ("settings.cloud.rps", cloud.rps),
+            ("settings.machine_limits.mem_mb", process.mem_mb),
         ])?;
         if kv.txn_ops < MIN_TXN_OPS {
             return Err(InvalidSetting::TooSmall {
--- a/src/transport/http/mod.rs
+++ b/src/transport/http/mod.rs
@@ -2,13 +2,14 @@
 
 mod client;
 mod message;
+mod reception;
 mod request_body;
 mod request_reading;
 mod server;
 
 pub use client::{Client, ClientResponse};
 pub use request_body::{IncompleteBody, IncompleteReason, MAX_BODY_BYTES};
-pub use server::{listen, serve, serve_prioritized, ServerRequest, ServerResponse};
+pub use server::{listen, serve, serve_prioritized, ServerLimits, ServerRequest, ServerResponse};
 
 /// A random delay between half of `ms` and one and a half times `ms`, in ms, so that controllers do
 /// not retry in lockstep.
--- a/src/transport/http/request_reading.rs
+++ b/src/transport/http/request_reading.rs
@@ -1,6 +1,8 @@
-//! Prefetching of a request's first bytes, which detects clients that have already disconnected.
+//! Prefetching of a request's head, which bounds its size and detects clients that have already
+//! disconnected.
 //!
-//! The HTTP server reads each request through a [`PrefetchedStream`].
+//! The HTTP server reads each request through a [`PrefetchedStream`]. The HTTP library is given a
+//! request only once its head is complete, because the library reads a line of any length.
 
 use super::message::Stream;
 use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite};
@@ -9,8 +11,23 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
 
-/// Maximum number of prefetched bytes; nearly all requests are smaller.
+/// Number of bytes that are prefetched at once; nearly all requests are smaller.
 const PREFETCH_BYTES: usize = 2048;
+/// Size that a request's head has to stay below, the same as that of the HTTP library.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// End of a request's head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Why the head of a request was not received.
+#[derive(Debug, thiserror::Error)]
+pub enum HeadError {
+    /// The head is larger than [`MAX_HEAD_BYTES`].
+    #[error("head of the request is too large")]
+    TooLarge,
+    /// The connection failed.
+    #[error(transparent)]
+    Socket(#[from] std::io::Error),
+}
 
 /// Prefetched bytes, and the position of the first one not yet read from the buffer.
 struct PrefetchBuffer {
@@ -42,16 +59,24 @@
 }
 
 impl PrefetchedStream {
-    /// Prefetches the first bytes of a request; `None` if the connection has ended without one, or if
-    /// the client has closed it after sending the request.
+    /// Prefetches the head of a request, and what has arrived of its body. `None` if the connection
+    /// has ended without a request, or if the client has closed it after sending the request.
     ///
     /// The sockets of an overloaded controller hold requests of clients that have already moved on to
     /// another controller. Parsing and handling them would keep it overloaded.
-    pub async fn read(stream: &Stream) -> Result<Option<PrefetchedStream>> {
-        let mut bytes = vec![0; PREFETCH_BYTES];
-        let count = (&**stream).read(&mut bytes).await?;
-        bytes.truncate(count);
-        if count == 0 || is_closed(stream) {
+    pub async fn read(stream: &Stream) -> std::result::Result<Option<PrefetchedStream>, HeadError> {
+        let mut bytes = Vec::new();
+        let mut searched = 0;
+        while !has_complete_head(&bytes, searched) {
+            if bytes.len() >= MAX_HEAD_BYTES {
+                return Err(HeadError::TooLarge);
+            }
+            searched = bytes.len();
+            if read_more(stream, &mut bytes).await? == 0 {
+                return Ok(None);
+            }
+        }
+        if is_closed(stream) {
             return Ok(None);
         }
         Ok(Some(PrefetchedStream {
@@ -61,6 +86,23 @@
     }
 }
 
+/// Appends the next bytes of a connection; 0 if it has ended.
+async fn read_more(stream: &Stream, bytes: &mut Vec<u8>) -> Result<usize> {
+    let start = bytes.len();
+    bytes.resize(start + PREFETCH_BYTES, 0);
+    let count = (&**stream).read(&mut bytes[start..]).await?;
+    bytes.truncate(start + count);
+    Ok(count)
+}
+
+/// True if the end of the head is within its limit and not within the first `searched` bytes.
+fn has_complete_head(bytes: &[u8], searched: usize) -> bool {
+    let unsearched = searched.saturating_sub(HEAD_END.len() - 1);
+    let limit = bytes.len().min(MAX_HEAD_BYTES);
+    let mut windows = bytes[unsearched.min(limit)..limit].windows(HEAD_END.len());
+    windows.any(|window| window == HEAD_END)
+}
+
 /// True if the client has closed the connection.
 fn is_closed(stream: &Stream) -> bool {
     match stream.get_ref().peek(&mut [0]) {
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -4,12 +4,13 @@
 //! it.
 //!
 //! Invariant: an idle connection holds only a socket and a deadline. Memory for a request is
-//! allocated when one arrives, so that hundreds of connections fit into the memory of a small
-//! machine.
+//! allocated when one arrives, and the number of requests that are being received has a bound, so
+//! that hundreds of connections fit into the memory of a small machine.
 
 use super::message::{requests_close, send, Stream, MESSAGE_PACK};
+use super::reception::Receptions;
 use super::request_body::{read_body, IncompleteBody};
-use super::request_reading::PrefetchedStream;
+use super::request_reading::{HeadError, PrefetchedStream};
 use crate::transport::executor_priorities::ExecutorPriorities;
 use crate::transport::{disable_nagle, sleep, within, ConnectionSlot};
 use async_dup::Arc;
@@ -31,9 +32,22 @@
 const ACCEPT_RETRY_MS: u64 = 100;
 
 const BAD_REQUEST: u16 = 400;
+const HEAD_TOO_LARGE: u16 = 431;
 const INTERNAL_ERROR: u16 = 500;
 const UNAVAILABLE: u16 = 503;
 
+/// `Retry-After` of a request that ends because too many are being received, s.
+const RETRY_WHILE_BUSY_S: u32 = 1;
+
+/// Limits of a listener.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ServerLimits {
+    /// Maximum number of open connections.
+    pub connections: usize,
+    /// Maximum number of requests that are being received at a time.
+    pub receptions: usize,
+}
+
 /// A received request, as passed to handlers.
 pub struct ServerRequest {
     /// HTTP method.
@@ -94,7 +108,8 @@
     Async::<TcpListener>::bind(address)
 }
 
-/// Accepts connections forever and handles each in a task of its own, all with the same priority.
+/// Accepts connections forever and handles each in a task of its own, all with the same priority and
+/// without a limit on the requests that are being received.
 pub async fn serve<F, Fut>(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
@@ -109,22 +124,27 @@
         workers: executor,
         ..ExecutorPriorities::default()
     };
-    serve_prioritized(executors, |_| false, listener, max_connections, handler).await;
+    let limits = ServerLimits {
+        connections: max_connections,
+        receptions: max_connections,
+    };
+    serve_prioritized(executors, |_| false, listener, limits, handler).await;
 }
 
 /// Accepts connections forever and handles each in a task of its own. A connection starts on the
 /// user executor and moves to the worker executor after the first request whose path is a worker's.
-/// A new connection is closed at once if `max_connections` are open.
+/// A new connection is closed at once if there are too many.
 pub async fn serve_prioritized<F, Fut>(
     executors: ExecutorPriorities,
     is_worker_path: fn(&str) -> bool,
     listener: Async<TcpListener>,
-    max_connections: usize,
+    limits: ServerLimits,
     handler: F,
 ) where
     F: Fn(ServerRequest) -> Fut + Clone + 'static,
     Fut: Future<Output = ServerResponse> + 'static,
 {
+    let receptions = Receptions::new(limits.receptions);
     let open = Rc::new(Cell::new(0usize));
     loop {
         let (stream, _) = match listener.accept().await {
@@ -135,26 +155,35 @@
                 continue;
             }
         };
-        let Some(slot) = ConnectionSlot::acquire(&open, max_connections) else {
+        let Some(slot) = ConnectionSlot::acquire(&open, limits.connections) else {
             continue;
         };
         disable_nagle(&stream);
-        let stream: Stream = Arc::new(stream);
+        let connection = Connection {
+            stream: Arc::new(stream),
+            receptions: receptions.clone(),
+        };
         let (handler, workers) = (handler.clone(), executors.workers.clone());
-        let connection = async move {
-            if handle_requests(&stream, &handler, is_worker_path).await == ConnectionEnd::HandedOver
-            {
+        let user_connection = async move {
+            let end = handle_requests(&connection, &handler, is_worker_path).await;
+            if end == ConnectionEnd::HandedOver {
                 let worker_connection = async move {
-                    handle_requests(&stream, &handler, |_| false).await;
+                    handle_requests(&connection, &handler, |_| false).await;
                     drop(slot);
                 };
                 workers.spawn(worker_connection).detach();
             }
         };
-        executors.users.spawn(connection).detach();
+        executors.users.spawn(user_connection).detach();
     }
 }
 
+/// An open connection, with the limit on the requests that its listener is receiving.
+struct Connection {
+    stream: Stream,
+    receptions: Rc<Receptions>,
+}
+
 /// Reason why a task no longer handles a connection.
 #[derive(PartialEq, Eq)]
 enum ConnectionEnd {
@@ -169,7 +198,7 @@
 ///
 /// The timeouts end half-open and slow connections.
 async fn handle_requests<F, Fut>(
-    stream: &Stream,
+    connection: &Connection,
     handler: &F,
     is_handover_path: fn(&str) -> bool,
 ) -> ConnectionEnd
@@ -177,9 +206,9 @@
     F: Fn(ServerRequest) -> Fut,
     Fut: Future<Output = ServerResponse>,
 {
-    while let Some(Ok(())) = within(IDLE_TIMEOUT_MS, stream.readable()).await {
+    while let Some(Ok(())) = within(IDLE_TIMEOUT_MS, connection.stream.readable()).await {
         // Boxed so that an idle connection does not hold this future's memory.
-        let handled = Box::pin(handle_request(stream, handler, is_handover_path));
+        let handled = Box::pin(handle_request(connection, handler, is_handover_path));
         match within(REQUEST_TIMEOUT_MS, handled).await {
             Some(Ok(AfterResponse::KeepAlive)) => {}
             Some(Ok(AfterResponse::HandOver)) => return ConnectionEnd::HandedOver,
@@ -203,7 +232,7 @@
 /// separately. The buffers for reading, about 40 KB, are freed before the handler runs, so that
 /// hundreds of waiting requests fit into the memory of a small machine.
 async fn handle_request<F, Fut>(
-    stream: &Stream,
+    connection: &Connection,
     handler: &F,
     is_handover_path: fn(&str) -> bool,
 ) -> Result<AfterResponse, http_types::Error>
@@ -211,16 +240,18 @@
     F: Fn(ServerRequest) -> Fut,
     Fut: Future<Output = ServerResponse>,
 {
-    let received = match Box::pin(receive(stream)).await {
-        Ok(Some(received)) => received,
-        Ok(None) => return Ok(AfterResponse::Close),
-        Err(e) => {
-            // A malformed request is answered with 400; on an I/O error no response can be sent.
-            if e.downcast_ref::<std::io::Error>().is_none() {
-                let bad_request = to_http_response(ServerResponse::empty(BAD_REQUEST), true);
-                send(stream, Encoder::new(bad_request, Method::Get)).await?;
-            }
-            return Ok(AfterResponse::Close);
+    let stream = &connection.stream;
+    let reception = connection.receptions.begin();
+    let received = reception.run(Box::pin(receive(stream))).await;
+    drop(reception);
+    let received = match received {
+        Some(Ok(Some(received))) => received,
+        Some(Ok(None)) => return Ok(AfterResponse::Close),
+        Some(Err(error)) => return refuse(stream, refusal_of(&error)).await,
+        None => {
+            log::debug!("request ended while it was received: newer ones need its memory");
+            let response = ServerResponse::unavailable(RETRY_WHILE_BUSY_S);
+            return refuse(stream, Some(response)).await;
         }
     };
     let ReceivedRequest { request, close } = received;
@@ -235,6 +266,28 @@
     })
 }
 
+/// The response to a request that could not be received; `None` if none can be sent.
+fn refusal_of(error: &http_types::Error) -> Option<ServerResponse> {
+    if let Some(HeadError::TooLarge) = error.downcast_ref() {
+        return Some(ServerResponse::empty(HEAD_TOO_LARGE));
+    }
+    let is_malformed = error.downcast_ref::<std::io::Error>().is_none()
+        && error.downcast_ref::<HeadError>().is_none();
+    is_malformed.then(|| ServerResponse::empty(BAD_REQUEST))
+}
+
+/// Sends the last response of a connection, if there is one.
+async fn refuse(
+    stream: &Stream,
+    response: Option<ServerResponse>,
+) -> Result<AfterResponse, http_types::Error> {
+    if let Some(response) = response {
+        let response = to_http_response(response, true);
+        send(stream, Encoder::new(response, Method::Get)).await?;
+    }
+    Ok(AfterResponse::Close)
+}
+
 /// A received request, and whether it is the last one on its connection.
 struct ReceivedRequest {
     request: ServerRequest,
--- a/tests/transport_costs.rs
+++ b/tests/transport_costs.rs
@@ -6,7 +6,9 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use pointhook::transport::deadlines::DeadlineTable;
 use pointhook::transport::executor_priorities::ExecutorPriorities;
-use pointhook::transport::http::{listen, serve, ServerRequest, ServerResponse};
+use pointhook::transport::http::{
+    listen, serve, serve_prioritized, ServerLimits, ServerRequest, ServerResponse,
+};
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
 use std::cell::Cell;
@@ -112,6 +114,85 @@
     }));
 }
 
+#[test]
+fn a_head_without_an_end_does_not_exhaust_the_memory() {
+    const SENT_BYTES: usize = 8 * 1024 * 1024;
+    const PIECE_BYTES: usize = 64 * 1024;
+    // The limit of 8 KiB, a read beyond it and what the connection holds besides.
+    const MAX_HELD_BYTES: usize = 64 * 1024;
+    let _exclusive = run_exclusively();
+    let (executor, listener, address) = executor_and_listener();
+    let server = serve(executor.clone(), listener, 10, |_| async {
+        ServerResponse::empty(200)
+    });
+    executor.spawn(server).detach();
+    async_io::block_on(executor.run(async {
+        let piece = vec![b'a'; PIECE_BYTES];
+        let client = Async::<TcpStream>::connect(address).await.unwrap();
+        let region = Region::new(HEAP);
+        let mut most_held = 0;
+        for _ in 0..SENT_BYTES / PIECE_BYTES {
+            // The server closes the connection once the head is too large.
+            if (&client).write_all(&piece).await.is_err() {
+                break;
+            }
+            futures_lite::future::yield_now().await;
+            most_held = most_held.max(held_bytes(&region));
+        }
+        assert!(most_held < MAX_HELD_BYTES, "{most_held} bytes");
+    }));
+}
+
+// Guards against a controller that is killed for memory by several hundred slow senders.
+#[test]
+fn requests_that_are_sent_in_part_hold_bounded_memory_and_keep_nobody_out() {
+    const RECEPTIONS: usize = 16;
+    const MAX_RECEPTION_BYTES: usize = 112 * 1024;
+    const MAX_CONNECTION_BYTES: usize = 5 * 1024;
+    let _exclusive = run_exclusively();
+    let (executor, listener, address) = executor_and_listener();
+    let executors = ExecutorPriorities {
+        users: executor.clone(),
+        workers: executor.clone(),
+        ..ExecutorPriorities::default()
+    };
+    let limits = ServerLimits {
+        connections: 1000,
+        receptions: RECEPTIONS,
+    };
+    let server = serve_prioritized(
+        executors,
+        |_| false,
+        listener,
+        limits,
+        |request| async move {
+            let is_whole = request.body.is_ok();
+            ServerResponse::empty(if is_whole { 200 } else { 408 })
+        },
+    );
+    executor.spawn(server).detach();
+    async_io::block_on(executor.run(async {
+        let part = vec![b'x'; 60_000];
+        let region = Region::new(HEAP);
+        let mut clients = Vec::with_capacity(CONNECTIONS);
+        for _ in 0..CONNECTIONS {
+            let client = Async::<TcpStream>::connect(address).await.unwrap();
+            let head = "POST / HTTP/1.1\r\nHost: here\r\nContent-Length: 65536\r\n\r\n";
+            (&client).write_all(head.as_bytes()).await.unwrap();
+            let _ = (&client).write_all(&part).await;
+            clients.push(client);
+        }
+        let other = Async::<TcpStream>::connect(address).await.unwrap();
+        send_get(&other, "/").await;
+        assert_eq!(read_status(&other).await, "200");
+        let allowed = RECEPTIONS * MAX_RECEPTION_BYTES + CONNECTIONS * MAX_CONNECTION_BYTES;
+        let held = held_bytes(&region);
+        assert!(held < allowed, "{held} bytes, {allowed} allowed");
+        assert_eq!(read_status(&clients[0]).await, "503");
+        assert_eq!(read_status(&clients[CONNECTIONS - 1]).await, "408");
+    }));
+}
+
 #[test]
 fn a_request_that_is_not_http_gets_400_and_its_connection_is_closed() {
     let _exclusive = run_exclusively();
