--- a/crates/testkit/src/checker.rs
+++ b/crates/testkit/src/checker.rs
@@ -122,6 +122,7 @@
                 );
             }
             Event::TaskCompleted { task, .. } => self.check_task_completion(task, event),
+            Event::MachineRestarted { .. } | Event::MachineDeleted { .. } => {}
         }
     }
 
--- a/crates/testkit/src/history.rs
+++ b/crates/testkit/src/history.rs
@@ -66,6 +66,18 @@
         /// Another machine on which an attempt of the task was active at that time.
         other_machine: Option<String>,
     },
+    /// A machine restarted under its name, without its tasks.
+    MachineRestarted {
+        /// Name of the machine.
+        machine: String,
+        /// Whether its agent epoch and fencing token began anew.
+        anew: bool,
+    },
+    /// The cloud deleted a machine.
+    MachineDeleted {
+        /// Name of the machine.
+        machine: String,
+    },
     /// A worker completed a task.
     TaskCompleted {
         /// Task as `job/index`.
@@ -85,6 +97,18 @@
             _ => None,
         }
     }
+
+    /// The machine that the event is about; `None` if it is about none.
+    pub fn machine(&self) -> Option<&str> {
+        match self {
+            Event::TaskClaimed { machine, .. }
+            | Event::TaskStarted { machine, .. }
+            | Event::TaskCompleted { machine, .. }
+            | Event::MachineRestarted { machine, .. }
+            | Event::MachineDeleted { machine } => Some(machine),
+            _ => None,
+        }
+    }
 }
 
 /// Event of a history with its time.
--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -2,6 +2,7 @@
 //! See docs/standby.md, "Measurement".
 
 use clap::Parser;
+use std::collections::HashSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use testkit::failover_measurement::{measure_failover, Interruption, Measurement, Options};
@@ -86,11 +87,22 @@
     }
 }
 
-/// Prints all events of a task, with their times.
+/// Prints all events of a task and those of its machines themselves, with their times.
 fn print_events_of_task(measurement: &Measurement, task: Option<&str>) {
     let Some(task) = task else { return };
     let of_task = |entry: &&Entry| entry.event.task() == Some(task);
-    for entry in measurement.history.iter().filter(of_task) {
+    let machines: HashSet<&str> = measurement
+        .history
+        .iter()
+        .filter(of_task)
+        .filter_map(|entry| entry.event.machine())
+        .collect();
+    let of_machines = |entry: &&Entry| {
+        let machine = entry.event.machine();
+        entry.event.task().is_none() && machine.is_some_and(|name| machines.contains(name))
+    };
+    let concerned = |entry: &&Entry| of_task(entry) || of_machines(entry);
+    for entry in measurement.history.iter().filter(concerned) {
         println!("    {} ms: {:?}", entry.at_ms, entry.event);
     }
 }
--- a/crates/testkit/src/network/cloud_service.rs
+++ b/crates/testkit/src/network/cloud_service.rs
@@ -2,6 +2,7 @@
 
 use super::faults::Delivery;
 use super::{leave_unanswered, query_field, worker_loop, Executor, LoopbackCluster, SharedWorker};
+use crate::history::Event;
 use crate::worker::FakeWorker;
 
 use http_types::Method;
@@ -109,7 +110,7 @@
     worker.image_pull_ms = config.image_pull_ms;
     worker.run_ms = config.run_ms;
     worker.lease_ms = config.lease_ms;
-    worker.results = cluster.results.clone();
+    worker.results = Some(cluster.results.clone());
     let worker: SharedWorker = Rc::new(RefCell::new(worker));
     cluster
         .workers
@@ -127,6 +128,11 @@
     cluster.cloud.borrow_mut().delete_machines(&names.machines);
     for name in &names.machines {
         let existed = cluster.workers.borrow_mut().remove(name).is_some();
+        if existed {
+            let machine = name.clone();
+            let mut recorder = cluster.recorder.borrow_mut();
+            recorder.record(cluster.now_ms(), Event::MachineDeleted { machine });
+        }
         if existed && cluster.worker_config.verbose {
             println!("machine deleted: machine={name}");
         }
--- a/crates/testkit/src/network/worker_loop.rs
+++ b/crates/testkit/src/network/worker_loop.rs
@@ -1,6 +1,6 @@
 //! Loop of a worker: serves direct commands and sends heartbeats until the machine is deleted.
 
-use super::faults::Delivery;
+use super::faults::{Delivery, Restart};
 use super::{leave_unanswered, Executor, LoopbackCluster, SharedWorker};
 use crate::history::{Event, WorkerProgress};
 use crate::worker::FakeWorker;
@@ -174,6 +174,10 @@
     if let Some(restart) = cluster.faults.restart() {
         record_progress(cluster, worker);
         worker.borrow_mut().restart(restart, now_ms);
+        let machine = worker.borrow().name.clone();
+        let anew = restart == Restart::Anew;
+        let mut recorder = cluster.recorder.borrow_mut();
+        recorder.record(now_ms, Event::MachineRestarted { machine, anew });
     }
 }
 
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -76,8 +76,8 @@
     /// All tasks that completed on the worker, in order.
     pub completed: Vec<String>,
     /// Names of all tasks with a result, on whichever worker: one that is started again exits as
-    /// done once it has its image.
-    pub results: Rc<RefCell<HashSet<String>>>,
+    /// done once it has its image. `None`: it runs again.
+    pub results: Option<Rc<RefCell<HashSet<String>>>>,
     /// Fault: tasks exit with an error instead of completing.
     pub fails_tasks: bool,
     /// Fault: the machine does nothing before this time.
@@ -103,7 +103,7 @@
             run_ms: 5000,
             started: Vec::new(),
             completed: Vec::new(),
-            results: Rc::default(),
+            results: None,
             fails_tasks: false,
             frozen_until_ms: 0,
         }
@@ -138,7 +138,8 @@
         self.expire_lease(now_ms);
         for task in &mut self.tasks {
             if task.state == TaskState::PullingImage && now_ms >= task.state_ends_at_ms {
-                if self.results.borrow().contains(&task.name) {
+                let results = self.results.as_ref();
+                if results.is_some_and(|results| results.borrow().contains(&task.name)) {
                     task.exit(ExitReason::Done);
                     continue;
                 }
@@ -152,7 +153,9 @@
                 task.exit(ExitReason::Error);
             } else {
                 task.exit(ExitReason::Done);
-                self.results.borrow_mut().insert(task.name.clone());
+                if let Some(results) = &self.results {
+                    results.borrow_mut().insert(task.name.clone());
+                }
                 self.completed.push(task.name.clone());
             }
         }
