--- a/crates/testkit/src/failover_measurement/mod.rs
+++ b/crates/testkit/src/failover_measurement/mod.rs
@@ -36,6 +36,8 @@
 /// Timeout of each wait for a busy shard, a failover or accepted jobs; the wait for jobs to be done
 /// has twice this time.
 const TIMEOUT_MS: u64 = 60_000;
+/// Time for all machines to be returned once all jobs are done.
+const RETURN_TIMEOUT_MS: u64 = 300_000;
 /// Time between two checks of an awaited condition.
 const POLL_INTERVAL_MS: u64 = 20;
 /// Capacity of the cloud, in machines.
@@ -75,6 +77,8 @@
     pub seed: u64,
     /// Faults of messages and machines during the interruptions; `None`: there are none.
     pub faults: Option<FaultRates>,
+    /// Wait until all machines are returned once all jobs are done.
+    pub await_returns: bool,
 }
 
 /// Result of a measurement: failover times, history and violations.
@@ -89,6 +93,9 @@
     pub violations: Vec<Violation>,
     /// Number of faults of messages and machines.
     pub faults: u64,
+    /// Number of machines that were not returned in time once all jobs were done; `None` if that
+    /// was not awaited.
+    pub machines_left: Option<usize>,
 }
 
 impl Measurement {
@@ -166,6 +173,10 @@
     submitting.cancel().await;
     cluster.faults.stop();
     let finished = batch.wait_until_done().await;
+    let machines_left = match options.await_returns {
+        true => Some(wait_until_machines_returned(&cluster).await),
+        false => None,
+    };
     let history = cluster.recorder.borrow().entries().to_vec();
     let violations = check(&history);
     if !finished && violations.is_empty() {
@@ -176,9 +187,17 @@
         history,
         violations,
         faults: cluster.faults.drawn(),
+        machines_left,
     })
 }
 
+/// Waits until all machines are returned, and returns the number of those that were not in time.
+async fn wait_until_machines_returned(cluster: &LoopbackCluster) -> usize {
+    let none_left = || cluster.workers.borrow().is_empty().then_some(());
+    poll_until(cluster, RETURN_TIMEOUT_MS, none_left).await;
+    cluster.workers.borrow().len()
+}
+
 /// Starts the services (key-value store, cloud and workers) and the controllers.
 fn start_deployment(
     options: &Options,
--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -36,6 +36,9 @@
     /// machines freeze or restart.
     #[arg(long)]
     faults: bool,
+    /// Once all jobs are done, wait up to five minutes until all machines are returned.
+    #[arg(long)]
+    await_returns: bool,
 }
 
 impl Args {
@@ -54,6 +57,7 @@
             },
             seed: self.seed,
             faults: self.faults.then(FaultRates::frequent),
+            await_returns: self.await_returns,
         }
     }
 }
@@ -80,7 +84,7 @@
         }
     };
     print(&measurement);
-    if measurement.violations.is_empty() {
+    if measurement.violations.is_empty() && measurement.machines_left.unwrap_or(0) == 0 {
         ExitCode::SUCCESS
     } else {
         ExitCode::FAILURE
@@ -126,6 +130,9 @@
         measurement.faults,
         measurement.violations.len()
     );
+    if let Some(machines) = measurement.machines_left {
+        println!("{machines} machines not returned");
+    }
     for violation in &measurement.violations {
         println!("  {violation}");
         print_events_of_task(measurement, violation.event.task());
--- a/tests/support/loopback_controller.rs
+++ b/tests/support/loopback_controller.rs
@@ -9,10 +9,13 @@
 use pointhook::coordination::job_api::handle;
 use pointhook::features::Features;
 use pointhook::protocol::cloud::MachineTypeCatalog;
+use pointhook::protocol::users::JobSpec;
 use pointhook::settings::{OperatorSettings, PlatformSettings};
+use pointhook::state::job::JobRecord;
 use pointhook::transport::http::{listen, serve};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Number of connections that the served controller accepts.
 const MAX_CONNECTIONS: usize = 1000;
@@ -39,6 +42,18 @@
     controller
 }
 
+/// A controller that knows an accepted job whose user has cancelled it: it answers a repeated
+/// submission without reading the records again.
+pub fn controller_with_cancelled_job(spec: &JobSpec) -> Rc<Controller> {
+    let controller = loaded_controller(true);
+    let record = JobRecord::submitted(spec.clone(), 0);
+    let mut cluster = controller.cluster.borrow_mut();
+    cluster.put_job(&spec.id, 1, &record);
+    cluster.learn_cancelled(&spec.id);
+    drop(cluster);
+    controller
+}
+
 /// Serves the controller's public interface on a free loopback port, as a task of its executor.
 pub fn serve_on_loopback(controller: &Rc<Controller>) -> SocketAddr {
     let listener = listen(([127, 0, 0, 1], 0).into()).expect("a free port");
@@ -79,6 +94,12 @@
         closed.expect("a connected socket");
     }
 
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        let linger = Some(Duration::ZERO);
+        rustix::net::sockopt::set_socket_linger(self.stream.get_ref(), linger).expect("an option");
+    }
+
     /// The status code of the next response; `None` if the server closes the connection without
     /// one.
     pub async fn read_status(&self) -> Option<u16> {
--- a/tests/support/simulated_cluster/mod.rs
+++ b/tests/support/simulated_cluster/mod.rs
@@ -35,6 +35,8 @@
 const START_UP_MS: u64 = 6000;
 /// Most writes that the store accepts in one transaction.
 const MAX_TXN_OPS: usize = 16;
+/// Delivery delay of late commands unless a test sets another one.
+const COMMAND_DELAY_MS: u64 = 6000;
 /// Due time of commands that are delivered when the partition ends.
 const WHEN_PARTITION_ENDS: u64 = u64::MAX;
 
@@ -60,6 +62,8 @@
     pub drops_command_responses: bool,
     /// Direct commands are delivered several seconds late.
     pub delays_commands: bool,
+    /// Direct commands are delivered in time and once more late.
+    pub repeats_commands: bool,
 }
 
 /// Direct commands that are still to be delivered to a machine.
@@ -81,6 +85,8 @@
     /// Index of the controller to which it sends its heartbeats.
     target_controller: usize,
     next_heartbeat_at: u64,
+    /// Delivery delay of commands with the faults `delays_commands` and `repeats_commands`.
+    pub command_delay_ms: u64,
     delayed_commands: Vec<DelayedCommands>,
     /// All heartbeats so far, including lost ones, so that a test can deliver one again.
     pub sent_heartbeats: Vec<Heartbeat>,
@@ -180,6 +186,7 @@
             faults: MachineFaults::default(),
             target_controller: self.machines.len() % CONTROLLERS,
             next_heartbeat_at: self.now,
+            command_delay_ms: COMMAND_DELAY_MS,
             delayed_commands: Vec::new(),
             sent_heartbeats: Vec::new(),
             partitioned: false,
