--- a/tests/support/simulated_cluster/mod.rs
+++ b/tests/support/simulated_cluster/mod.rs
@@ -90,6 +90,8 @@
     delayed_commands: Vec<DelayedCommands>,
     /// All heartbeats so far, including lost ones, so that a test can deliver one again.
     pub sent_heartbeats: Vec<Heartbeat>,
+    /// Index of the machine to which this machine's address belongs now; `None`: its own.
+    pub address_belongs_to: Option<usize>,
     /// The machine can only reach controllers of its own zone.
     pub partitioned: bool,
     undelivered_heartbeats: Vec<UndeliveredHeartbeat>,
@@ -187,6 +189,7 @@
             target_controller: self.machines.len() % CONTROLLERS,
             next_heartbeat_at: self.now,
             command_delay_ms: COMMAND_DELAY_MS,
+            address_belongs_to: None,
             delayed_commands: Vec::new(),
             sent_heartbeats: Vec::new(),
             partitioned: false,
--- a/tests/support/simulated_cluster/tick.rs
+++ b/tests/support/simulated_cluster/tick.rs
@@ -291,10 +291,12 @@
     ) -> DirectStartOutcome {
         let now = self.now;
         digest::record("commands", now, &(NAMES[controller_index], name, &commands));
-        let mut machines = self.machines.iter_mut();
-        let Some(machine) = machines.find(|machine| machine.worker.name == name) else {
+        let mut machines = self.machines.iter();
+        let Some(addressed) = machines.position(|machine| machine.worker.name == name) else {
             return DirectStartOutcome::Unknown;
         };
+        let receiver = self.machines[addressed].address_belongs_to;
+        let machine = &mut self.machines[receiver.unwrap_or(addressed)];
         let faults = machine.faults;
         let delayed_until = if machine.is_partitioned_from(controller_index) {
             Some(WHEN_PARTITION_ENDS)
