--- a/tests/failover_processes.rs
+++ b/tests/failover_processes.rs
@@ -2,6 +2,7 @@
 //! paused beyond its lease, while a batch of jobs runs. The full measurement is in docs/standby.md.
 
 use std::path::PathBuf;
+use std::sync::{Mutex, PoisonError};
 use testkit::failover_measurement::{measure_failover, Interruption, Measurement, Options};
 use testkit::network::faults::FaultRates;
 
@@ -14,6 +15,9 @@
     seed: u64,
     faults: Option<FaultRates>,
 ) -> Measurement {
+    // One deployment at a time: a port that a deleted worker of one leaves may go to another's worker.
+    static EXCLUSIVE: Mutex<()> = Mutex::new(());
+    let _exclusive = EXCLUSIVE.lock().unwrap_or_else(PoisonError::into_inner);
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
     let measurement = measure_failover(&Options {
         program: env!("CARGO_BIN_EXE_pointhook").into(),
