A log line for every end of an attempt that lets its task start elsewhere

Cause: the records of the task that ran twice don't say on which proof its first attempt was taken out of the job's record. Change: the draft of a pass notes each placement that it removes although the task is not done; once the transaction is committed a line at info names job, task, attempt, machine, agent epoch, token, proof, the event that the proof counts from and its age (at most 20 lines a second, the others at debug), and a count by proof is in the minute's line. The response to a direct start is handled by one pure function, which the tests' controller uses too. No decision changes.

--- a/src/coordination/controller/mod.rs
+++ b/src/coordination/controller/mod.rs
@@ -18,6 +18,7 @@
 use crate::coordination::event_counts::EventCounts;
 use crate::coordination::kv::client::KvClient;
 use crate::coordination::metrics::Metrics;
+use crate::coordination::rate_limiter::RateLimiter;
 use crate::coordination::replication::streams::Replication;
 use crate::coordination::scheduler::config::SchedulerConfig;
 use crate::features::Features;
@@ -53,6 +54,8 @@
 const LEASE_EXPIRY_MARGIN_MS: u64 = 2000;
 /// Number of heartbeat intervals without a heartbeat after which a machine gets no new tasks.
 const UNRESPONSIVE_HEARTBEATS: f64 = 2.5;
+/// Lines per second on ends of attempts that are logged at level info on average.
+const ATTEMPT_END_LINES_PER_S: f64 = 20.0;
 /// Time allowed for the delivery of a heartbeat.
 const HEARTBEAT_DELIVERY_MS: u64 = 500;
 
@@ -106,6 +109,7 @@
     clock: Clock,
     worker_reachability: Cell<WorkerReachability>,
     warnings: RateLimitedWarnings,
+    attempt_end_lines: RefCell<RateLimiter>,
 }
 
 /// Completion targets of each class: the durations, in milliseconds and in ascending order, that
@@ -202,6 +206,7 @@
             clock: Clock::new(monotonic),
             worker_reachability: Cell::new(WorkerReachability::new(lease_ms)),
             warnings: RateLimitedWarnings::default(),
+            attempt_end_lines: RefCell::new(RateLimiter::new(ATTEMPT_END_LINES_PER_S)),
             config,
             platform,
             operator,
@@ -319,6 +324,12 @@
         self.warnings.warn(self.now(), message);
     }
 
+    /// True if one more line on the end of an attempt may be logged at level info now.
+    pub fn may_log_attempt_end(&self) -> bool {
+        let mut lines = self.attempt_end_lines.borrow_mut();
+        lines.try_acquire(self.now(), 0.0)
+    }
+
     /// The peer with a name; `None` for an unknown name or that of this controller.
     pub fn peer(&self, name: &str) -> Option<&Peer> {
         self.peers.iter().find(|peer| peer.name == name)
--- a/src/coordination/event_counts.rs
+++ b/src/coordination/event_counts.rs
@@ -21,6 +21,16 @@
     FinalState,
     /// A user's request was refused for good: malformed, impossible or about an unknown job.
     FinalRefusal,
+    /// An attempt that was not done ended, as the worker showed its exit.
+    EndedByExit,
+    /// An attempt that was not done ended, as a heartbeat proved it absent.
+    EndedByAbsence,
+    /// An attempt that was not done ended with its worker's lease.
+    EndedByLeaseExpiry,
+    /// An attempt that was not done ended with its machine's deletion.
+    EndedByDeletion,
+    /// The line on an attempt's end was logged at level debug, as there were too many.
+    EndLineLimited,
     /// A request was ended because its body did not arrive in time.
     BodyTimedOut,
     /// A request was ended because its connection ended before its body.
@@ -32,13 +42,18 @@
 }
 
 /// All kinds, each at the position of its counter, with its name in the log line.
-const NAMES: [(CountedEvent, &str); 10] = [
+const NAMES: [(CountedEvent, &str); 15] = [
     (CountedEvent::PermitIssued, "permits_issued"),
     (CountedEvent::StartInResponse, "starts_in_responses"),
     (CountedEvent::StartDirect, "starts_direct"),
     (CountedEvent::Stop, "stops"),
     (CountedEvent::FinalState, "final_states"),
     (CountedEvent::FinalRefusal, "final_refusals"),
+    (CountedEvent::EndedByExit, "ended_by_exit"),
+    (CountedEvent::EndedByAbsence, "ended_by_absence"),
+    (CountedEvent::EndedByLeaseExpiry, "ended_by_lease_expiry"),
+    (CountedEvent::EndedByDeletion, "ended_by_deletion"),
+    (CountedEvent::EndLineLimited, "end_lines_limited"),
     (CountedEvent::BodyTimedOut, "bodies_timed_out"),
     (CountedEvent::BodyCutOff, "bodies_cut_off"),
     (CountedEvent::BodyTooLarge, "bodies_too_large"),
--- a/src/coordination/heartbeats/apply.rs
+++ b/src/coordination/heartbeats/apply.rs
@@ -189,6 +189,7 @@
 ) {
     machine.addr.clone_from(&heartbeat.addr);
     machine.heartbeat.message_version = heartbeat.version();
+    machine.heartbeat.message_received_at = Some(now);
     machine.spot = heartbeat.spot;
     record_preemption_notice(machine, heartbeat.preemption_notice_s, now);
     machine.heartbeat.tasks = tasks;
--- a/src/coordination/reconciliation/placement_end.rs
+++ b/src/coordination/reconciliation/placement_end.rs
@@ -1,39 +1,20 @@
 //! Decides whether a placement has ended, and by which proof.
 
+use super::attempt_end::{Evidence, PlacementEnd, ProofEvent};
 use super::gang_timeouts::{ended_by_gang_timeout, retry_gang_wait};
-use super::proofs::{lease_expired, proven_absent};
+use super::proofs::{latest_lease_event, lease_expired, proven_absent};
 use super::unwanted_attempts::{is_abandoned, is_unwanted};
 use crate::coordination::scheduler::pass::PassContext;
 use crate::protocol::workers::{ExitReason, TaskState};
 use crate::state::job::Job;
 use crate::state::machine::{Machine, ObservedTask, TaskAttempt};
+use crate::state::units::MonotonicMillis;
 use standby::ids::FencingToken;
 
 /// Time without a step after which the owners of its machines end the staging of a gang, ms: its
 /// planner, which gives it up much earlier, may be gone or run an earlier version.
 const ORPHANED_STAGING_MS: u64 = 30_000;
 
-/// The proof on which a placement may be removed from its job's record.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum PlacementEnd {
-    /// A heartbeat under the owner's fencing token shows the exit, with its reason.
-    Exited(Option<ExitReason>),
-    /// The attempt does not run on the machine, can't start there later and won't be restarted
-    /// there.
-    ProvenAbsent,
-    /// The worker's lease has expired, so the worker has killed its tasks.
-    LeaseExpired,
-    /// The cloud has deleted the machine.
-    MachineDeleted,
-}
-
-impl PlacementEnd {
-    /// True if the task has completed its work.
-    pub fn is_done(self) -> bool {
-        self == PlacementEnd::Exited(Some(ExitReason::Done))
-    }
-}
-
 /// How an attempt on an owned machine ended; `None` without proof that it has ended.
 pub fn placement_end(
     pass: &PassContext,
@@ -78,3 +59,29 @@
     let is_final = !timed_out || ended_by_gang_timeout(machine, fencing_token, attempt);
     is_final.then_some(task)
 }
+
+/// The event that a proof about an attempt on an owned machine counts from.
+pub(super) fn evidence(
+    proof: PlacementEnd,
+    machine: &Machine,
+    fencing_token: FencingToken,
+    now: MonotonicMillis,
+) -> Evidence {
+    let heartbeat = &machine.heartbeat;
+    let lease = latest_lease_event(machine);
+    let (event, at) = match proof {
+        PlacementEnd::Exited(_) => (ProofEvent::WorkerMessage, heartbeat.message_received_at),
+        PlacementEnd::ProvenAbsent => (ProofEvent::Heartbeat, heartbeat.last_seen),
+        PlacementEnd::LeaseExpired => (
+            lease.map_or(ProofEvent::Heartbeat, |lease| lease.event),
+            lease.map(|lease| lease.at),
+        ),
+        PlacementEnd::MachineDeleted => (ProofEvent::MachineDeleted, None),
+    };
+    Evidence {
+        event,
+        age_ms: at.map(|at| now.since(at)),
+        agent_epoch: Some(heartbeat.message_version.agent_epoch),
+        fencing_token: Some(fencing_token),
+    }
+}
--- a/src/coordination/reconciliation/proofs.rs
+++ b/src/coordination/reconciliation/proofs.rs
@@ -1,6 +1,7 @@
 //! What heartbeats, fencing tokens and elapsed time prove about an attempt. All functions here are
 //! pure functions of the state of one machine.
 
+use super::attempt_end::ProofEvent;
 use crate::state::machine::{Machine, TaskAttempt};
 use crate::state::units::MonotonicMillis;
 use standby::ids::FencingToken;
@@ -38,15 +39,34 @@
     lease_expiry_ms: u64,
     now: MonotonicMillis,
 ) -> bool {
-    // A heartbeat may arrive after the response to a newer direct command. It then changes no
-    // state, but the response to it still renews the lease.
-    let renewed_at = machine
-        .heartbeat
-        .last_seen
-        .max(machine.heartbeat.last_answered);
     fencing_token.is_issued()
         && machine.heartbeat.fencing_token == fencing_token
-        && renewed_at.is_some_and(|at| now.since(at) > lease_expiry_ms)
+        && latest_lease_event(machine).is_some_and(|lease| now.since(lease.at) > lease_expiry_ms)
+}
+
+/// An event after which the worker may hold its lease for its full duration.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct LeaseEvent {
+    /// When the event happened.
+    pub at: MonotonicMillis,
+    /// What happened.
+    pub event: ProofEvent,
+}
+
+/// The latest event from which the worker's lease may run.
+pub fn latest_lease_event(machine: &Machine) -> Option<LeaseEvent> {
+    let heartbeat = &machine.heartbeat;
+    // A heartbeat may arrive after the response to a newer direct command. It then changes no
+    // state, but the response to it still renews the lease.
+    let events = [
+        (ProofEvent::Heartbeat, heartbeat.last_seen),
+        (ProofEvent::HeartbeatAnswered, heartbeat.last_answered),
+    ];
+    let known = events.into_iter().filter_map(|(event, at)| {
+        let at = at?;
+        Some(LeaseEvent { at, event })
+    });
+    known.max()
 }
 
 /// True if a direct start may still take effect, late or a second time.
--- a/src/coordination/reconciliation/reconcile.rs
+++ b/src/coordination/reconciliation/reconcile.rs
@@ -1,7 +1,8 @@
 //! The first step of a scheduling pass: drafts the removal of placements that have ended.
 
+use super::attempt_end::{AttemptEnd, Evidence, PlacementEnd};
 use super::overflow::move_to_overflow;
-use super::placement_end::{placement_end, PlacementEnd};
+use super::placement_end::{evidence, placement_end};
 use crate::coordination::scheduler::draft::DraftTransaction;
 use crate::coordination::scheduler::pass::PassContext;
 use crate::protocol::users::JobKind;
@@ -74,6 +75,7 @@
     permit: Option<&'a Permit>,
     /// The machine, unless it is deleted.
     machine: Option<&'a Machine>,
+    evidence: Evidence,
 }
 
 fn proven_end<'a>(
@@ -88,6 +90,7 @@
             end: PlacementEnd::MachineDeleted,
             permit: None,
             machine: None,
+            evidence: Evidence::of_deletion(),
         });
     }
     let permit = permits.get(placement.shard.at()).copied().flatten()?;
@@ -99,6 +102,7 @@
         end,
         permit: Some(permit),
         machine: Some(machine),
+        evidence: evidence(end, machine, fencing_token, pass.now),
     })
 }
 
@@ -156,6 +160,15 @@
         }
     }
     job.remove_placement(placement.task, placement.attempt);
+    let may_start_elsewhere = job.is_open() && !proven.end.is_done();
+    if may_start_elsewhere {
+        draft.ended.push(AttemptEnd {
+            attempt: TaskAttempt::new(job_index, placement.task, placement.attempt),
+            machine: placement.machine,
+            proof: proven.end,
+            evidence: proven.evidence,
+        });
+    }
     if let Some(permit) = proven.permit {
         draft.require_ownership(permit);
     }
--- a/src/coordination/scheduler/direct_start_delivery.rs
+++ b/src/coordination/scheduler/direct_start_delivery.rs
@@ -4,10 +4,9 @@
 use crate::coordination::controller::worker_connections::WorkerConnectionSlot;
 use crate::coordination::controller::Controller;
 use crate::coordination::failover;
-use crate::coordination::heartbeats::{self, StatusSource};
 use crate::coordination::scheduler::command_log::{self, CommandBasis, CommandPath};
 use crate::coordination::scheduler::direct_starts::{
-    direct_starts, record_direct_start_outcome, DirectStart, DirectStartOutcome,
+    direct_starts, record_direct_start_response, DirectStart, DirectStartOutcome,
 };
 use crate::protocol::workers::{DirectCommands, Heartbeat};
 use crate::transport::http::{Client, ClientResponse};
@@ -89,14 +88,15 @@
     if worker_response.is_some() {
         controller.record_worker_contact();
     }
-    let mut cluster = controller.cluster.borrow_mut();
-    record_direct_start_outcome(&mut cluster, start, outcome);
-    let heartbeat = worker_response
+    let status = worker_response
         .and_then(|response| rmp_serde::from_slice::<Heartbeat>(&response.body).ok());
-    if let Some(heartbeat) = heartbeat {
-        let (now, source) = (controller.now(), StatusSource::CommandResponse);
-        heartbeats::apply(&mut cluster, start.machine, &heartbeat, now, source);
-    }
+    record_direct_start_response(
+        &mut controller.cluster.borrow_mut(),
+        start,
+        outcome,
+        status.as_ref(),
+        controller.now(),
+    );
 }
 
 /// True for a response of the worker itself. Any other status may come from an intermediary, such
--- a/src/coordination/scheduler/direct_starts.rs
+++ b/src/coordination/scheduler/direct_starts.rs
@@ -5,9 +5,10 @@
 //! is recorded as in flight before it is sent and until the worker has responded, so that its
 //! attempt is never considered proven absent meanwhile.
 
+use crate::coordination::heartbeats::{self, StatusSource};
 use crate::coordination::scheduler::commands::{missing_starts, start_command};
 use crate::coordination::scheduler::config::SchedulerConfig;
-use crate::protocol::workers::{AgentEpoch, Command};
+use crate::protocol::workers::{AgentEpoch, Command, Heartbeat};
 use crate::state::cluster_state::ClusterState;
 use crate::state::machine::{InFlightStart, Machine, TaskAttempt};
 use crate::state::names::{Index, MachineIndex};
@@ -142,6 +143,27 @@
     Unknown,
 }
 
+/// Records the outcome of direct starts and, if the worker has responded, the status in its
+/// response.
+pub fn record_direct_start_response(
+    cluster: &mut ClusterState,
+    sent: &DirectStart,
+    outcome: DirectStartOutcome,
+    status: Option<&Heartbeat>,
+    now: MonotonicMillis,
+) {
+    record_direct_start_outcome(cluster, sent, outcome);
+    if let Some(status) = status {
+        heartbeats::apply(
+            cluster,
+            sent.machine,
+            status,
+            now,
+            StatusSource::CommandResponse,
+        );
+    }
+}
+
 /// Records the outcome of direct starts. An unknown outcome leaves them in flight.
 pub fn record_direct_start_outcome(
     cluster: &mut ClusterState,
--- a/src/coordination/scheduler/draft.rs
+++ b/src/coordination/scheduler/draft.rs
@@ -4,6 +4,7 @@
 //! compare-and-swap transaction. A draft never exceeds the limits of one transaction: changes that
 //! do not fit are left out, and `truncated` is set.
 
+use crate::coordination::reconciliation::attempt_end::AttemptEnd;
 use crate::coordination::scheduler::config::SchedulerConfig;
 use crate::state::cluster_state::{ClusterState, TeamRecord};
 use crate::state::job::{Job, Placement, PLACEMENT_BYTES};
@@ -37,6 +38,8 @@
     pub team_quotas: BTreeMap<TeamIndex, TeamRecord>,
     /// Placements that the draft adds.
     pub claims: Vec<Claim>,
+    /// Attempts whose placements the draft removes and whose tasks may start elsewhere.
+    pub ended: Vec<AttemptEnd>,
     /// True if this pass should leave small updates of array jobs for a later batch.
     pub batch_array_updates: bool,
     /// Overflow records that change together with their jobs, by job and overflow index.
--- a/src/coordination/scheduler/mod.rs
+++ b/src/coordination/scheduler/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! | decision | carried out by |
 //! | --- | --- |
-//! | `claims`, `gangs`, `quota` (jobs in the order of `job_order`) | `planner` |
+//! | `claims`, `gangs`, `quota` (jobs in the order of `job_order`) | `planner`; ends of attempts: `attempt_end_log` |
 //! | `direct_starts` | `direct_start_delivery` |
 //! | `commands` | the handler of heartbeats |
 //! | `binding` | `queues` |
@@ -18,6 +18,7 @@
 //! pass writes its changes to a `draft`, and all new placements go through `placement`; `staging`
 //! records gangs in several transactions that one can't hold.
 
+pub mod attempt_end_log;
 pub mod bin_packing;
 pub mod binding;
 pub mod claims;
--- a/src/coordination/scheduler/planner.rs
+++ b/src/coordination/scheduler/planner.rs
@@ -12,6 +12,7 @@
 use crate::coordination::kv::transactions::commit_draft;
 use crate::coordination::reconciliation;
 use crate::coordination::replication;
+use crate::coordination::scheduler::attempt_end_log;
 use crate::coordination::scheduler::claims;
 use crate::coordination::scheduler::direct_start_delivery::send_direct_starts;
 use crate::coordination::scheduler::draft::{Claim, DraftTransaction};
@@ -149,6 +150,7 @@
         CommitOutcome::Committed(revision) => {
             log::debug!("pass committed: revision={revision} jobs={jobs} claims={claims}");
             replication::publish_committed(controller, draft, ended, Revision(revision));
+            attempt_end_log::record(controller, &draft.ended);
             for line in claim_lines {
                 log::debug!("{line}");
             }
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -111,6 +111,8 @@
     /// Version of the newest message with a task list: a heartbeat, or the response to a direct
     /// command.
     pub message_version: HeartbeatVersion,
+    /// When the newest message with a task list arrived.
+    pub message_received_at: Option<MonotonicMillis>,
     /// Version of the newest heartbeat.
     pub version: HeartbeatVersion,
     /// Fencing token in the newest heartbeat.
--- a/tests/support/simulated_controller/scheduling.rs
+++ b/tests/support/simulated_controller/scheduling.rs
@@ -7,7 +7,9 @@
 use pointhook::coordination::heartbeats::{self, HeartbeatOutcome};
 use pointhook::coordination::kv::{apply_outcome, transaction, CommitOutcome};
 use pointhook::coordination::reconciliation;
-use pointhook::coordination::scheduler::direct_starts::{direct_starts, DirectStart};
+use pointhook::coordination::scheduler::direct_starts::{
+    direct_starts, record_direct_start_response, DirectStart, DirectStartOutcome,
+};
 use pointhook::coordination::scheduler::draft::DraftTransaction;
 use pointhook::coordination::scheduler::pass::PassContext;
 use pointhook::coordination::scheduler::{claims, quota};
@@ -170,6 +172,42 @@
     }
 }
 
+impl SimulatedController {
+    /// Delivers a direct start to its worker and records the worker's response.
+    pub fn deliver_direct_start(
+        &mut self,
+        start: &DirectStart,
+        worker: &mut FakeWorker,
+        now: u64,
+    ) -> DirectStartOutcome {
+        let status_code = worker.receive_commands(&direct_commands(start), now);
+        let outcome = match status_code {
+            200 => DirectStartOutcome::Executed,
+            _ => DirectStartOutcome::Refused,
+        };
+        let status = worker.heartbeat(now);
+        self.record_direct_start_response(start, outcome, Some(&status), now);
+        outcome
+    }
+
+    /// Records the outcome of a direct start and the status in the worker's response, if any.
+    pub fn record_direct_start_response(
+        &mut self,
+        start: &DirectStart,
+        outcome: DirectStartOutcome,
+        status: Option<&Heartbeat>,
+        now: u64,
+    ) {
+        record_direct_start_response(
+            &mut self.cluster,
+            start,
+            outcome,
+            status,
+            MonotonicMillis(now),
+        );
+    }
+}
+
 /// The message that sends a direct start to a worker.
 pub fn direct_commands(start: &DirectStart) -> DirectCommands {
     DirectCommands {
