Test of requests sent in part: any client's may be the newest that is received

Cause: the test took the client that connected last for the one whose request is received last, and expected 408 for it. Beside load the server reads them in another order. A trace of the order in which receptions begin (three runs beside ten busy loops) shows the one with 408 to be the newest of the 150 each time; it was the last client's once and its neighbour's twice. The limit of receptions is as it was stated: a newer reception ends the oldest. Change: all 150 answers are read instead of two. Each is 408 or 503, and at least one and at most as many as there are places are 408, so that a server that keeps nobody, or more than its limit, still fails.

--- a/tests/transport_costs.rs
+++ b/tests/transport_costs.rs
@@ -198,8 +198,14 @@
         assert_eq!(read_status(&other).await, "200");
         let allowed = RECEPTIONS * MAX_RECEPTION_BYTES + CONNECTIONS * MAX_CONNECTION_BYTES;
         assert!(most_held < allowed, "{most_held} bytes, {allowed} allowed");
-        assert_eq!(read_status(&clients[0]).await, "503");
-        assert_eq!(read_status(&clients[CONNECTIONS - 1]).await, "408");
+        let mut kept = 0;
+        for client in &clients {
+            match read_status(client).await.as_str() {
+                "408" => kept += 1,
+                other => assert_eq!(other, "503"),
+            }
+        }
+        assert!((1..=RECEPTIONS).contains(&kept), "{kept} not displaced");
     }));
 }
 
