The lease of a worker counts from its newest agent epoch, also if no heartbeat of it arrived

That machine was mute for controllers and restarted at 43.54. The refusal of a direct command at 44.43 showed its new epoch, and the start of 44.44 was sent into it. The lease of that epoch began with it, at 44.26. The proof dated from the epoch before and was used on an attempt of the new one: an action on a proof that a later event had overtaken. Evidence: 36.95 + 30 s * 1.002 + 2 s = 69.01, the second start was at 69.02. Had the heartbeat of 40.53 reached the owner, the proof would have counted from there. The same sequence on the simulated clock, in tests/restarted_machines.rs. Change: the time at which the first message of the newest agent epoch arrived is kept, and the lease counts from the latest of that, the last heartbeat and the last answer. It is an upper bound: the epoch began before its first message was sent, only answered heartbeats renew its lease, and no start is addressed to an epoch that is not known. The simulated controller now learns from the responses to direct commands, as the real one does; the simulated cluster restarts machines, back after 0 to 3 s, alone and within every other fault of a machine, and one test has mostly such machines and tasks longer than a lease. Result: a_task_started_in_an_epoch_learnt_from_a_refusal_does_not_run_on_two_machines failed before ("job-1/0 is on m1 and m2 at 13000 ms") and passes.

--- a/src/coordination/heartbeats/apply.rs
+++ b/src/coordination/heartbeats/apply.rs
@@ -188,6 +188,9 @@
     now: MonotonicMillis,
 ) {
     machine.addr.clone_from(&heartbeat.addr);
+    if heartbeat.agent_epoch > machine.heartbeat.message_version.agent_epoch {
+        machine.heartbeat.agent_epoch_seen_at = Some(now);
+    }
     machine.heartbeat.message_version = heartbeat.version();
     machine.heartbeat.message_received_at = Some(now);
     machine.spot = heartbeat.spot;
--- a/src/coordination/reconciliation/attempt_end.rs
+++ b/src/coordination/reconciliation/attempt_end.rs
@@ -35,6 +35,8 @@
     WorkerMessage,
     /// A heartbeat was answered, which renews the worker's lease.
     HeartbeatAnswered,
+    /// The first message of the worker's agent epoch arrived: its lease began no later.
+    AgentEpochSeen,
     /// The cloud confirmed the machine's deletion.
     MachineDeleted,
 }
--- a/src/coordination/reconciliation/proofs.rs
+++ b/src/coordination/reconciliation/proofs.rs
@@ -27,12 +27,13 @@
         && !start_in_flight(machine, fencing_token, attempt)
 }
 
-/// True if the worker's lease has expired under this owner.
+/// True if the worker's lease in its newest known agent epoch has expired under this owner.
 ///
-/// The worker has accepted this owner's fencing token, so no response of an older owner renews its
-/// lease; and if there is a newer owner, a transaction based on this proof fails. After expiry the
-/// worker's tasks are dead, and no command sent to its agent epoch takes effect. For a new owner,
-/// whose token the worker has not accepted, elapsed time proves nothing.
+/// Starts are addressed to known epochs only, so none can run in a later one. The worker has
+/// accepted this owner's fencing token, so no response of an older owner renews its lease; and if
+/// there is a newer owner, a transaction based on this proof fails. After expiry the worker's tasks
+/// are dead, and no command sent to its agent epoch takes effect. For a new owner, whose token the
+/// worker has not accepted, elapsed time proves nothing.
 pub fn lease_expired(
     machine: &Machine,
     fencing_token: FencingToken,
@@ -61,6 +62,8 @@
     let events = [
         (ProofEvent::Heartbeat, heartbeat.last_seen),
         (ProofEvent::HeartbeatAnswered, heartbeat.last_answered),
+        // A restarted worker has a full lease from then on, although no heartbeat was answered.
+        (ProofEvent::AgentEpochSeen, heartbeat.agent_epoch_seen_at),
     ];
     let known = events.into_iter().filter_map(|(event, at)| {
         let at = at?;
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -113,6 +113,8 @@
     pub message_version: HeartbeatVersion,
     /// When the newest message with a task list arrived.
     pub message_received_at: Option<MonotonicMillis>,
+    /// When the first message of the newest known agent epoch arrived, of whatever kind.
+    pub agent_epoch_seen_at: Option<MonotonicMillis>,
     /// Version of the newest heartbeat.
     pub version: HeartbeatVersion,
     /// Fencing token in the newest heartbeat.
--- a/tests/restarted_machines.rs
+++ b/tests/restarted_machines.rs
@@ -1,14 +1,17 @@
-//! The end of attempts on machines that fall silent or restart.
+//! Machines that restart into a new agent epoch: what was proven of the ended epoch proves nothing
+//! about attempts that were started in the new one.
 
 mod support;
 
 use pointhook::coordination::reconciliation::{PlacementEnd, ProofEvent};
 use pointhook::coordination::scheduler::attempt_end_log;
-use pointhook::coordination::scheduler::direct_starts::DirectStart;
+use pointhook::coordination::scheduler::direct_starts::{DirectStart, DirectStartOutcome};
+use pointhook::protocol::workers::AgentEpoch;
 use support::job;
 use support::kv_store::FakeKvStore;
 use support::simulated_controller::{start_single_controller, SimulatedController};
 use support::worker::FakeWorker;
+use testkit::network::faults::Restart;
 
 const LONG_RUN_MS: u64 = 60_000;
 
@@ -36,6 +39,27 @@
     starts.remove(0)
 }
 
+#[test]
+fn a_task_started_in_an_epoch_learnt_from_a_refusal_does_not_run_on_two_machines() {
+    let (mut store, mut controller, mut mute) = start_with_one_machine();
+    mute.restart(Restart::NextEpoch, 4000);
+    let refused = submit_and_start(&mut controller, &mut store, "job-1", 4100);
+    let outcome = controller.deliver_direct_start(&refused, &mut mute, 4100);
+    assert_eq!(outcome, DirectStartOutcome::Refused);
+    let start = controller.direct_starts(4200).remove(0);
+    assert_eq!(start.agent_epoch, AgentEpoch(2));
+    let outcome = controller.deliver_direct_start(&start, &mut mute, 4200);
+    assert_eq!(outcome, DirectStartOutcome::Executed);
+    let mut other = FakeWorker::new("m2", "north", 4500);
+    for now in (4500..20_000).step_by(500) {
+        mute.advance(now);
+        controller.exchange_heartbeat(&mut store, &mut other, now);
+        let on_both = mute.has_task("job-1/0") && other.has_task("job-1/0");
+        assert!(!on_both, "job-1/0 is on m1 and m2 at {now} ms");
+    }
+    assert_eq!(other.started.len(), 1, "the task never starts again");
+}
+
 #[test]
 fn the_line_on_an_attempts_end_names_its_proof_and_the_event_it_counts_from() {
     let (mut store, mut controller, mut worker) = start_with_one_machine();
--- a/tests/support/randomized_run.rs
+++ b/tests/support/randomized_run.rs
@@ -7,14 +7,20 @@
 use super::simulated_controller::Standby;
 use fastrand::Rng;
 use pointhook::protocol::users::{JobKind, JobSpec, Priority};
+use std::ops::Range;
 
 const CONTROLLERS: usize = 3;
 const MACHINES: usize = 6;
 const STEP_MS: u64 = 500;
-/// Number of steps in which faults occur; a recovery without faults follows.
-const FAULTY_STEPS: u32 = 240;
 /// Upper bound of the duration of a fault, in steps; exclusive.
 const LONGEST_FAULT: u32 = 40;
+/// Upper bound of the time from the beginning of a fault to a restart, in steps; exclusive.
+const LATEST_RESTART: u32 = 6;
+/// Interval between two heartbeats where machines mostly restart: with a longer one, more starts are
+/// sent to a machine that has fallen silent.
+const LONG_HEARTBEAT_INTERVAL_MS: u64 = 3200;
+/// Upper bound of the time for which a restarting machine is down.
+const LONGEST_RESTART_MS: u64 = 3000;
 /// End of the recovery on the simulated clock. Jobs that are unfinished then fail the test.
 const LONGEST_RUN_MS: u64 = 900_000;
 
@@ -33,13 +39,84 @@
     MachineFrozen(usize),
     MachineDropsCommandResponses(usize),
     MachineDelaysCommands(usize),
+    MachineRestarts(usize),
+}
+
+/// Which faults and jobs a run draws.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Mix {
+    /// All faults, and more work than there is room for at times.
+    AllFaults,
+    /// Mostly machines that restart, alone and together with their other faults, and little work
+    /// with long tasks, so that a task that is lost soon starts elsewhere.
+    RestartingMachines,
+}
+
+impl Mix {
+    /// Number of steps in which faults occur; a recovery without faults follows.
+    fn faulty_steps(self) -> u32 {
+        match self {
+            Mix::AllFaults => 240,
+            Mix::RestartingMachines => 600,
+        }
+    }
+
+    /// One step in this many begins a fault, on average.
+    fn steps_per_fault(self) -> u8 {
+        match self {
+            Mix::AllFaults => 6,
+            Mix::RestartingMachines => 8,
+        }
+    }
+
+    fn fault(self, rng: &mut Rng) -> Fault {
+        match self {
+            // Direct commands still reach a machine whose heartbeats are lost.
+            Mix::RestartingMachines if rng.bool() => {
+                Fault::MachineDropsHeartbeats(rng.usize(..MACHINES))
+            }
+            Mix::RestartingMachines if rng.u8(..4) > 0 => Fault::of_random_machine(rng),
+            _ => Fault::random(rng),
+        }
+    }
+
+    /// Run time of tasks, in part longer than a worker's lease.
+    fn run_ms(self) -> Range<u64> {
+        match self {
+            Mix::AllFaults => 3_000..20_000,
+            Mix::RestartingMachines => 9_000..14_000,
+        }
+    }
+
+    fn image_pull_ms(self) -> u64 {
+        match self {
+            Mix::AllFaults => 1000,
+            // The image is cached.
+            Mix::RestartingMachines => 0,
+        }
+    }
+
+    /// Lower bound of the duration of a fault, in steps.
+    fn shortest_fault(self) -> u32 {
+        match self {
+            Mix::AllFaults => 1,
+            Mix::RestartingMachines => LONGEST_FAULT / 2,
+        }
+    }
+
+    /// Of ten steps, the number that submit a job.
+    fn submissions(self) -> u8 {
+        match self {
+            Mix::AllFaults => 4,
+            Mix::RestartingMachines => 6,
+        }
+    }
 }
 
 impl Fault {
     fn random(rng: &mut Rng) -> Fault {
         let controller = rng.usize(..CONTROLLERS);
-        let machine = rng.usize(..MACHINES);
-        match rng.u8(..14) {
+        match rng.u8(..16) {
             0 => Fault::KvOutage,
             1 => Fault::KvRefuses(controller),
             2 => Fault::PeersUnreachable(controller),
@@ -47,11 +124,32 @@
             6 => Fault::ZonePartition,
             7 => Fault::DelayedTransactions,
             8 => Fault::DroppedKvResponses,
-            9 => Fault::MachineDropsIncoming(machine),
-            10 => Fault::MachineDropsHeartbeats(machine),
-            11 => Fault::MachineFrozen(machine),
-            12 => Fault::MachineDropsCommandResponses(machine),
-            _ => Fault::MachineDelaysCommands(machine),
+            _ => Fault::of_random_machine(rng),
+        }
+    }
+
+    fn of_random_machine(rng: &mut Rng) -> Fault {
+        let machine = rng.usize(..MACHINES);
+        match rng.u8(..6) {
+            0 => Fault::MachineDropsIncoming(machine),
+            1 => Fault::MachineFrozen(machine),
+            2 => Fault::MachineDropsCommandResponses(machine),
+            3 => Fault::MachineDelaysCommands(machine),
+            4 => Fault::MachineRestarts(machine),
+            _ => Fault::MachineDropsHeartbeats(machine),
+        }
+    }
+
+    /// The machine that the fault affects; `None` for a fault of something else.
+    fn machine(self) -> Option<usize> {
+        match self {
+            Fault::MachineDropsIncoming(machine)
+            | Fault::MachineDropsHeartbeats(machine)
+            | Fault::MachineFrozen(machine)
+            | Fault::MachineDropsCommandResponses(machine)
+            | Fault::MachineDelaysCommands(machine)
+            | Fault::MachineRestarts(machine) => Some(machine),
+            _ => None,
         }
     }
 
@@ -82,13 +180,24 @@
             Fault::MachineDelaysCommands(machine) => {
                 cluster.machines[machine].faults.delays_commands = on
             }
+            // The restart itself is scheduled when the fault is drawn.
+            Fault::MachineRestarts(_) => {}
         }
     }
 }
 
+/// A restart of a machine that is still to come.
+#[derive(Clone, Copy)]
+struct ScheduledRestart {
+    step: u32,
+    machine: usize,
+    back_after_ms: u64,
+}
+
 /// A randomized run in progress.
 pub struct RandomizedRun {
     rng: Rng,
+    mix: Mix,
     pub cluster: SimulatedCluster,
     /// Number of submissions so far, including those that were not accepted.
     jobs: u32,
@@ -96,15 +205,17 @@
     pub confirmed: u32,
     /// Active faults with the step at which each ends.
     faults: Vec<(Fault, u32)>,
+    restarts: Vec<ScheduledRestart>,
     liveness: Liveness,
 }
 
 impl RandomizedRun {
-    pub fn new(seed: u64, standby: Standby) -> RandomizedRun {
+    pub fn new(seed: u64, standby: Standby, mix: Mix) -> RandomizedRun {
         let mut rng = Rng::with_seed(seed);
         let mut cluster = SimulatedCluster::with_standby(MACHINES, standby);
         for machine in &mut cluster.machines {
-            machine.worker.run_ms = rng.u64(3000..15_000);
+            machine.worker.run_ms = rng.u64(mix.run_ms());
+            machine.worker.image_pull_ms = mix.image_pull_ms();
         }
         // About a quarter of the runs start in the first record format, which can't store
         // dependencies.
@@ -113,26 +224,29 @@
         }
         RandomizedRun {
             rng,
+            mix,
             cluster,
             jobs: 0,
             confirmed: 0,
             faults: Vec::new(),
+            restarts: Vec::new(),
             liveness: Liveness::default(),
         }
     }
 
     pub fn run(&mut self) {
-        for step in 0..FAULTY_STEPS {
+        for step in 0..self.mix.faulty_steps() {
             self.cluster.run_for(STEP_MS);
             self.cluster.try_begin_record_format_v2();
             self.end_faults(step);
+            self.restart_machines(step);
             self.start_controllers();
-            if self.rng.u8(..6) == 0 {
+            if self.rng.u8(..self.mix.steps_per_fault()) == 0 {
                 self.begin_fault(step);
             }
             let controller = self.rng.usize(..CONTROLLERS);
             match self.rng.u8(..10) {
-                0..=3 => self.submit(controller),
+                draw if draw < self.mix.submissions() => self.submit(controller),
                 4 => self.cancel(controller),
                 5 => self.redeliver_old_heartbeat(controller),
                 _ => self.poll(controller),
@@ -142,13 +256,41 @@
     }
 
     fn begin_fault(&mut self, step: u32) {
-        let fault = Fault::random(&mut self.rng);
+        let fault = self.mix.fault(&mut self.rng);
         if self.faults.iter().any(|(other, _)| *other == fault) {
             return;
         }
         fault.set(&mut self.cluster, true);
-        let end = step + self.rng.u32(1..LONGEST_FAULT);
+        let end = step + self.rng.u32(self.mix.shortest_fault()..LONGEST_FAULT);
         self.faults.push((fault, end));
+        if let Some(machine) = fault.machine() {
+            self.schedule_restart(fault, machine, step);
+        }
+    }
+
+    /// Schedules the restart that a fault consists of, or, for every other fault of a machine, one
+    /// that falls into the fault.
+    fn schedule_restart(&mut self, fault: Fault, machine: usize, step: u32) {
+        let is_restart = fault == Fault::MachineRestarts(machine);
+        if !is_restart && self.rng.u8(..4) == 0 {
+            return;
+        }
+        self.restarts.push(ScheduledRestart {
+            step: step + self.rng.u32(..LATEST_RESTART),
+            machine,
+            back_after_ms: self.rng.u64(..=LONGEST_RESTART_MS),
+        });
+    }
+
+    fn restart_machines(&mut self, step: u32) {
+        let cluster = &mut self.cluster;
+        self.restarts.retain(|restart| {
+            let is_due = restart.step <= step;
+            if is_due {
+                cluster.restart_machine(restart.machine, restart.back_after_ms);
+            }
+            !is_due
+        });
     }
 
     fn end_faults(&mut self, step: u32) {
@@ -170,11 +312,30 @@
                 self.cluster.start_controller(controller);
             }
         }
+        self.set_heartbeat_intervals();
+    }
+
+    fn set_heartbeat_intervals(&mut self) {
+        if self.mix != Mix::RestartingMachines {
+            return;
+        }
+        for machine in &mut self.cluster.machines {
+            machine.heartbeat_interval_ms = LONG_HEARTBEAT_INTERVAL_MS;
+        }
+        for controller in self.cluster.controllers.iter_mut().flatten() {
+            // As the settings compute it from the interval.
+            controller.config.unresponsive_ms = LONG_HEARTBEAT_INTERVAL_MS * 5 / 2;
+        }
     }
 
     fn submit(&mut self, controller: usize) {
         self.jobs += 1;
         let mut spec = job(&format!("job-{}", self.jobs), self.rng.u32(1..5));
+        if self.mix == Mix::RestartingMachines {
+            spec.tasks = 1;
+            self.cluster.submit(controller, spec);
+            return;
+        }
         if self.rng.bool() {
             spec.team = "mixers".into();
             spec.tasks = spec.tasks.min(2);
@@ -228,6 +389,7 @@
     /// never finish by themselves, so they are cancelled.
     fn recover(&mut self) {
         self.end_faults(u32::MAX);
+        self.restart_machines(u32::MAX);
         assert!(self
             .cluster
             .controller_faults
--- a/tests/support/simulated_cluster/mod.rs
+++ b/tests/support/simulated_cluster/mod.rs
@@ -19,6 +19,7 @@
 use pointhook::protocol::workers::{DirectCommands, Heartbeat};
 use pointhook::state::units::MonotonicMillis;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use testkit::network::faults::Restart;
 
 /// Number of controllers in the cluster.
 pub const CONTROLLERS: usize = 3;
@@ -35,6 +36,8 @@
 const START_UP_MS: u64 = 6000;
 /// Most writes that the store accepts in one transaction.
 const MAX_TXN_OPS: usize = 16;
+/// Interval between two heartbeats of a worker unless a test sets another one.
+const HEARTBEAT_INTERVAL_MS: u64 = 2000;
 /// Delivery delay of late commands unless a test sets another one.
 const COMMAND_DELAY_MS: u64 = 6000;
 /// Due time of commands that are delivered when the partition ends.
@@ -85,6 +88,8 @@
     /// Index of the controller to which it sends its heartbeats.
     target_controller: usize,
     next_heartbeat_at: u64,
+    /// Interval between two heartbeats.
+    pub heartbeat_interval_ms: u64,
     /// Delivery delay of commands with the faults `delays_commands` and `repeats_commands`.
     pub command_delay_ms: u64,
     delayed_commands: Vec<DelayedCommands>,
@@ -92,6 +97,8 @@
     pub sent_heartbeats: Vec<Heartbeat>,
     /// Index of the machine to which this machine's address belongs now; `None`: its own.
     pub address_belongs_to: Option<usize>,
+    /// The machine is restarting until this time.
+    down_until: u64,
     /// The machine can only reach controllers of its own zone.
     pub partitioned: bool,
     undelivered_heartbeats: Vec<UndeliveredHeartbeat>,
@@ -105,9 +112,15 @@
     }
 
     /// True if direct commands of this controller would reach the worker now.
-    fn is_reachable_from(&self, controller: usize) -> bool {
+    fn is_reachable_from(&self, controller: usize, now: u64) -> bool {
         let is_cut_off = self.is_partitioned_from(controller);
-        !is_cut_off && !self.faults.drops_incoming && !self.faults.frozen
+        let is_up = !self.faults.frozen && !self.is_down(now);
+        !is_cut_off && !self.faults.drops_incoming && is_up
+    }
+
+    /// True while the machine restarts.
+    fn is_down(&self, now: u64) -> bool {
+        now < self.down_until
     }
 }
 
@@ -127,6 +140,8 @@
     /// The key-value store is unavailable to all controllers, and its leases don't expire.
     pub kv_outage: bool,
     pub machines: Vec<SimulatedMachine>,
+    /// Number of restarts of machines so far.
+    pub restarts: u32,
     /// Warm-standby setting of the controllers that are started from now on.
     pub standby: Standby,
     /// Time on the simulated clock, ms.
@@ -161,6 +176,7 @@
             controller_faults: [ControllerFaults::default(); CONTROLLERS],
             kv_outage: false,
             machines: Vec::new(),
+            restarts: 0,
             now: 0,
             incarnation: 1,
             cancelled_at: BTreeMap::new(),
@@ -188,10 +204,12 @@
             faults: MachineFaults::default(),
             target_controller: self.machines.len() % CONTROLLERS,
             next_heartbeat_at: self.now,
+            heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
             command_delay_ms: COMMAND_DELAY_MS,
             address_belongs_to: None,
             delayed_commands: Vec::new(),
             sent_heartbeats: Vec::new(),
+            down_until: 0,
             partitioned: false,
             undelivered_heartbeats: Vec::new(),
         });
@@ -242,6 +260,16 @@
         self.controllers[controller_index] = Some(controller.with_peers(&NAMES, &ZONES));
     }
 
+    /// Restarts a machine into the next agent epoch, which begins when it is back.
+    pub fn restart_machine(&mut self, machine: usize, back_after_ms: u64) {
+        self.restarts += 1;
+        let machine = &mut self.machines[machine];
+        machine.down_until = self.now + back_after_ms;
+        machine.next_heartbeat_at = machine.down_until;
+        let worker = &mut machine.worker;
+        worker.restart(Restart::NextEpoch, machine.down_until);
+    }
+
     /// Stops a controller at once; its state is lost.
     pub fn stop_controller(&mut self, controller_index: usize) {
         self.controllers[controller_index] = None;
--- a/tests/support/simulated_cluster/tick.rs
+++ b/tests/support/simulated_cluster/tick.rs
@@ -10,17 +10,13 @@
 use pointhook::coordination::cancellations::direct_stops::{self, CancelledTasks};
 use pointhook::coordination::heartbeats::{self, HeartbeatOutcome};
 use pointhook::coordination::peer_messages::status_updates;
-use pointhook::coordination::scheduler::direct_starts::{
-    record_direct_start_outcome, DirectStartOutcome,
-};
+use pointhook::coordination::scheduler::direct_starts::DirectStartOutcome;
 use pointhook::coordination::scheduler::preemption;
 use pointhook::coordination::worker_connectivity::probes;
 use pointhook::protocol::workers::{DirectCommands, Heartbeat, HeartbeatResponse};
 use pointhook::state::names::{Index, ShardIndex};
 use pointhook::state::units::MonotonicMillis;
 
-/// Interval between two heartbeats of a worker.
-const HEARTBEAT_INTERVAL_MS: u64 = 2000;
 /// Time after which a worker sends its next heartbeat to the next controller, if one was not
 /// accepted and no owner was named.
 const RETRY_DELAY_MS: u64 = 1000;
@@ -33,6 +29,22 @@
 /// holds the name of the owner if the controller knows one.
 type HeartbeatAnswer = Result<HeartbeatResponse, Option<String>>;
 
+/// What a controller observes of direct commands that it has sent.
+struct CommandDelivery {
+    outcome: DirectStartOutcome,
+    /// Status in the worker's response; `None` without a response.
+    status: Option<Heartbeat>,
+}
+
+impl CommandDelivery {
+    fn without_response(outcome: DirectStartOutcome) -> CommandDelivery {
+        CommandDelivery {
+            outcome,
+            status: None,
+        }
+    }
+}
+
 impl SimulatedCluster {
     /// Advances the clock by at least `ms`, in steps of `STEP_MS`.
     pub fn run_for(&mut self, ms: u64) {
@@ -99,8 +111,9 @@
         for start in controller.direct_starts(now) {
             let names = &controller.cluster.machine_names;
             let name = names.name(start.machine).clone();
-            let outcome = self.send_commands(controller_index, &name, direct_commands(&start));
-            record_direct_start_outcome(&mut controller.cluster, &start, outcome);
+            let delivery = self.send_commands(controller_index, &name, direct_commands(&start));
+            let status = delivery.status.as_ref();
+            controller.record_direct_start_response(&start, delivery.outcome, status, now);
         }
         self.announce_ownership(controller_index, controller);
         if self.is_round() {
@@ -157,6 +170,9 @@
     fn run_machine(&mut self, index: usize) {
         let now = self.now;
         let machine = &mut self.machines[index];
+        if machine.is_down(now) {
+            return;
+        }
         if machine.faults.frozen {
             machine.worker.expire_lease(now);
             return;
@@ -168,7 +184,7 @@
             return;
         }
         let heartbeat = machine.worker.heartbeat(now);
-        machine.next_heartbeat_at = now + HEARTBEAT_INTERVAL_MS;
+        machine.next_heartbeat_at = now + machine.heartbeat_interval_ms;
         machine.sent_heartbeats.push(heartbeat.clone());
         if machine.faults.drops_heartbeats {
             return;
@@ -281,23 +297,26 @@
         machine.next_heartbeat_at = self.now + RETRY_DELAY_MS;
     }
 
-    /// Sends direct commands from a controller to a machine, subject to the machine's faults. The
-    /// outcome is the one that the controller observes.
+    /// Sends direct commands from a controller to a machine, subject to the machine's faults.
     fn send_commands(
         &mut self,
         controller_index: usize,
         name: &str,
         commands: DirectCommands,
-    ) -> DirectStartOutcome {
+    ) -> CommandDelivery {
         let now = self.now;
         digest::record("commands", now, &(NAMES[controller_index], name, &commands));
         let mut machines = self.machines.iter();
         let Some(addressed) = machines.position(|machine| machine.worker.name == name) else {
-            return DirectStartOutcome::Unknown;
+            return CommandDelivery::without_response(DirectStartOutcome::Unknown);
         };
         let receiver = self.machines[addressed].address_belongs_to;
         let machine = &mut self.machines[receiver.unwrap_or(addressed)];
         let faults = machine.faults;
+        if machine.is_down(now) {
+            // No connection is established.
+            return CommandDelivery::without_response(DirectStartOutcome::Refused);
+        }
         let delayed_until = if machine.is_partitioned_from(controller_index) {
             Some(WHEN_PARTITION_ENDS)
         } else if faults.delays_commands {
@@ -311,10 +330,10 @@
             machine
                 .delayed_commands
                 .push(DelayedCommands { due, commands });
-            return DirectStartOutcome::Unknown;
+            return CommandDelivery::without_response(DirectStartOutcome::Unknown);
         }
         if faults.drops_incoming {
-            return DirectStartOutcome::Unknown;
+            return CommandDelivery::without_response(DirectStartOutcome::Unknown);
         }
         if faults.repeats_commands {
             machine.delayed_commands.push(DelayedCommands {
@@ -322,10 +341,16 @@
                 commands: commands.clone(),
             });
         }
-        match machine.worker.receive_commands(&commands, now) {
-            _ if faults.drops_command_responses => DirectStartOutcome::Unknown,
+        let outcome = match machine.worker.receive_commands(&commands, now) {
+            _ if faults.drops_command_responses => {
+                return CommandDelivery::without_response(DirectStartOutcome::Unknown)
+            }
             200 => DirectStartOutcome::Executed,
             _ => DirectStartOutcome::Refused,
+        };
+        CommandDelivery {
+            outcome,
+            status: Some(machine.worker.heartbeat(now)),
         }
     }
 
@@ -342,7 +367,7 @@
             let fencing_token = cluster.shards[known.shard.at()].record.fencing_token;
             let is_owner = controller.config.owns(cluster, known.shard);
             let is_due = is_owner && machine.worker.fencing_token < fencing_token;
-            if !is_due || !machine.is_reachable_from(controller_index) {
+            if !is_due || !machine.is_reachable_from(controller_index, now) {
                 continue;
             }
             let announcement = DirectCommands {
@@ -379,7 +404,8 @@
             let index = target.machine;
             let name = controller.cluster.machine_names.name(index).clone();
             let machine = self.machines.iter().find(|m| *m.worker.name == *name);
-            let is_reachable = machine.is_some_and(|m| m.is_reachable_from(controller_index));
+            let is_reachable =
+                machine.is_some_and(|m| m.is_reachable_from(controller_index, now.0));
             let known = controller.cluster.machine_mut(index);
             if let Some(known) = known.filter(|_| is_reachable) {
                 known.health.mark_reachable(now);
@@ -395,7 +421,7 @@
             let has_any = |tasks: &[(String, u64)]| {
                 tasks.iter().any(|(task, _)| machine.worker.has_task(task))
             };
-            if !machine.is_reachable_from(controller_index) || !has_any(&cancelled.tasks) {
+            if !machine.is_reachable_from(controller_index, now) || !has_any(&cancelled.tasks) {
                 continue;
             }
             let status = machine.worker.heartbeat(now);
