A late answer to a direct start settles that start alone, not a later one of the same attempt

What callers see: a task that was stopped or failed on one machine and runs on another starts on the first once more, and is on two machines at once. Cause: the outcome of a direct start was applied to whatever start of the attempt was in flight. If the machine restarts and another command's answer shows the new epoch, the attempt is started again there while the first start is unanswered for up to 2 s. The refusal of the first, for its ended epoch, then took the second out of the list of starts that may still arrive: its absence counted as proven, its exit was acknowledged, and no token was raised to shut it out. An answer of success would have marked the second as answered. Change: an outcome counts only for the start with the same fencing token and agent epoch. Why this is enough: at most one start of an attempt is in flight under one token and epoch, since another is sent only once it has been refused, or a worker's message has shown another token or epoch. Result: a_refusal_from_an_ended_epoch_does_not_let_a_later_start_run_the_task_a_second_time (tests/restarted_machines.rs) failed before ("job-1/0 is on m1 and m2") and passes; tests/direct_starts.rs and tests/held_up_starts.rs pass.

--- a/src/coordination/scheduler/direct_starts.rs
+++ b/src/coordination/scheduler/direct_starts.rs
@@ -33,6 +33,13 @@
     pub commands: Vec<Command>,
 }
 
+impl DirectStart {
+    /// True if an in-flight start of one of these attempts is this one.
+    fn is_same_start(&self, in_flight: &InFlightStart) -> bool {
+        (self.fencing_token, self.agent_epoch) == (in_flight.fencing_token, in_flight.agent_epoch)
+    }
+}
+
 /// Selects the attempts for which no start command has been sent yet, on machines to which no
 /// heartbeat response is in progress, and marks these attempts as in flight. `reserve_connection`
 /// is called once per machine and returns whether a connection is available for it.
@@ -165,7 +172,7 @@
 }
 
 /// Records the outcome of direct starts. An unknown outcome leaves them in flight.
-pub fn record_direct_start_outcome(
+fn record_direct_start_outcome(
     cluster: &mut ClusterState,
     sent: &DirectStart,
     outcome: DirectStartOutcome,
@@ -174,13 +181,17 @@
         return;
     };
     for attempt in &sent.attempts {
+        let Some(in_flight) = machine.starts.in_flight.get_mut(attempt) else {
+            continue;
+        };
+        // A start that was sent later, in another epoch or under another token, may still be
+        // executed, whatever became of this one.
+        if !sent.is_same_start(in_flight) {
+            continue;
+        }
         match outcome {
             DirectStartOutcome::Unknown => {}
-            DirectStartOutcome::Executed => {
-                if let Some(start) = machine.starts.in_flight.get_mut(attempt) {
-                    start.acknowledged = true;
-                }
-            }
+            DirectStartOutcome::Executed => in_flight.acknowledged = true,
             DirectStartOutcome::Refused => {
                 machine.starts.in_flight.remove(attempt);
             }
--- a/tests/restarted_machines.rs
+++ b/tests/restarted_machines.rs
@@ -9,7 +9,9 @@
 use pointhook::protocol::workers::AgentEpoch;
 use support::job;
 use support::kv_store::FakeKvStore;
-use support::simulated_controller::{start_single_controller, SimulatedController};
+use support::simulated_controller::{
+    direct_commands, run_heartbeats, start_single_controller, SimulatedController,
+};
 use support::worker::FakeWorker;
 use testkit::network::faults::Restart;
 
@@ -79,3 +81,33 @@
          event_age_ms=13000"
     );
 }
+
+#[test]
+fn a_refusal_from_an_ended_epoch_does_not_let_a_later_start_run_the_task_a_second_time() {
+    let (mut store, mut controller, mut worker) = start_with_one_machine();
+    let first = submit_and_start(&mut controller, &mut store, "job-1", 600);
+    // The first start is held up. The response to another one shows the new epoch.
+    worker.restart(Restart::NextEpoch, 700);
+    let other_job = submit_and_start(&mut controller, &mut store, "job-2", 800);
+    controller.deliver_direct_start(&other_job, &mut worker, 800);
+    let second = controller.direct_starts(900).remove(0);
+    assert_eq!(second.agent_epoch, AgentEpoch(2));
+    // The second start is held up too, and the first is refused meanwhile.
+    let outcome = controller.deliver_direct_start(&first, &mut worker, 1000);
+    assert_eq!(outcome, DirectStartOutcome::Refused);
+    // The response to a heartbeat starts the task; it is stopped and moves to another machine.
+    controller.exchange_heartbeat(&mut store, &mut worker, 1100);
+    controller.exchange_heartbeat(&mut store, &mut worker, 1500);
+    assert!(worker.has_task("job-1/0"));
+    let machine = controller.machine("m1");
+    let machine = controller.cluster.machine_mut(machine).expect("known");
+    machine.decisions.stopping.insert(first.attempts[0], 0.0);
+    machine.decisions.cordoned = true;
+    let mut other = FakeWorker::new("m2", "north", 1500);
+    other.run_ms = LONG_RUN_MS;
+    let mut workers = [&mut worker, &mut other];
+    run_heartbeats(&mut controller, &mut store, &mut workers, 2000, 5000);
+    assert!(other.has_task("job-1/0") && !worker.has_task("job-1/0"));
+    worker.receive_commands(&direct_commands(&second), 5000);
+    assert!(!worker.has_task("job-1/0"), "job-1/0 is on m1 and m2");
+}
