Decision digest recorded anew, as its random runs draw restarts and learn from answers

Cause: the digest's scenarios run on the simulated cluster, which since restarts machines and takes the answers to direct commands into account, as the real controller does. tests/decision_digest.rs did not compile with the new parameter. Seeds 3 and 6 of the random runs, whose decisions no longer depend on the zone of the standby, are replaced by 2 and 7, whose do.

--- a/tests/decision_digest.rs
+++ b/tests/decision_digest.rs
@@ -37,7 +37,7 @@
 use support::cloud::FakeCloud;
 use support::digest;
 use support::job;
-use support::randomized_run::RandomizedRun;
+use support::randomized_run::{Mix, RandomizedRun};
 use support::scenarios::{recover, refuse_leader_then_all, two_long_jobs};
 use support::simulated_cluster::SimulatedCluster;
 use support::simulated_controller::{
@@ -47,7 +47,7 @@
 
 const GOLDEN: &str = "tests/data/decision_digest.txt";
 /// Seeds of the random runs; with these, the decisions depend on the zone of the warm standby.
-const RANDOM_RUN_SEEDS: [u64; 5] = [3, 4, 5, 6, 8];
+const RANDOM_RUN_SEEDS: [u64; 5] = [2, 4, 5, 7, 8];
 /// Most scenarios that run at the same time.
 const MAX_CONCURRENT_SCENARIOS: usize = 4;
 const STANDBYS: [(&str, Standby); 3] = [
@@ -58,7 +58,7 @@
 
 /// Scenario: a randomized run with faults of every kind, job dependencies and cancellations.
 fn random_run(seed: u64, standby: Standby) {
-    let mut run = RandomizedRun::new(seed, standby);
+    let mut run = RandomizedRun::new(seed, standby, Mix::AllFaults);
     run.run();
     record_final_state(run.cluster);
 }
