Real processes and random runs: mute and restarting machines, cancellations, tasks longer than a lease

The random runs with mostly restarting machines cancelled nothing either. The checker reports a task of a cancelled job that a worker still has after cancel_s (24 s there). Faults and mixes of the random runs stand in a file of their own.

--- a/crates/testkit/src/checker.rs
+++ b/crates/testkit/src/checker.rs
@@ -19,6 +19,9 @@
     /// A task was started while an attempt of it was active on another machine.
     #[error("task started while active on another machine")]
     ConcurrentAttempts,
+    /// A task of a cancelled job was still active when it should have been gone.
+    #[error("task of a cancelled job still active")]
+    CancelledTaskActive,
     /// A task was completed more than once.
     #[error("task completed more than once")]
     CompletedTwice,
@@ -66,6 +69,7 @@
 struct Checker<'a> {
     accepted: BTreeMap<&'a str, AcceptedJob<'a>>,
     reported_done: HashSet<&'a str>,
+    cancelled: HashSet<&'a str>,
     /// Recorded claims as task, attempt and machine.
     claims: HashSet<(&'a str, u64, &'a str)>,
     completed_tasks: HashSet<&'a str>,
@@ -122,6 +126,12 @@
                 );
             }
             Event::TaskCompleted { task, .. } => self.check_task_completion(task, event),
+            Event::JobCancelled { job } => {
+                self.cancelled.insert(job);
+            }
+            Event::CancelledTaskActive { .. } => {
+                self.require(false, ViolationKind::CancelledTaskActive, event);
+            }
             Event::MachineRestarted { .. } | Event::MachineDeleted { .. } => {}
         }
     }
@@ -155,8 +165,8 @@
 
     fn finish(mut self) -> Vec<Violation> {
         for (job, accepted) in std::mem::take(&mut self.accepted) {
-            let done = self.reported_done.contains(job);
-            self.require(done, ViolationKind::NeverDone, accepted.event);
+            let over = self.reported_done.contains(job) || self.cancelled.contains(job);
+            self.require(over, ViolationKind::NeverDone, accepted.event);
         }
         self.violations
     }
--- a/crates/testkit/src/failover_measurement/batch.rs
+++ b/crates/testkit/src/failover_measurement/batch.rs
@@ -18,6 +18,10 @@
 const TASKS_PER_JOB: u32 = 8;
 /// Time between the submissions of two jobs.
 pub(super) const SUBMIT_INTERVAL_MS: u64 = 500;
+/// One in this many jobs is cancelled.
+const JOBS_PER_CANCELLATION: u32 = 5;
+/// Upper bound of the time from a job's acceptance to its cancellation.
+const MAX_CANCELLATION_DELAY_MS: u64 = 10_000;
 const SUBMIT_TIMEOUT_MS: u64 = 5000;
 const SUBMIT_RETRY_MS: u64 = 1000;
 const STATUS_TIMEOUT_MS: u64 = 2000;
@@ -33,6 +37,8 @@
     /// Number of jobs that are submitted and not accepted yet.
     pending: Cell<u32>,
     accepted: RefCell<Vec<String>>,
+    /// Whether users cancel some of their jobs.
+    cancels: bool,
 }
 
 impl Batch {
@@ -41,6 +47,7 @@
         cluster: Rc<LoopbackCluster>,
         controllers: &[ControllerProcess],
         submit_interval_ms: u64,
+        cancels: bool,
         seed: u64,
     ) -> Batch {
         Batch {
@@ -51,6 +58,7 @@
             submitted: Cell::new(0),
             pending: Cell::new(0),
             accepted: RefCell::default(),
+            cancels,
         }
     }
 
@@ -87,10 +95,36 @@
             job: spec.id.clone(),
             tasks: spec.tasks,
         });
-        self.accepted.borrow_mut().push(spec.id);
+        let is_cancelled = self.cancels && self.rng.borrow_mut().u32(..JOBS_PER_CANCELLATION) == 0;
+        if is_cancelled {
+            let delay_ms = self.rng.borrow_mut().u64(..MAX_CANCELLATION_DELAY_MS);
+            sleep(delay_ms).await;
+            self.cancel(&spec.id).await;
+        } else {
+            self.accepted.borrow_mut().push(spec.id);
+        }
         self.pending.set(self.pending.get() - 1);
     }
 
+    /// Cancels a job; retries until a controller confirms that it is cancelled or done.
+    async fn cancel(&self, job: &str) {
+        let path = format!("/v1/jobs/{job}/withdraw");
+        loop {
+            let client = self.client_of_random_controller();
+            let answer = client.call(Method::Post, &path, Vec::new(), SUBMIT_TIMEOUT_MS);
+            let answer = answer.await.ok().filter(|answer| answer.status == 200);
+            let status = answer.and_then(|answer| decode_status(&answer.body));
+            match status.as_deref() {
+                Some("aborted") => {
+                    let mut recorder = self.cluster.recorder.borrow_mut();
+                    return recorder.record_cancellation(self.cluster.now_ms(), job);
+                }
+                Some(_) => return self.accepted.borrow_mut().push(job.to_string()),
+                None => sleep(SUBMIT_RETRY_MS).await,
+            }
+        }
+    }
+
     /// Waits until all jobs are reported as done, then queries each status once more, so that the
     /// checker sees a status that changes after done. False on timeout.
     pub(super) async fn wait_until_done(&self) -> bool {
@@ -120,12 +154,12 @@
         let client = self.client_of_random_controller();
         let answer = client.call(Method::Get, &path, Vec::new(), STATUS_TIMEOUT_MS);
         let answer = answer.await.ok().filter(|answer| answer.status == 200)?;
-        let status: JobStatus = rmp_serde::from_slice(&answer.body).ok()?;
+        let status = decode_status(&answer.body)?;
         self.record(Event::JobStatusReported {
             job: job.to_string(),
-            status: status.status.clone(),
+            status: status.clone(),
         });
-        Some(status.status)
+        Some(status)
     }
 
     fn record(&self, event: Event) {
@@ -134,6 +168,12 @@
     }
 }
 
+/// The state of a job in a controller's response.
+fn decode_status(body: &[u8]) -> Option<String> {
+    let status: JobStatus = rmp_serde::from_slice(body).ok()?;
+    Some(status.status)
+}
+
 /// Specification of the job with this number; jobs are bound to the two zones in turn.
 fn job_spec(number: u32) -> JobSpec {
     let zone = ["north", "south"][number as usize % 2];
--- a/crates/testkit/src/failover_measurement/mod.rs
+++ b/crates/testkit/src/failover_measurement/mod.rs
@@ -23,16 +23,24 @@
 
 /// Run time of a task.
 const TASK_RUN_MS: u64 = 1200;
-/// Run time of a task while there are faults: long enough to meet messages that are held up.
-const TASK_RUN_WITH_FAULTS_MS: u64 = 8000;
+/// Run time of a task while there are faults: longer than a worker's lease and than
+/// `CANCEL_WITH_FAULTS_MS`.
+const TASK_RUN_WITH_FAULTS_MS: u64 = 26_000;
 /// Time between the submissions of two jobs while there are faults.
-const SUBMIT_INTERVAL_WITH_FAULTS_MS: u64 = 1500;
+const SUBMIT_INTERVAL_WITH_FAULTS_MS: u64 = 6000;
 /// Time that a task takes to pull its image.
 const IMAGE_PULL_MS: u64 = 100;
 /// Duration of a worker's lease.
 const LEASE_MS: u64 = 10_000;
+/// Time within which the tasks of a cancelled job have to be gone.
+const CANCEL_MS: u64 = 55_000;
+/// The same while there are faults: shorter than a task runs.
+const CANCEL_WITH_FAULTS_MS: u64 = 24_000;
 /// Time between a worker's heartbeats.
 const HEARTBEAT_INTERVAL_MS: u64 = 1000;
+/// Time between a worker's heartbeats while there are faults: with a longer one, more starts are
+/// sent to a machine that has fallen silent.
+const HEARTBEAT_INTERVAL_WITH_FAULTS_MS: u64 = 3200;
 /// Timeout of each wait for a busy shard, a failover or accepted jobs; the wait for jobs to be done
 /// has twice this time.
 const TIMEOUT_MS: u64 = 60_000;
@@ -159,6 +167,7 @@
         cluster.clone(),
         &controllers,
         submit_interval_ms,
+        options.faults.is_some(),
         rng.u64(..),
     ));
     let submitting = executor.spawn(batch.clone().submit_jobs(executor.clone()));
@@ -207,6 +216,10 @@
     let loopback: SocketAddr = ([127, 0, 0, 1], 0).into();
     let (kv_listener, cloud_listener) = (listen(loopback)?, listen(loopback)?);
     let addresses = ControllerAddresses::allocate(options.controllers)?;
+    let (heartbeat_interval_ms, cancel_ms) = match options.faults {
+        Some(_) => (HEARTBEAT_INTERVAL_WITH_FAULTS_MS, CANCEL_WITH_FAULTS_MS),
+        None => (HEARTBEAT_INTERVAL_MS, CANCEL_MS),
+    };
     let deployment = Deployment {
         program: options.program.clone(),
         features: options.features.clone(),
@@ -215,19 +228,21 @@
         cloud_addr: cloud_listener.get_ref().local_addr()?,
         wrapper_command: None,
         lease_s: LEASE_MS as f64 / 1000.0,
-        heartbeat_interval_s: HEARTBEAT_INTERVAL_MS as f64 / 1000.0,
+        heartbeat_interval_s: heartbeat_interval_ms as f64 / 1000.0,
+        cancel_s: cancel_ms as f64 / 1000.0,
         kv_requests_per_s: 1000.0,
         kv_writes_per_s: 200.0,
     };
     let cluster = Rc::new(LoopbackCluster::new(WorkerConfig {
         controllers: addresses.iter().map(|a| a.endpoint()).collect(),
-        heartbeat_interval_ms: HEARTBEAT_INTERVAL_MS,
+        heartbeat_interval_ms,
         image_pull_ms: IMAGE_PULL_MS,
         run_ms: match options.faults {
             Some(_) => TASK_RUN_WITH_FAULTS_MS,
             None => TASK_RUN_MS,
         },
         lease_ms: LEASE_MS,
+        cancel_ms,
         verbose: false,
     }));
     cluster.cloud.borrow_mut().capacity = MACHINES;
--- a/crates/testkit/src/history.rs
+++ b/crates/testkit/src/history.rs
@@ -26,6 +26,20 @@
         /// Status as sent on the wire, such as `pending` or `done`.
         status: String,
     },
+    /// A controller confirmed to a user that a job is cancelled.
+    JobCancelled {
+        /// Id of the job.
+        job: String,
+    },
+    /// A worker still had a task of a cancelled job when it should have been gone.
+    CancelledTaskActive {
+        /// Task as `job/index`.
+        task: String,
+        /// Name of the worker's machine.
+        machine: String,
+        /// Time since it should have been gone, in milliseconds.
+        overdue_ms: u64,
+    },
     /// A shard record with the shard's owner was written to the key-value store.
     ShardOwnerRecorded {
         /// Number of the shard.
@@ -93,6 +107,7 @@
         match self {
             Event::TaskClaimed { task, .. }
             | Event::TaskStarted { task, .. }
+            | Event::CancelledTaskActive { task, .. }
             | Event::TaskCompleted { task, .. } => Some(task),
             _ => None,
         }
@@ -103,6 +118,7 @@
         match self {
             Event::TaskClaimed { machine, .. }
             | Event::TaskStarted { machine, .. }
+            | Event::CancelledTaskActive { machine, .. }
             | Event::TaskCompleted { machine, .. }
             | Event::MachineRestarted { machine, .. }
             | Event::MachineDeleted { machine } => Some(machine),
@@ -144,6 +160,8 @@
     progress_by_machine: HashMap<String, WorkerProgress>,
     shards: HashMap<u32, RecordedShard>,
     placements_by_job: HashMap<String, HashSet<StoredPlacement>>,
+    /// When each cancelled job was confirmed to be cancelled.
+    cancelled_at_ms: HashMap<String, u64>,
 }
 
 impl Recorder {
@@ -157,6 +175,22 @@
         self.entries.push(Entry { at_ms, event });
     }
 
+    /// Appends the confirmed cancellation of a job.
+    pub fn record_cancellation(&mut self, at_ms: u64, job: &str) {
+        self.cancelled_at_ms.entry(job.to_string()).or_insert(at_ms);
+        self.record(at_ms, Event::JobCancelled { job: job.into() });
+    }
+
+    /// Time since a task should have been gone, as its job was cancelled more than `cancel_ms` ago;
+    /// `None` if it was not.
+    pub fn overdue_ms(&self, task: &str, now_ms: u64, cancel_ms: u64) -> Option<u64> {
+        let (job, _) = task.split_once('/')?;
+        let cancelled_at_ms = self.cancelled_at_ms.get(job)?;
+        now_ms
+            .checked_sub(cancelled_at_ms + cancel_ms)
+            .filter(|overdue_ms| *overdue_ms > 0)
+    }
+
     /// Number of starts and completions of a worker that are recorded; zero for an unknown machine.
     pub fn progress_of(&self, machine: &str) -> WorkerProgress {
         let progress = self.progress_by_machine.get(machine);
--- a/crates/testkit/src/network/faults.rs
+++ b/crates/testkit/src/network/faults.rs
@@ -13,6 +13,15 @@
 /// Time for which a machine freezes, ms: less than the lease of its worker.
 const FREEZE_MS: RangeInclusive<u64> = 1_000..=8_000;
 
+/// Time for which a machine reaches no controller, ms: mostly longer than the lease of its worker.
+const MUTE_MS: RangeInclusive<u64> = 6_000..=25_000;
+/// Time from the beginning of a mute spell to a restart within it, ms.
+const RESTART_WHILE_MUTE_MS: RangeInclusive<u64> = 0..=6_000;
+/// Share of the mute spells with a restart.
+const RESTART_WHILE_MUTE_SHARE: f64 = 0.75;
+/// Time for which a restarting machine is down, ms.
+const RESTART_MS: RangeInclusive<u64> = 0..=3_000;
+
 /// Probability of each fault: per message, or per heartbeat for those of machines.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultRates {
@@ -28,6 +37,8 @@
     pub frozen_machine: f64,
     /// A machine restarts under its name without its tasks.
     pub restarted_machine: f64,
+    /// A machine reaches no controller for seconds, while direct commands reach it.
+    pub muted_machine: f64,
     /// A transaction is not answered and carried out late.
     pub late_transaction: f64,
     /// A transaction is carried out and its answer lost.
@@ -42,10 +53,11 @@
         FaultRates {
             late_command: 0.08,
             duplicated_command: 0.2,
-            duplicated_heartbeat: 0.05,
-            lost_response: 0.03,
-            frozen_machine: 0.01,
-            restarted_machine: 0.004,
+            duplicated_heartbeat: 0.15,
+            lost_response: 0.1,
+            frozen_machine: 0.03,
+            restarted_machine: 0.03,
+            muted_machine: 0.06,
             late_transaction: 0.01,
             lost_commit_response: 0.02,
             late_cloud_request: 0.2,
@@ -81,6 +93,15 @@
     NextEpoch,
 }
 
+/// A spell in which a machine's heartbeats are lost.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct MuteSpell {
+    /// Duration of the spell in milliseconds.
+    pub ms: u64,
+    /// Time until the machine restarts within the spell, in milliseconds; `None`: it does not.
+    pub restart_after_ms: Option<u64>,
+}
+
 /// Draws faults from a seed while they are switched on.
 #[derive(Default)]
 pub struct Faults {
@@ -177,6 +198,23 @@
         })
     }
 
+    /// The mute spell of a machine that begins now; `None`: none does.
+    pub fn mute(&self) -> Option<MuteSpell> {
+        if !self.happens(self.rates.get().muted_machine) {
+            return None;
+        }
+        let restarts = self.rng.borrow_mut().f64() < RESTART_WHILE_MUTE_SHARE;
+        Some(MuteSpell {
+            ms: self.draw(MUTE_MS),
+            restart_after_ms: restarts.then(|| self.draw(RESTART_WHILE_MUTE_MS)),
+        })
+    }
+
+    /// Time for which a restarting machine is down, ms.
+    pub fn restart_duration_ms(&self) -> u64 {
+        self.draw(RESTART_MS)
+    }
+
     /// Index of the controller to which a copy of a heartbeat goes.
     pub fn choose(&self, controllers: usize) -> usize {
         self.rng.borrow_mut().usize(..controllers)
--- a/crates/testkit/src/network/mod.rs
+++ b/crates/testkit/src/network/mod.rs
@@ -49,6 +49,8 @@
     pub run_ms: u64,
     /// Duration of a worker's lease.
     pub lease_ms: u64,
+    /// Time within which the tasks of a cancelled job have to be gone.
+    pub cancel_ms: u64,
     /// Whether to print each started and deleted machine and each started task.
     pub verbose: bool,
 }
--- a/crates/testkit/src/network/worker_loop.rs
+++ b/crates/testkit/src/network/worker_loop.rs
@@ -21,6 +21,9 @@
 /// Delay before a heartbeat is sent to the next controller in the list.
 const RETRY_DELAY_MS: u64 = 1000;
 
+/// Time between two steps of a mute machine.
+const MUTE_STEP_MS: u64 = 100;
+
 /// Destination of the next heartbeat, as the response to the last one determines it.
 enum NextHeartbeat {
     /// The same controller, after the heartbeat interval with jitter.
@@ -143,6 +146,7 @@
     let name = worker.borrow().name.clone();
     while cluster.workers.borrow().contains_key(&name) {
         strike_machine(cluster, worker);
+        wait_while_mute(cluster, worker).await;
         wait_while_frozen(cluster, worker).await;
         let sent_at_ms = cluster.now_ms();
         let heartbeat = worker.borrow_mut().heartbeat(sent_at_ms);
@@ -172,12 +176,40 @@
         worker.borrow_mut().frozen_until_ms = now_ms + ms;
     }
     if let Some(restart) = cluster.faults.restart() {
+        restart_machine(cluster, worker, restart);
+    }
+}
+
+/// Restarts the machine; it is down for a moment, and messages to it wait until it is back.
+fn restart_machine(cluster: &LoopbackCluster, worker: &RefCell<FakeWorker>, restart: Restart) {
+    let now_ms = cluster.now_ms();
+    record_progress(cluster, worker);
+    let back_at_ms = now_ms + cluster.faults.restart_duration_ms();
+    worker.borrow_mut().restart(restart, back_at_ms);
+    worker.borrow_mut().frozen_until_ms = back_at_ms;
+    let machine = worker.borrow().name.clone();
+    let anew = restart == Restart::Anew;
+    let mut recorder = cluster.recorder.borrow_mut();
+    recorder.record(now_ms, Event::MachineRestarted { machine, anew });
+}
+
+/// Sends no heartbeat for the duration of a mute spell, if the faults begin one now. The worker goes
+/// on and answers direct commands; it may restart meanwhile.
+async fn wait_while_mute(cluster: &LoopbackCluster, worker: &RefCell<FakeWorker>) {
+    let Some(spell) = cluster.faults.mute() else {
+        return;
+    };
+    let ends_at_ms = cluster.now_ms() + spell.ms;
+    let mut restarts_at_ms = spell.restart_after_ms.map(|ms| cluster.now_ms() + ms);
+    while cluster.now_ms() < ends_at_ms {
+        if restarts_at_ms.is_some_and(|at_ms| at_ms <= cluster.now_ms()) {
+            restarts_at_ms = None;
+            restart_machine(cluster, worker, Restart::NextEpoch);
+        }
+        wait_while_frozen(cluster, worker).await;
+        worker.borrow_mut().advance(cluster.now_ms());
         record_progress(cluster, worker);
-        worker.borrow_mut().restart(restart, now_ms);
-        let machine = worker.borrow().name.clone();
-        let anew = restart == Restart::Anew;
-        let mut recorder = cluster.recorder.borrow_mut();
-        recorder.record(now_ms, Event::MachineRestarted { machine, anew });
+        sleep(MUTE_STEP_MS).await;
     }
 }
 
@@ -270,6 +302,17 @@
         };
         recorder.record(now_ms, event);
     }
+    for task in worker.active_tasks() {
+        if let Some(overdue_ms) = recorder.overdue_ms(task, now_ms, cluster.worker_config.cancel_ms)
+        {
+            let event = Event::CancelledTaskActive {
+                task: task.to_string(),
+                machine: worker.name.clone(),
+                overdue_ms,
+            };
+            recorder.record(now_ms, event);
+        }
+    }
     let progress = WorkerProgress {
         started: worker.started.len(),
         completed: worker.completed.len(),
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -29,6 +29,8 @@
     pub lease_s: f64,
     /// Time between a worker's heartbeats, in seconds.
     pub heartbeat_interval_s: f64,
+    /// Time within which the tasks of a cancelled job have to be gone, in seconds.
+    pub cancel_s: f64,
     /// Request limit of the key-value store in the settings, in requests per second.
     pub kv_requests_per_s: f64,
     /// Write limit of the key-value store in the settings, in writes per second.
@@ -246,7 +248,7 @@
 lease_s = {:.2}
 gang_wait_s = 35.0
 gang_peer_s = 8.0
-cancel_s = 55.0
+cancel_s = {:.2}
 [settings.state]
 rps = {:.1}
 write_rps = {:.1}
@@ -267,6 +269,7 @@
         controllers.len(),
         deployment.heartbeat_interval_s,
         deployment.lease_s,
+        deployment.cancel_s,
         deployment.kv_requests_per_s,
         deployment.kv_writes_per_s
     )
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -273,6 +273,12 @@
         running.map(|t| t.name.as_str()).collect()
     }
 
+    /// Names of the tasks that have not exited.
+    pub fn active_tasks(&self) -> impl Iterator<Item = &str> {
+        let active = self.tasks.iter().filter(|t| t.is_active());
+        active.map(|t| t.name.as_str())
+    }
+
     /// Number of tasks that have not exited; these use capacity of the machine.
     pub fn active_task_count(&self) -> usize {
         self.tasks.iter().filter(|t| t.is_active()).count()
--- a/examples/load.rs
+++ b/examples/load.rs
@@ -22,6 +22,7 @@
 const CLOUD_PORT: u16 = 7482;
 const KV_PORT: u16 = 7483;
 const LEASE_MS: u64 = 30_000;
+const CANCEL_MS: u64 = 55_000;
 const IMAGE_PULL_MS: u64 = 10_000;
 /// Delay before the first submission, in which the services begin to serve their listeners.
 const START_UP_MS: u64 = 1000;
@@ -75,6 +76,7 @@
         image_pull_ms: IMAGE_PULL_MS,
         run_ms: args.run_s * 1000,
         lease_ms: LEASE_MS,
+        cancel_ms: CANCEL_MS,
         verbose: false,
     }));
     cluster.cloud.borrow_mut().capacity = args.machines;
@@ -115,6 +117,7 @@
         wrapper_command: args.wrapper.clone(),
         lease_s: LEASE_MS as f64 / 1000.0,
         heartbeat_interval_s: args.heartbeat_interval_s,
+        cancel_s: CANCEL_MS as f64 / 1000.0,
         kv_requests_per_s: 250.0,
         kv_writes_per_s: 20.0,
     })
--- a/examples/local_cluster.rs
+++ b/examples/local_cluster.rs
@@ -24,6 +24,7 @@
         image_pull_ms: 1000,
         run_ms: 5000,
         lease_ms: 10_000,
+        cancel_ms: 30_000,
         verbose: true,
     }));
     let kv_listener = listen(parse(KV_ADDR)?)?;
--- a/src/coordination/autoscaler/mod.rs
+++ b/src/coordination/autoscaler/mod.rs
@@ -13,7 +13,8 @@
 //! | `supply` | capacity of running, booting and requested machines |
 //! | `demand` | waiting and expected tasks |
 //! | `placement` | assigning demand to supply, and planning the machines that are missing |
-//! | `provisioning` | provisioning requests: their records, the requests and their responses |
+//! | `provisioning` | provisioning requests and their responses |
+//! | `provisioning_records` | the records of these requests |
 //! | `silence` | limits on missing heartbeats, and detection of partitioned zones |
 //! | `scale_in_plan` | selecting the machines to delete, with reasons |
 //! | `scale_in` | deleting machines |
@@ -41,6 +42,7 @@
 mod machine_list_refresh;
 mod placement;
 mod provisioning;
+mod provisioning_records;
 mod scale_in;
 mod scale_in_plan;
 mod silence;
@@ -187,7 +189,7 @@
         machine_list_refresh::read(controller, state).await;
     }
     provisioning::retry_unanswered(controller, state).await;
-    provisioning::remove_completed(controller, state, list_lag_ms).await;
+    provisioning_records::remove_completed(controller, state, list_lag_ms).await;
     provisioning::scale_out(controller, state).await;
     scale_in::scale_in(controller, state).await;
 }
--- a/tests/decision_digest.rs
+++ b/tests/decision_digest.rs
@@ -37,7 +37,8 @@
 use support::cloud::FakeCloud;
 use support::digest;
 use support::job;
-use support::randomized_run::{Mix, RandomizedRun};
+use support::random_faults::Mix;
+use support::randomized_run::RandomizedRun;
 use support::scenarios::{recover, refuse_leader_then_all, two_long_jobs};
 use support::simulated_cluster::SimulatedCluster;
 use support::simulated_controller::{
--- a/tests/randomized_faults.rs
+++ b/tests/randomized_faults.rs
@@ -3,7 +3,8 @@
 
 mod support;
 
-use support::randomized_run::{Mix, RandomizedRun};
+use support::random_faults::Mix;
+use support::randomized_run::RandomizedRun;
 use support::simulated_controller::Standby;
 
 /// Number of runs unless `POINTHOOK_RANDOM_DAYS` is set to a higher number.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod digest;
 pub mod liveness;
 pub mod loopback_controller;
+pub mod random_faults;
 pub mod randomized_run;
 pub mod scenarios;
 pub mod simulated_cluster;
--- a/tests/support/randomized_run.rs
+++ b/tests/support/randomized_run.rs
@@ -3,17 +3,13 @@
 
 use super::job;
 use super::liveness::Liveness;
+use super::random_faults::{Fault, Mix, CONTROLLERS, LONGEST_FAULT, MACHINES};
 use super::simulated_cluster::{ControllerFaults, SimulatedCluster};
 use super::simulated_controller::Standby;
 use fastrand::Rng;
 use pointhook::protocol::users::{JobKind, JobSpec, Priority};
-use std::ops::Range;
 
-const CONTROLLERS: usize = 3;
-const MACHINES: usize = 6;
 const STEP_MS: u64 = 500;
-/// Upper bound of the duration of a fault, in steps; exclusive.
-const LONGEST_FAULT: u32 = 40;
 /// Upper bound of the time from the beginning of a fault to a restart, in steps; exclusive.
 const LATEST_RESTART: u32 = 6;
 /// Interval between two heartbeats where machines mostly restart: with a longer one, more starts are
@@ -24,168 +20,6 @@
 /// End of the recovery on the simulated clock. Jobs that are unfinished then fail the test.
 const LONGEST_RUN_MS: u64 = 900_000;
 
-/// A fault of the simulated cluster, with the index of the controller or machine if it affects one.
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Fault {
-    KvOutage,
-    KvRefuses(usize),
-    PeersUnreachable(usize),
-    ControllerDown(usize),
-    ZonePartition,
-    DelayedTransactions,
-    DroppedKvResponses,
-    MachineDropsIncoming(usize),
-    MachineDropsHeartbeats(usize),
-    MachineFrozen(usize),
-    MachineDropsCommandResponses(usize),
-    MachineDelaysCommands(usize),
-    MachineRestarts(usize),
-}
-
-/// Which faults and jobs a run draws.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Mix {
-    /// All faults, and more work than there is room for at times.
-    AllFaults,
-    /// Mostly machines that restart, alone and together with their other faults, and little work
-    /// with long tasks, so that a task that is lost soon starts elsewhere.
-    RestartingMachines,
-}
-
-impl Mix {
-    /// Number of steps in which faults occur; a recovery without faults follows.
-    fn faulty_steps(self) -> u32 {
-        match self {
-            Mix::AllFaults => 240,
-            Mix::RestartingMachines => 600,
-        }
-    }
-
-    /// One step in this many begins a fault, on average.
-    fn steps_per_fault(self) -> u8 {
-        match self {
-            Mix::AllFaults => 6,
-            Mix::RestartingMachines => 8,
-        }
-    }
-
-    fn fault(self, rng: &mut Rng) -> Fault {
-        match self {
-            // Direct commands still reach a machine whose heartbeats are lost.
-            Mix::RestartingMachines if rng.bool() => {
-                Fault::MachineDropsHeartbeats(rng.usize(..MACHINES))
-            }
-            Mix::RestartingMachines if rng.u8(..4) > 0 => Fault::of_random_machine(rng),
-            _ => Fault::random(rng),
-        }
-    }
-
-    /// Run time of tasks, in part longer than a worker's lease.
-    fn run_ms(self) -> Range<u64> {
-        match self {
-            Mix::AllFaults => 3_000..20_000,
-            Mix::RestartingMachines => 9_000..14_000,
-        }
-    }
-
-    fn image_pull_ms(self) -> u64 {
-        match self {
-            Mix::AllFaults => 1000,
-            // The image is cached.
-            Mix::RestartingMachines => 0,
-        }
-    }
-
-    /// Lower bound of the duration of a fault, in steps.
-    fn shortest_fault(self) -> u32 {
-        match self {
-            Mix::AllFaults => 1,
-            Mix::RestartingMachines => LONGEST_FAULT / 2,
-        }
-    }
-
-    /// Of ten steps, the number that submit a job.
-    fn submissions(self) -> u8 {
-        match self {
-            Mix::AllFaults => 4,
-            Mix::RestartingMachines => 6,
-        }
-    }
-}
-
-impl Fault {
-    fn random(rng: &mut Rng) -> Fault {
-        let controller = rng.usize(..CONTROLLERS);
-        match rng.u8(..16) {
-            0 => Fault::KvOutage,
-            1 => Fault::KvRefuses(controller),
-            2 => Fault::PeersUnreachable(controller),
-            3..=5 => Fault::ControllerDown(controller),
-            6 => Fault::ZonePartition,
-            7 => Fault::DelayedTransactions,
-            8 => Fault::DroppedKvResponses,
-            _ => Fault::of_random_machine(rng),
-        }
-    }
-
-    fn of_random_machine(rng: &mut Rng) -> Fault {
-        let machine = rng.usize(..MACHINES);
-        match rng.u8(..6) {
-            0 => Fault::MachineDropsIncoming(machine),
-            1 => Fault::MachineFrozen(machine),
-            2 => Fault::MachineDropsCommandResponses(machine),
-            3 => Fault::MachineDelaysCommands(machine),
-            4 => Fault::MachineRestarts(machine),
-            _ => Fault::MachineDropsHeartbeats(machine),
-        }
-    }
-
-    /// The machine that the fault affects; `None` for a fault of something else.
-    fn machine(self) -> Option<usize> {
-        match self {
-            Fault::MachineDropsIncoming(machine)
-            | Fault::MachineDropsHeartbeats(machine)
-            | Fault::MachineFrozen(machine)
-            | Fault::MachineDropsCommandResponses(machine)
-            | Fault::MachineDelaysCommands(machine)
-            | Fault::MachineRestarts(machine) => Some(machine),
-            _ => None,
-        }
-    }
-
-    fn set(self, cluster: &mut SimulatedCluster, on: bool) {
-        match self {
-            Fault::KvOutage => cluster.kv_outage = on,
-            Fault::KvRefuses(controller) => cluster.controller_faults[controller].kv_refused = on,
-            Fault::PeersUnreachable(controller) => {
-                cluster.controller_faults[controller].isolated_from_peers = on
-            }
-            Fault::ControllerDown(controller) if on => cluster.stop_controller(controller),
-            // Each step calls `start_controllers`, which also retries a controller that can't read
-            // the records yet.
-            Fault::ControllerDown(_) => {}
-            Fault::ZonePartition => cluster.partition_zone(on),
-            Fault::DelayedTransactions => cluster.store.execution_delay_ms = on.then_some(4000),
-            Fault::DroppedKvResponses => cluster.store.drops_responses = on,
-            Fault::MachineDropsIncoming(machine) => {
-                cluster.machines[machine].faults.drops_incoming = on
-            }
-            Fault::MachineDropsHeartbeats(machine) => {
-                cluster.machines[machine].faults.drops_heartbeats = on
-            }
-            Fault::MachineFrozen(machine) => cluster.machines[machine].faults.frozen = on,
-            Fault::MachineDropsCommandResponses(machine) => {
-                cluster.machines[machine].faults.drops_command_responses = on
-            }
-            Fault::MachineDelaysCommands(machine) => {
-                cluster.machines[machine].faults.delays_commands = on
-            }
-            // The restart itself is scheduled when the fault is drawn.
-            Fault::MachineRestarts(_) => {}
-        }
-    }
-}
-
 /// A restart of a machine that is still to come.
 #[derive(Clone, Copy)]
 struct ScheduledRestart {
@@ -246,9 +80,9 @@
             }
             let controller = self.rng.usize(..CONTROLLERS);
             match self.rng.u8(..10) {
-                draw if draw < self.mix.submissions() => self.submit(controller),
                 4 => self.cancel(controller),
                 5 => self.redeliver_old_heartbeat(controller),
+                draw if draw < self.mix.last_submission() => self.submit(controller),
                 _ => self.poll(controller),
             }
         }
