Tests of the checker for cancelled jobs

Change: a cancelled job need not be done, a task of it that is active too late is a violation, and when a task is overdue.

--- a/crates/testkit/tests/checker.rs
+++ b/crates/testkit/tests/checker.rs
@@ -167,6 +167,38 @@
     );
 }
 
+#[test]
+fn a_cancelled_job_need_not_be_done_but_its_tasks_have_to_be_gone() {
+    let cancelled = Event::JobCancelled {
+        job: "job-1".into(),
+    };
+    let cancel_in_time = |events: &mut Vec<Event>| {
+        events.truncate(11);
+        events.push(cancelled);
+    };
+    assert_eq!(kinds_after(cancel_in_time.clone()), []);
+    let still_active = Event::CancelledTaskActive {
+        task: "job-1/1".into(),
+        machine: "m2".into(),
+        overdue_ms: 1,
+    };
+    let found = kinds_after(|events| {
+        cancel_in_time(events);
+        events.push(still_active);
+    });
+    assert_eq!(found, [ViolationKind::CancelledTaskActive]);
+}
+
+#[test]
+fn a_task_is_overdue_once_its_job_has_been_cancelled_for_longer_than_allowed() {
+    let mut recorder = Recorder::default();
+    recorder.record_cancellation(1000, "job-1");
+    recorder.record_cancellation(1500, "job-1");
+    assert_eq!(recorder.overdue_ms("job-1/0", 6000, 5000), None);
+    assert_eq!(recorder.overdue_ms("job-1/0", 6250, 5000), Some(250));
+    assert_eq!(recorder.overdue_ms("job-2/0", 9000, 5000), None);
+}
+
 fn shard_key() -> String {
     format!("{KEY_PREFIX}shard/0")
 }
